--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bench of the decision core in virtual time.
--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bundle file: parse, check, sections, signatures.
--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP API for callers.
--- /dev/null
+++ b/crates/core/src/entry.rs
@@ -0,0 +1,535 @@
+//! Decisions of an entry: every request from admission to its one answer.
+
+use crate::Rng;
+use crate::admit::{Admission, Denial};
+use crate::bundle::{Bundle, Effect, Pipeline, Stage};
+use crate::claim::ClaimRecord;
+use crate::ids::{
+    AttemptId, AvailabilityZone, Digest, Incarnation, PipelineId, PoolId, RequestId, ServerId,
+    WorkspaceId,
+};
+use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
+use crate::predict::Estimator;
+use crate::retry::{Backoff, Budget};
+use crate::route::Router;
+use crate::time::{Span, Time};
+use crate::value;
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// First delay of retries.
+const RETRY_BASE: Span = Span::from_millis(5);
+/// Longest delay of retries.
+const RETRY_CAP: Span = Span::from_millis(250);
+/// Retry hint when nothing better is known.
+const DEFAULT_RETRY: Span = Span::from_secs(1);
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Pipeline to run.
+    pub pipeline: PipelineId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Deadline that the caller asked for; the pipeline's is the ceiling.
+    pub deadline: Option<Span>,
+    /// Digest of workspace and idempotency key; needed when a stage may run only once.
+    pub key: Option<Digest>,
+    /// Digest of the body.
+    pub body: Digest,
+    /// Digest of the prompt prefix, for affinity.
+    pub prefix: Option<u64>,
+    /// Whether the last stage's chunks are passed on as they come.
+    pub stream: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum EntryEvent {
+    /// The side took the attempt.
+    Accepted(AttemptId),
+    /// The side promised never to start the attempt.
+    Refused(AttemptId, Refusal),
+    /// A chunk of the answer arrived; it counts from 0 within the stage.
+    Chunk(AttemptId, u32),
+    /// The attempt ended.
+    Done(AttemptId, Outcome),
+    /// The connection broke before the attempt ended; it may run or have run.
+    Lost(AttemptId),
+    /// The store answered a claim.
+    Claimed(RequestId, ClaimAnswer),
+    /// A side answered what it knows; `None` when it can't be reached.
+    Stands(RequestId, Option<Standing>),
+    /// The caller went away.
+    Gone(RequestId),
+}
+
+/// The store's answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The record was written at this revision.
+    Won(u64),
+    /// Another record stands there, at this revision.
+    Found(ClaimRecord, u64),
+    /// The store can't be reached.
+    Down,
+}
+
+/// How to write a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimWrite {
+    /// Only if no record exists.
+    Create,
+    /// Only if the record still has this revision.
+    Replace(u64),
+}
+
+/// Where the input of a stage comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// The caller's body.
+    Caller,
+    /// The output of the winning attempt of the stage before.
+    Attempt(AttemptId),
+}
+
+/// What the entry must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryAction {
+    /// Send an attempt to a side.
+    Send {
+        /// Where to.
+        server: ServerId,
+        /// What to send.
+        dispatch: Dispatch,
+        /// Whose output to send with it.
+        input: Input,
+    },
+    /// Cancel an attempt at a side.
+    Cancel(ServerId, AttemptId),
+    /// Write a claim to the store and report the answer.
+    Claim {
+        /// The request that it is for.
+        request: RequestId,
+        /// Digest of workspace, key and stage.
+        key: Digest,
+        /// The record to write.
+        record: ClaimRecord,
+        /// Under which condition.
+        write: ClaimWrite,
+    },
+    /// Ask a side to promise never to start an attempt, and report its word.
+    Ask {
+        /// The request that it is for.
+        request: RequestId,
+        /// The side to ask.
+        server: ServerId,
+        /// The attempt in question.
+        attempt: AttemptId,
+        /// The incarnation that it belongs to.
+        incarnation: Incarnation,
+    },
+    /// Record the end of a claimed call in the store; no answer is awaited.
+    Settle {
+        /// Digest of workspace, key and stage.
+        key: Digest,
+        /// The record to write; its answer is filled in from the attempt's output.
+        record: ClaimRecord,
+        /// Revision that the record must still have.
+        revision: u64,
+    },
+    /// Keep these bytes as the output of this attempt.
+    Keep(AttemptId, Bytes),
+    /// Pass a chunk of this attempt on to the caller.
+    Emit(AttemptId, u32),
+    /// The final answer; nothing follows for this request.
+    Answer(RequestId, Answer),
+}
+
+/// The final answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The whole output of this attempt.
+    Complete(AttemptId),
+    /// No answer can be given.
+    Error {
+        /// Why.
+        code: Code,
+        /// What happened to the work.
+        execution: Execution,
+        /// When to come back, if that can help.
+        retry: Option<Span>,
+    },
+}
+
+value! {
+    /// Why a request has no answer. A closed set that callers see.
+    #[derive(Copy, PartialOrd, Ord, Hash)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Code {
+        /// The bundle has no such pipeline.
+        UnknownPipeline,
+        /// The bundle has no such workspace.
+        UnknownWorkspace,
+        /// A stage may run only once and the caller gave no key.
+        KeyRequired,
+        /// The key was used with another body.
+        KeyReused,
+        /// The workspace has too many requests in progress.
+        WorkspaceLimit,
+        /// The pools can't finish it in time.
+        Overloaded,
+        /// No server of a pool can be reached.
+        Unavailable,
+        /// The entry is shutting down.
+        Draining,
+        /// The store is needed for this call and can't be reached.
+        StoreDown,
+        /// The deadline passed.
+        DeadlineExceeded,
+        /// A stage failed.
+        StageFailed,
+        /// A non-idempotent call may or may not have run; nobody runs it again.
+        OutcomeUnknown,
+    }
+
+    /// What happened to the work of a request without an answer.
+    #[derive(Copy, PartialOrd, Ord, Hash)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Execution {
+        /// Nothing ran and nothing will.
+        NotRun,
+        /// Some of it may have run.
+        Unknown,
+        /// Some of it ran.
+        Ran,
+    }
+}
+
+/// Settings of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Whether slow attempts are hedged.
+    pub hedging: bool,
+    /// Whether requests that are predicted to be late are refused.
+    pub admission: bool,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self { hedging: true, admission: true }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) server: ServerId,
+    pub(crate) sent: Time,
+}
+
+/// Progress of a stage that may run only once.
+#[derive(Clone, Debug)]
+pub(crate) enum Claim {
+    /// Waits for the store's answer.
+    Writing(ClaimRecord),
+    /// The record is this request's own and its attempt was sent.
+    Held(ClaimRecord, u64),
+    /// Waits for a side's word on the record that was found.
+    Asking(ClaimRecord, u64),
+    /// Asks again at the request's retry time.
+    Waiting(ClaimRecord, u64),
+    /// Writes `Unknown`.
+    Marking,
+    /// Claims at the request's retry time.
+    Planned(ClaimWrite),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) call: Call,
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) deadline: Time,
+    pub(crate) stage: u16,
+    /// Attempts at the current stage that have not ended; none of an earlier stage.
+    pub(crate) attempts: Vec<Attempt>,
+    /// Servers that attempts of the current stage were sent to.
+    pub(crate) used: Vec<ServerId>,
+    /// Number of the next attempt.
+    pub(crate) number: u16,
+    pub(crate) input: Input,
+    /// Attempts that were sent, at any stage.
+    pub(crate) sent: u32,
+    /// Attempts that a side promised never to start; at most `sent`.
+    pub(crate) refused: u32,
+    /// Some attempt ran.
+    pub(crate) ran: bool,
+    /// Another request's attempt under the same key may run.
+    pub(crate) foreign: bool,
+    /// The element of `Entry::timers` that belongs to this request.
+    pub(crate) armed: Time,
+    pub(crate) claim: Option<Claim>,
+    pub(crate) backoff: Backoff,
+    pub(crate) retry_at: Option<Time>,
+    pub(crate) hedge_at: Option<Time>,
+    /// Chunks passed on to the caller; the next one has this index.
+    pub(crate) emitted: u32,
+    /// The attempt whose chunks are passed on.
+    pub(crate) streaming: Option<AttemptId>,
+}
+
+impl Request {
+    pub(crate) fn stage(&self) -> Option<&Stage> {
+        self.pipeline()?.stages.get(usize::from(self.stage))
+    }
+
+    fn pipeline(&self) -> Option<&Pipeline> {
+        self.bundle.pipelines.get(&self.call.pipeline)
+    }
+
+    pub(crate) fn next_event(&self) -> Time {
+        [self.retry_at, self.hedge_at].into_iter().flatten().fold(self.deadline, Time::min)
+    }
+
+    /// What happened to the work so far.
+    pub(crate) fn execution(&self) -> Execution {
+        if self.ran {
+            Execution::Ran
+        } else if self.foreign || self.refused < self.sent {
+            Execution::Unknown
+        } else {
+            Execution::NotRun
+        }
+    }
+
+    /// Digest of workspace, key and stage.
+    pub(crate) fn key(&self) -> Digest {
+        let mut key = self.call.key.unwrap_or(self.call.body);
+        // One caller's key covers each non-idempotent stage of its pipeline separately.
+        key.0[30] ^= (self.stage >> 8) as u8;
+        key.0[31] ^= self.stage as u8;
+        key
+    }
+}
+
+/// All requests of an entry process.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: AvailabilityZone,
+    pub(crate) settings: EntrySettings,
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) routers: BTreeMap<PoolId, Router>,
+    pub(crate) budgets: BTreeMap<PoolId, Budget>,
+    pub(crate) estimators: BTreeMap<(PipelineId, u16), Estimator>,
+    pub(crate) admission: Admission,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// One element per request: when its next timer runs out.
+    pub(crate) timers: BTreeSet<(Time, RequestId)>,
+    pub(crate) serial: u64,
+    pub(crate) draining: bool,
+    pub(crate) dropped: u64,
+}
+
+impl Entry {
+    /// An entry without requests.
+    pub fn new(
+        incarnation: Incarnation,
+        zone: AvailabilityZone,
+        settings: EntrySettings,
+        bundle: Arc<Bundle>,
+    ) -> Self {
+        let mut entry = Self {
+            incarnation,
+            zone,
+            settings,
+            bundle: Arc::clone(&bundle),
+            routers: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            estimators: BTreeMap::new(),
+            admission: Admission::default(),
+            requests: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            serial: 0,
+            draining: false,
+            dropped: 0,
+        };
+        entry.configure(bundle);
+        entry
+    }
+
+    /// Puts a bundle into force for new requests; running ones keep theirs.
+    pub fn configure(&mut self, bundle: Arc<Bundle>) {
+        self.routers.retain(|id, _| bundle.pools.contains_key(id));
+        for (id, pool) in &bundle.pools {
+            let zone = self.zone.clone();
+            let router = self.routers.entry(id.clone()).or_insert_with(|| Router::new(zone));
+            router.set_servers(&pool.servers);
+            self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
+        }
+        self.bundle = bundle;
+    }
+
+    /// Takes a request. The first action may already be its answer.
+    pub fn call(&mut self, now: Time, rng: &mut Rng, call: Call) -> (RequestId, Vec<EntryAction>) {
+        self.serial += 1;
+        let id = RequestId { entry: self.incarnation, serial: self.serial };
+        let mut actions = Vec::new();
+        match self.admit(now, &call) {
+            Err((code, retry)) => {
+                let answer = Answer::Error { code, execution: Execution::NotRun, retry };
+                actions.push(EntryAction::Answer(id, answer));
+            }
+            Ok(budget) => {
+                let request = self.new_request(call, now + budget);
+                self.timers.insert((request.armed, id));
+                self.requests.insert(id, request);
+                self.begin_stage(now, rng, id, &mut actions);
+            }
+        }
+        (id, actions)
+    }
+
+    /// Takes an event.
+    pub fn event(&mut self, now: Time, rng: &mut Rng, event: EntryEvent) -> Vec<EntryAction> {
+        let mut actions = Vec::new();
+        match event {
+            EntryEvent::Accepted(_) => {}
+            EntryEvent::Refused(attempt, refusal) => {
+                self.refused(now, rng, attempt, refusal, &mut actions);
+            }
+            EntryEvent::Chunk(attempt, index) => self.chunk(attempt, index, &mut actions),
+            EntryEvent::Done(attempt, outcome) => {
+                self.done(now, rng, attempt, outcome, &mut actions);
+            }
+            EntryEvent::Lost(attempt) => self.lost(now, rng, attempt, &mut actions),
+            EntryEvent::Claimed(id, answer) => self.claimed(now, rng, id, answer, &mut actions),
+            EntryEvent::Stands(id, standing) => {
+                self.stands(now, rng, id, standing, &mut actions);
+            }
+            EntryEvent::Gone(id) => self.end(id, &mut actions),
+        }
+        actions
+    }
+
+    /// Runs the timers that are due.
+    pub fn tick(&mut self, now: Time, rng: &mut Rng) -> Vec<EntryAction> {
+        let mut actions = Vec::new();
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.timer(now, rng, id, &mut actions);
+        }
+        actions
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self) -> Option<Time> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// A side's report arrived.
+    pub fn report(&mut self, pool: &PoolId, server: &ServerId, report: Report) {
+        if let Some(router) = self.routers.get_mut(pool) {
+            router.report(server, report);
+        }
+    }
+
+    /// The connection to a side opened or closed. Its attempts are reported lost one by one.
+    pub fn connected(&mut self, now: Time, pool: &PoolId, server: &ServerId, connected: bool) {
+        if let Some(router) = self.routers.get_mut(pool) {
+            router.connected(now, server, connected);
+        }
+    }
+
+    /// The instance list says that a server is leaving, or no longer.
+    pub fn leaving(&mut self, pool: &PoolId, server: &ServerId, leaving: bool) {
+        if let Some(router) = self.routers.get_mut(pool) {
+            router.leaving(server, leaving);
+        }
+    }
+
+    /// Refuses new requests; those in progress go on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Requests in progress.
+    pub fn progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Late or duplicate messages that were dropped.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// The bundle in force for new requests.
+    pub fn bundle(&self) -> &Arc<Bundle> {
+        &self.bundle
+    }
+
+    fn admit(&mut self, now: Time, call: &Call) -> Result<Span, (Code, Option<Span>)> {
+        if self.draining {
+            return Err((Code::Draining, Some(Span::ZERO)));
+        }
+        let bundle = Arc::clone(&self.bundle);
+        let pipeline = bundle.pipelines.get(&call.pipeline).ok_or((Code::UnknownPipeline, None))?;
+        let workspace =
+            bundle.workspaces.get(&call.workspace).ok_or((Code::UnknownWorkspace, None))?;
+        let once = pipeline.stages.iter().any(|stage| stage.effect == Effect::Once);
+        if once && call.key.is_none() {
+            return Err((Code::KeyRequired, None));
+        }
+        let budget = call.deadline.unwrap_or(pipeline.deadline).min(pipeline.deadline);
+        let predicted = self
+            .predict(now, &call.pipeline, pipeline)
+            .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
+        let predicted = if self.settings.admission { predicted } else { Span::ZERO };
+        match self.admission.admit(&call.workspace, workspace, predicted, budget) {
+            Ok(()) => Ok(budget),
+            Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
+            Err(Denial::Overloaded { retry }) => Err((Code::Overloaded, Some(retry))),
+        }
+    }
+
+    /// Predicted time of the whole pipeline. `None`: a pool has no server that can take work.
+    fn predict(&self, now: Time, id: &PipelineId, pipeline: &Pipeline) -> Option<Span> {
+        let mut total = Span::ZERO;
+        for (i, stage) in pipeline.stages.iter().enumerate() {
+            let estimate = self.estimate(id, i as u16, stage);
+            total += estimate + self.routers.get(&stage.pool)?.best_wait(now, estimate)?;
+        }
+        Some(total)
+    }
+
+    pub(crate) fn estimate(&self, id: &PipelineId, stage: u16, settings: &Stage) -> Span {
+        self.estimators.get(&(id.clone(), stage)).map_or(settings.expected, Estimator::mean)
+    }
+
+    fn new_request(&self, call: Call, deadline: Time) -> Request {
+        Request {
+            call,
+            bundle: Arc::clone(&self.bundle),
+            deadline,
+            stage: 0,
+            attempts: Vec::new(),
+            used: Vec::new(),
+            number: 0,
+            input: Input::Caller,
+            sent: 0,
+            refused: 0,
+            ran: false,
+            foreign: false,
+            armed: deadline,
+            claim: None,
+            backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
+            retry_at: None,
+            hedge_at: None,
+            emitted: 0,
+            streaming: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,51 @@
+//! Pure decision core of damaskweir: admission, queueing, routing, retries, hedging, claims for
+//! non-idempotent work, drain, bundle versions and leases.
+//!
+//! Every part is a state machine without I/O, clock or randomness of its own. Callers hand in the
+//! time and the random number generator and carry out the actions that come back. The daemons, the
+//! bench, the scenario runner and the model checker all drive this same code, and other projects can
+//! embed it.
+//!
+//! ```
+//! use damaskweir_core::prelude::*;
+//! use damaskweir_core::side::{Side, SideAction, SideSettings};
+//!
+//! let mut side = Side::new(Incarnation(1), SideSettings::default());
+//! let request = RequestId { entry: Incarnation(7), serial: 1 };
+//! let dispatch = Dispatch {
+//!     attempt: AttemptId { request, stage: 0, number: 0 },
+//!     version: Version(1),
+//!     workspace: WorkspaceId::from("kollam"),
+//!     share: 1,
+//!     remaining: Span::from_secs(3),
+//!     estimate: Span::from_millis(40),
+//!     effect: Effect::Idempotent,
+//!     resume: 0,
+//!     incarnation: None,
+//! };
+//! let actions = side.dispatch(Time(0), &dispatch);
+//! assert_eq!(actions, vec![SideAction::Start(dispatch.attempt)]);
+//! ```
+
+mod flow;
+mod once;
+mod value;
+
+pub mod admit;
+pub mod bundle;
+pub mod claim;
+pub mod entry;
+pub mod epoch;
+pub mod ids;
+pub mod lease;
+pub mod message;
+pub mod predict;
+pub mod prelude;
+pub mod queue;
+pub mod retry;
+pub mod route;
+pub mod side;
+pub mod time;
+
+/// Random number generator that callers hand in; the core never seeds one itself.
+pub type Rng = rand_chacha::ChaCha8Rng;
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,13 @@
+//! The common types, for glob import.
+
+pub use crate::Rng;
+pub use crate::bundle::{
+    BackendServer, Bundle, Effect, OperatorKey, Pipeline, Pool, PoolKind, Stage, Workspace,
+};
+pub use crate::ids::{
+    AttemptId, AvailabilityZone, Digest, Incarnation, InstanceId, PipelineId, PoolId, RequestId,
+    ServerId, Version, WorkspaceId,
+};
+pub use crate::message::{Dispatch, Failure, Outcome, Refusal, Report, Standing};
+pub use crate::time::{Span, Time};
+pub use crate::value;
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,63 @@
+//! Budgets and delays of retries and hedges.
+
+use crate::Rng;
+use crate::time::Span;
+use rand_core::Rng as _;
+
+/// One token of a budget, in thousandths.
+const TOKEN: u64 = 1_000;
+/// Tokens that a budget can save up, so that a quiet pool still allows a few retries.
+const BURST_TOKENS: u64 = 10;
+
+/// Limits extra attempts to a share of the first attempts, so that a failing pool never sees more.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    /// Thousandths of a token; at most `BURST_TOKENS * TOKEN`.
+    level: u64,
+    share: u64,
+}
+
+impl Budget {
+    /// A budget of `share` thousandths of an extra attempt for each first attempt.
+    pub fn new(share: u32) -> Self {
+        Self { level: BURST_TOKENS * TOKEN, share: u64::from(share) }
+    }
+
+    /// Counts a first attempt.
+    pub fn deposit(&mut self) {
+        self.level = (self.level + self.share).min(BURST_TOKENS * TOKEN);
+    }
+
+    /// Takes one extra attempt if the budget allows it.
+    pub fn withdraw(&mut self) -> bool {
+        let allowed = self.level >= TOKEN;
+        if allowed {
+            self.level -= TOKEN;
+        }
+        allowed
+    }
+}
+
+/// Delay before a retry, with decorrelated jitter: uniform between the base and three times the last
+/// delay, up to a cap. The Tor directory specification uses the same variation for its clients.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    base: Span,
+    cap: Span,
+    last: Span,
+}
+
+impl Backoff {
+    /// Starts at `base` and never exceeds `cap`.
+    pub fn new(base: Span, cap: Span) -> Self {
+        Self { base, cap, last: base }
+    }
+
+    /// The next delay.
+    pub fn next_delay(&mut self, rng: &mut Rng) -> Span {
+        let high = (self.last.0 * 3).max(self.base.0 + 1);
+        let delay = self.base.0 + rng.next_u64() % (high - self.base.0);
+        self.last = Span(delay.min(self.cap.0));
+        self.last
+    }
+}
--- /dev/null
+++ b/crates/core/src/side.rs
@@ -0,0 +1,307 @@
+//! Decisions of the side process next to one backend server.
+
+use crate::bundle::Effect;
+use crate::ids::{AttemptId, Incarnation, Version};
+use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
+use crate::queue::{Queue, Waiting};
+use crate::time::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Settings of a side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SideSettings {
+    /// Attempts that may run at once.
+    pub slots: u32,
+    /// Attempts that may wait.
+    pub queue: u32,
+    /// How long ends of non-idempotent attempts are kept.
+    pub retention: Span,
+}
+
+impl Default for SideSettings {
+    fn default() -> Self {
+        Self { slots: 8, queue: 256, retention: Span::from_secs(24 * 3600) }
+    }
+}
+
+/// What the side must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SideAction {
+    /// Give the attempt to the backend server.
+    Start(AttemptId),
+    /// Tell the entry that the attempt was not and will not be started.
+    Refuse(AttemptId, Refusal),
+    /// Cancel the running attempt at the backend server.
+    Abort(AttemptId),
+    /// Nothing runs or waits any more: the process may exit.
+    Drained,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    effect: Effect,
+    started: Time,
+    estimate: Span,
+}
+
+#[derive(Clone, Debug)]
+struct Ended {
+    outcome: Outcome,
+    at: Time,
+}
+
+/// State of a side.
+#[derive(Clone, Debug)]
+pub struct Side {
+    incarnation: Incarnation,
+    settings: SideSettings,
+    version: Version,
+    queue: Queue,
+    /// Effects of the attempts in `queue`.
+    effects: BTreeMap<AttemptId, Effect>,
+    /// At most `settings.slots`.
+    running: BTreeMap<AttemptId, Running>,
+    /// Non-idempotent attempts that ended, for the retention time.
+    ended: BTreeMap<AttemptId, Ended>,
+    /// Non-idempotent attempts that were promised never to start. Kept for the whole incarnation:
+    /// a delayed dispatch may arrive at any time.
+    forbidden: BTreeSet<AttemptId>,
+    draining: bool,
+    down: bool,
+    serial: u64,
+}
+
+impl Side {
+    /// A side that serves and has seen nothing.
+    pub fn new(incarnation: Incarnation, settings: SideSettings) -> Self {
+        Self {
+            incarnation,
+            settings,
+            version: Version::default(),
+            queue: Queue::default(),
+            effects: BTreeMap::new(),
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            forbidden: BTreeSet::new(),
+            draining: false,
+            down: false,
+            serial: 0,
+        }
+    }
+
+    /// Takes a new attempt, or refuses it.
+    pub fn dispatch(&mut self, now: Time, dispatch: &Dispatch) -> Vec<SideAction> {
+        if let Some(refusal) = self.refusal(now, dispatch) {
+            if dispatch.effect == Effect::Once && refusal != Refusal::Duplicate {
+                // A refusal is a promise; a copy of the dispatch must not start either.
+                self.forbidden.insert(dispatch.attempt);
+            }
+            return vec![SideAction::Refuse(dispatch.attempt, refusal)];
+        }
+        self.effects.insert(dispatch.attempt, dispatch.effect);
+        self.queue.push(Waiting {
+            attempt: dispatch.attempt,
+            workspace: dispatch.workspace.clone(),
+            share: dispatch.share,
+            deadline: now + dispatch.remaining,
+            estimate: dispatch.estimate,
+            arrived: now,
+        });
+        self.start(now)
+    }
+
+    /// The entry no longer wants the attempt.
+    pub fn cancel(&mut self, now: Time, attempt: AttemptId) -> Vec<SideAction> {
+        if self.queue.remove(attempt).is_some() {
+            self.withdraw(attempt);
+            let mut actions = vec![SideAction::Refuse(attempt, Refusal::Cancelled)];
+            actions.extend(self.drained());
+            return actions;
+        }
+        match self.running.get(&attempt) {
+            // Non-idempotent work is never cut off: its outcome would be unknown.
+            Some(running) if running.effect == Effect::Idempotent => {
+                self.running.remove(&attempt);
+                let mut actions = vec![SideAction::Abort(attempt)];
+                actions.extend(self.start(now));
+                actions
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// The backend server ended an attempt.
+    pub fn finish(&mut self, now: Time, attempt: AttemptId, outcome: Outcome) -> Vec<SideAction> {
+        match self.running.remove(&attempt) {
+            Some(Running { effect: Effect::Once, .. }) => {
+                self.ended.insert(attempt, Ended { outcome, at: now });
+            }
+            Some(_) => {}
+            None => return Vec::new(),
+        }
+        self.start(now)
+    }
+
+    /// Promises never to start a non-idempotent attempt, if that is still possible.
+    pub fn forbid(&mut self, attempt: AttemptId, incarnation: Incarnation) -> Standing {
+        if incarnation != self.incarnation {
+            return Standing::Gone;
+        }
+        if let Some(ended) = self.ended.get(&attempt) {
+            return Standing::Ended(ended.outcome);
+        }
+        if self.running.contains_key(&attempt) {
+            return Standing::Running;
+        }
+        if self.queue.remove(attempt).is_some() {
+            self.effects.remove(&attempt);
+        }
+        self.forbidden.insert(attempt);
+        Standing::Forbidden
+    }
+
+    /// Stops taking work. Waiting attempts are handed back as not started.
+    pub fn drain(&mut self) -> Vec<SideAction> {
+        self.draining = true;
+        let mut actions = self.hand_back(Refusal::Draining);
+        actions.extend(self.drained());
+        actions
+    }
+
+    /// The backend server went down or came back.
+    pub fn set_down(&mut self, now: Time, down: bool) -> Vec<SideAction> {
+        self.down = down;
+        if down { self.hand_back(Refusal::Down) } else { self.start(now) }
+    }
+
+    /// The bundle version in force changed.
+    pub fn set_version(&mut self, version: Version) {
+        self.version = self.version.max(version);
+    }
+
+    /// The calls that the backend server may run at once changed.
+    pub fn set_slots(&mut self, now: Time, slots: u32) -> Vec<SideAction> {
+        self.settings.slots = slots.max(1);
+        self.start(now)
+    }
+
+    /// Hands back attempts that can no longer make it and forgets old ends.
+    pub fn tick(&mut self, now: Time) -> Vec<SideAction> {
+        let retention = self.settings.retention;
+        self.ended.retain(|_, ended| now.since(ended.at) < retention);
+        let late = self.queue.expired(now);
+        let mut actions: Vec<_> =
+            late.iter().map(|item| SideAction::Refuse(item.attempt, Refusal::Expired)).collect();
+        for item in &late {
+            self.withdraw(item.attempt);
+        }
+        actions.extend(self.start(now));
+        actions
+    }
+
+    /// When `tick` has something to do.
+    pub fn next_tick(&self) -> Option<Time> {
+        // One microsecond later, since an attempt is too late only after its latest start.
+        self.queue.next_expiry().map(|at| at + Span(1))
+    }
+
+    /// The report to attach to the next message.
+    pub fn report(&mut self, now: Time) -> Report {
+        self.serial += 1;
+        Report {
+            incarnation: self.incarnation,
+            serial: self.serial,
+            version: self.version,
+            queued: self.queue.len() as u32,
+            running: self.running.len() as u32,
+            limit: self.settings.slots,
+            wait: self.wait(now),
+            draining: self.draining || self.down,
+        }
+    }
+
+    /// The run of this process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The bundle version in force.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Attempts that run now.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Predicted wait of an attempt that arrives now.
+    fn wait(&self, now: Time) -> Span {
+        if self.running.len() < self.settings.slots as usize && self.queue.is_empty() {
+            return Span::ZERO;
+        }
+        let left: u64 =
+            self.running.values().map(|r| r.estimate.saturating_sub(now.since(r.started)).0).sum();
+        Span((left + self.queue.backlog().0) / u64::from(self.settings.slots.max(1)))
+    }
+
+    fn refusal(&self, now: Time, dispatch: &Dispatch) -> Option<Refusal> {
+        let attempt = dispatch.attempt;
+        if dispatch.incarnation.is_some_and(|meant| meant != self.incarnation) {
+            return Some(Refusal::Stale);
+        }
+        if self.forbidden.contains(&attempt) {
+            return Some(Refusal::Forbidden);
+        }
+        if self.effects.contains_key(&attempt)
+            || self.running.contains_key(&attempt)
+            || self.ended.contains_key(&attempt)
+        {
+            return Some(Refusal::Duplicate);
+        }
+        if self.draining {
+            return Some(Refusal::Draining);
+        }
+        if self.down {
+            return Some(Refusal::Down);
+        }
+        let wait = self.wait(now);
+        if self.queue.len() >= self.settings.queue as usize
+            || wait + dispatch.estimate > dispatch.remaining
+        {
+            return Some(Refusal::Overloaded { retry: wait });
+        }
+        None
+    }
+
+    fn start(&mut self, now: Time) -> Vec<SideAction> {
+        let mut actions = Vec::new();
+        while !self.down && self.running.len() < self.settings.slots as usize {
+            let Some(waiting) = self.queue.pop(now) else { break };
+            let effect = self.effects.remove(&waiting.attempt).unwrap_or(Effect::Once);
+            let running = Running { effect, started: now, estimate: waiting.estimate };
+            self.running.insert(waiting.attempt, running);
+            actions.push(SideAction::Start(waiting.attempt));
+        }
+        actions.extend(self.drained());
+        actions
+    }
+
+    /// Records that a waiting attempt will never start.
+    fn withdraw(&mut self, attempt: AttemptId) {
+        if self.effects.remove(&attempt) == Some(Effect::Once) {
+            self.forbidden.insert(attempt);
+        }
+    }
+
+    fn hand_back(&mut self, refusal: Refusal) -> Vec<SideAction> {
+        let waiting = self.queue.drain();
+        waiting.iter().for_each(|item| self.withdraw(item.attempt));
+        waiting.iter().map(|item| SideAction::Refuse(item.attempt, refusal)).collect()
+    }
+
+    fn drained(&self) -> Option<SideAction> {
+        let idle = self.running.is_empty() && self.queue.is_empty();
+        (self.draining && idle).then_some(SideAction::Drained)
+    }
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,108 @@
+//! Monotonic time in microseconds, handed in by the caller of the core.
+
+use crate::value;
+use std::ops::{Add, AddAssign, Mul, Sub};
+
+value! {
+    /// A point in monotonic time, in microseconds since an arbitrary start.
+    #[derive(Copy, PartialOrd, Ord, Hash, Default)]
+    #[serde(transparent)]
+    pub struct Time(pub u64);
+
+    /// A length of time in microseconds.
+    #[derive(Copy, PartialOrd, Ord, Hash, Default)]
+    #[serde(transparent)]
+    pub struct Span(pub u64);
+}
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Span = Span(0);
+
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1_000_000)
+    }
+
+    /// The span in milliseconds, rounded up, so that a retry hint is never too early.
+    pub const fn as_millis(self) -> u64 {
+        self.0.div_ceil(1_000)
+    }
+
+    /// The span in seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// The span scaled by a factor; negative and non-finite factors give zero.
+    pub fn scale(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor) as u64)
+    }
+
+    /// The difference, or zero when `other` is longer.
+    pub const fn saturating_sub(self, other: Span) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Time {
+    /// Time passed since `earlier`, or zero when that lies ahead.
+    pub const fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl From<Span> for std::time::Duration {
+    fn from(span: Span) -> Self {
+        Self::from_micros(span.0)
+    }
+}
+
+impl From<std::time::Duration> for Span {
+    fn from(duration: std::time::Duration) -> Self {
+        Self(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Span {
+    fn add_assign(&mut self, other: Span) {
+        *self = *self + other;
+    }
+}
+
+impl Mul<u64> for Span {
+    type Output = Span;
+
+    fn mul(self, factor: u64) -> Span {
+        Span(self.0.saturating_mul(factor))
+    }
+}
--- /dev/null
+++ b/crates/damaskweir/src/main.rs
@@ -0,0 +1,3 @@
+//! Serving system for multi-stage model pipelines.
+
+fn main() {}
--- /dev/null
+++ b/crates/engines/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of model engines.
--- /dev/null
+++ b/crates/instances/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform instance list.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Exhaustive check of the core protocol.
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of operators and the audit trail.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scenario language and runner on the decision core.
--- /dev/null
+++ b/crates/services/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of plain services.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of outside peers for demo and tests.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform key-value service.
--- /dev/null
+++ b/crates/weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the weight store.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between entries and sides.
