Add the store client, the batched claim writer and the store stand-in

Non-idempotent calls need a durable record before any dispatch, at few store calls and with answers that may be lost.

The client speaks the JSON gateway of etcd v3 with a timeout, a rate share and decorrelated-jitter backoff for each call; errors tell 'no effect' from 'may have had one'. Claims go out in transactions of up to 128. A conflict changes nothing, and the rest of the batch is sent again: one nested transaction per claim would exceed etcd's default of 128 operations. A record equal to the one written is recognised as one's own, so a repeat after a lost answer is safe. While the store is down one claim at a time probes it and the others are refused at once. Ended calls share a retention lease per entry and hour, counted by the monotonic clock.

The key of a claim no longer contains the pool: a bundle that moves a stage to another pool must not make a repeated call look like a first one.

--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,585 @@
+//! Stand-in of the platform's key-value service: the part of the etcd v3 JSON gateway that the system
+//! uses, with faults that tests and the demo can set.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use futures::stream;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Largest value that the platform keeps.
+const VALUE_MAX_BYTES: usize = 1_000_000;
+/// Most operations in one transaction, as etcd's default.
+const TXN_MAX_OPS: usize = 128;
+/// Time for which a call that gets no answer is held open; callers give up earlier.
+const HANG: Duration = Duration::from_secs(60);
+
+/// How calls end during an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Answered with 503 at once, without effect.
+    Refuse,
+    /// Never answered, without effect.
+    Hang,
+}
+
+/// Calls that arrived.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Calls that only read.
+    pub reads: u64,
+    /// Calls that may write.
+    pub writes: u64,
+    /// Watches that were opened.
+    pub watches: u64,
+    /// Calls over the limit, answered with 429.
+    pub limited: u64,
+}
+
+/// A running stand-in on a loopback port.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    created: u64,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<Vec<u8>, Item>,
+    /// Changes that watches may still ask for: revision, key and new value.
+    log: VecDeque<(u64, Vec<u8>, Option<Item>)>,
+    /// Changes up to this revision were compacted.
+    compacted: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    next_lease: u64,
+    delay: Duration,
+    outage: Option<Outage>,
+    lose_answers: u32,
+    /// Calls allowed per second, and those left in the current one.
+    limit: Option<u32>,
+    window: Option<(Instant, u32)>,
+    calls: Calls,
+}
+
+impl Store {
+    /// Starts on a free loopback port.
+    pub async fn start() -> io::Result<Self> {
+        Self::start_at("127.0.0.1:0").await
+    }
+
+    /// Starts at an address.
+    pub async fn start_at(address: &str) -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let shared = Arc::new(Shared::default());
+        shared.lock().revision = 1;
+        let gateway = Gateway { shared: Arc::clone(&shared) };
+        let router = Router::with_path("v3/{**call}").post(gateway);
+        let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(Self { address, shared, server })
+    }
+
+    /// Address that it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base address for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Time that each call takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.lock().delay = delay;
+    }
+
+    /// Begins or ends an outage. Open watches end with it.
+    pub fn set_outage(&self, outage: Option<Outage>) {
+        self.shared.lock().outage = outage;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Limits the calls per second.
+    pub fn set_limit(&self, limit: Option<u32>) {
+        self.shared.lock().limit = limit;
+    }
+
+    /// Carries out the next writes without ever answering them.
+    pub fn lose_answers(&self, writes: u32) {
+        self.shared.lock().lose_answers = writes;
+    }
+
+    /// Calls that arrived.
+    pub fn calls(&self) -> Calls {
+        self.shared.lock().calls
+    }
+
+    /// Value and revision of a key, read without a call.
+    pub fn peek(&self, key: &str) -> Option<(Vec<u8>, u64)> {
+        let state = self.shared.lock();
+        state.items.get(key.as_bytes()).map(|item| (item.value.clone(), item.revision))
+    }
+
+    /// Keys with a prefix, read without a call.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix.as_bytes()));
+        keys.map(|key| String::from_utf8_lossy(key).into_owned()).collect()
+    }
+
+    /// Writes a key without a call, as someone else would.
+    pub fn poke(&self, key: &str, value: Option<&[u8]>) {
+        let mut state = self.shared.lock();
+        state.revision += 1;
+        match value {
+            Some(value) => state.write(key.as_bytes(), value.to_vec(), 0),
+            None => state.remove(key.as_bytes()),
+        }
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Ends a lease as if its time had passed.
+    pub fn lapse(&self, lease: u64) {
+        self.shared.lock().revoke(lease);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Forgets past changes, so that watches from an earlier revision fail.
+    pub fn compact(&self) {
+        let mut state = self.shared.lock();
+        state.compacted = state.revision;
+        state.log.clear();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn write(&mut self, key: &[u8], value: Vec<u8>, lease: u64) {
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, created, revision, lease };
+        self.log.push_back((revision, key.to_vec(), Some(item.clone())));
+        self.items.insert(key.to_vec(), item);
+    }
+
+    fn remove(&mut self, key: &[u8]) {
+        if self.items.remove(key).is_some() {
+            self.log.push_back((self.revision, key.to_vec(), None));
+        }
+    }
+
+    fn revoke(&mut self, lease: u64) -> bool {
+        let known = self.leases.remove(&lease).is_some();
+        let keys: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(_, item)| lease != 0 && item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+            keys.iter().for_each(|key| self.remove(key));
+        }
+        known
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        let lapsed: Vec<_> =
+            self.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
+        for lease in lapsed {
+            self.revoke(lease);
+        }
+    }
+
+    fn limited(&mut self, now: Instant) -> bool {
+        let Some(limit) = self.limit else { return false };
+        let (start, left) = self.window.unwrap_or((now, limit));
+        let (start, left) = if now.duration_since(start) >= Duration::from_secs(1) {
+            (now, limit)
+        } else {
+            (start, left)
+        };
+        self.window = Some((start, left.saturating_sub(1)));
+        left == 0
+    }
+
+    fn header(&self) -> Value {
+        json!({ "cluster_id": "1", "member_id": "1", "revision": self.revision.to_string() })
+    }
+
+    fn range(&self, body: &Value) -> Result<Value, Fault> {
+        let key = bytes_at(body, "key")?;
+        let found: Vec<Value> = match body.get("range_end") {
+            None => self.items.get_key_value(&key).map(|(k, i)| pair(k, i)).into_iter().collect(),
+            Some(_) => {
+                let end = bytes_at(body, "range_end")?;
+                let open = end == [0];
+                let items = self.items.range(key..).take_while(|(k, _)| open || **k < end);
+                items.map(|(k, i)| pair(k, i)).collect()
+            }
+        };
+        let count = found.len().to_string();
+        Ok(json!({ "header": self.header(), "kvs": found, "count": count }))
+    }
+
+    fn check_put(&self, body: &Value) -> Result<(), Fault> {
+        let lease = number_at(body, "lease")?;
+        if bytes_at(body, "value")?.len() > VALUE_MAX_BYTES {
+            return Err(Fault(StatusCode::BAD_REQUEST, "etcdserver: request is too large"));
+        }
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return Err(Fault(StatusCode::NOT_FOUND, "etcdserver: requested lease not found"));
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, body: &Value) -> Result<Value, Fault> {
+        let lease = number_at(body, "lease")?;
+        self.write(&bytes_at(body, "key")?, bytes_at(body, "value")?, lease);
+        Ok(json!({ "header": self.header() }))
+    }
+
+    fn txn(&mut self, body: &Value) -> Result<Value, Fault> {
+        let list = |name: &str| body.get(name).and_then(Value::as_array).cloned();
+        let compare = list("compare").unwrap_or_default();
+        let success = list("success").unwrap_or_default();
+        let failure = list("failure").unwrap_or_default();
+        if [&compare, &success, &failure].iter().any(|ops| ops.len() > TXN_MAX_OPS) {
+            return Err(Fault(StatusCode::BAD_REQUEST, "etcdserver: too many operations"));
+        }
+        let mut held = true;
+        for condition in &compare {
+            held &= self.holds(condition)?;
+        }
+        let ops = if held { success } else { failure };
+        let mut keys = Vec::new();
+        for put in ops.iter().filter_map(|op| op.get("request_put")) {
+            self.check_put(put)?;
+            keys.push(bytes_at(put, "key")?);
+        }
+        keys.sort();
+        if keys.windows(2).any(|pair| pair[0] == pair[1]) {
+            return Err(Fault(StatusCode::BAD_REQUEST, "etcdserver: duplicate key given in txn"));
+        }
+        if ops.iter().any(|op| op.get("request_range").is_none()) {
+            self.revision += 1;
+        }
+        let mut responses = Vec::new();
+        for op in &ops {
+            responses.push(self.op(op)?);
+        }
+        Ok(json!({ "header": self.header(), "succeeded": held, "responses": responses }))
+    }
+
+    fn holds(&self, condition: &Value) -> Result<bool, Fault> {
+        let item = self.items.get(&bytes_at(condition, "key")?);
+        match condition.get("target").and_then(Value::as_str) {
+            Some("CREATE") => {
+                let wanted = number_at(condition, "create_revision")?;
+                Ok(item.map_or(0, |item| item.created) == wanted)
+            }
+            Some("MOD") => {
+                let wanted = number_at(condition, "mod_revision")?;
+                Ok(item.map_or(0, |item| item.revision) == wanted)
+            }
+            _ => Err(Fault(StatusCode::NOT_IMPLEMENTED, "stand-in: unknown compare target")),
+        }
+    }
+
+    fn op(&mut self, op: &Value) -> Result<Value, Fault> {
+        if let Some(put) = op.get("request_put") {
+            Ok(json!({ "response_put": self.put(put)? }))
+        } else if let Some(range) = op.get("request_range") {
+            Ok(json!({ "response_range": self.range(range)? }))
+        } else if let Some(delete) = op.get("request_delete_range") {
+            self.remove(&bytes_at(delete, "key")?);
+            Ok(json!({ "response_delete_range": { "header": self.header() } }))
+        } else {
+            Err(Fault(StatusCode::NOT_IMPLEMENTED, "stand-in: unknown operation"))
+        }
+    }
+
+    fn grant(&mut self, body: &Value, now: Instant) -> Result<Value, Fault> {
+        let ttl = number_at(body, "TTL")?;
+        let mut id = number_at(body, "ID")?;
+        if id == 0 {
+            self.next_lease += 1;
+            id = 0x7000_0000_0000 + self.next_lease;
+        }
+        let length = Duration::from_secs(ttl);
+        if self.leases.insert(id, (length, now + length)).is_some() {
+            return Err(Fault(StatusCode::PRECONDITION_FAILED, "etcdserver: lease already exists"));
+        }
+        Ok(json!({ "header": self.header(), "ID": id.to_string(), "TTL": ttl.to_string() }))
+    }
+
+    fn keepalive(&mut self, body: &Value, now: Instant) -> Result<Value, Fault> {
+        let id = number_at(body, "ID")?;
+        let mut result = json!({ "header": self.header(), "ID": id.to_string() });
+        if let Some((length, end)) = self.leases.get_mut(&id) {
+            *end = now + *length;
+            result["TTL"] = json!(length.as_secs().to_string());
+        }
+        Ok(json!({ "result": result }))
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Fault(StatusCode, &'static str);
+
+fn bytes_at(body: &Value, name: &str) -> Result<Vec<u8>, Fault> {
+    let text = body.get(name).and_then(Value::as_str).unwrap_or_default();
+    STANDARD.decode(text).map_err(|_| Fault(StatusCode::BAD_REQUEST, "invalid base64"))
+}
+
+fn number_at(body: &Value, name: &str) -> Result<u64, Fault> {
+    match body.get(name) {
+        None => Ok(0),
+        Some(Value::String(text)) => {
+            text.parse().map_err(|_| Fault(StatusCode::BAD_REQUEST, "invalid number"))
+        }
+        Some(value) => value.as_u64().ok_or(Fault(StatusCode::BAD_REQUEST, "invalid number")),
+    }
+}
+
+fn pair(key: &[u8], item: &Item) -> Value {
+    json!({
+        "key": STANDARD.encode(key),
+        "value": STANDARD.encode(&item.value),
+        "create_revision": item.created.to_string(),
+        "mod_revision": item.revision.to_string(),
+        "version": "1",
+        "lease": item.lease.to_string(),
+    })
+}
+
+struct Gateway {
+    shared: Arc<Shared>,
+}
+
+#[async_trait]
+impl Handler for Gateway {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let call: String = req.param("call").unwrap_or_default();
+        let body = match req.payload_with_max_size(4 << 20).await {
+            Ok(bytes) => serde_json::from_slice(bytes).unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        };
+        let (delay, outage) = {
+            let mut state = self.shared.lock();
+            match call.as_str() {
+                "kv/range" => state.calls.reads += 1,
+                "watch" => state.calls.watches += 1,
+                _ => state.calls.writes += 1,
+            }
+            (state.delay, state.outage)
+        };
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        match outage {
+            Some(Outage::Refuse) => {
+                return fail(res, Fault(StatusCode::SERVICE_UNAVAILABLE, "etcdserver: no leader"));
+            }
+            Some(Outage::Hang) => {
+                tokio::time::sleep(HANG).await;
+                return fail(res, Fault(StatusCode::SERVICE_UNAVAILABLE, "etcdserver: no leader"));
+            }
+            None => {}
+        }
+        if call == "watch" {
+            return watch(&self.shared, &body, res);
+        }
+        let (answer, lost) = self.shared.answer(&call, &body);
+        self.shared.changed.notify_waiters();
+        if lost {
+            tokio::time::sleep(HANG).await;
+            return fail(res, Fault(StatusCode::GATEWAY_TIMEOUT, "answer lost"));
+        }
+        match answer {
+            Ok(answer) => res.render(Json(answer)),
+            Err(fault) => fail(res, fault),
+        }
+    }
+}
+
+impl Shared {
+    /// Carries out a call. True if its answer is to be lost.
+    fn answer(&self, call: &str, body: &Value) -> (Result<Value, Fault>, bool) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.sweep(now);
+        if state.limited(now) {
+            state.calls.limited += 1;
+            return (Err(Fault(StatusCode::TOO_MANY_REQUESTS, "too many requests")), false);
+        }
+        let answer = match call {
+            "kv/range" => return (state.range(body), false),
+            "kv/put" => state.check_put(body).and_then(|()| {
+                state.revision += 1;
+                state.put(body)
+            }),
+            "kv/txn" => state.txn(body),
+            "lease/grant" => state.grant(body, now),
+            "lease/keepalive" => state.keepalive(body, now),
+            "lease/revoke" => {
+                let lease = number_at(body, "ID").unwrap_or_default();
+                if state.revoke(lease) {
+                    Ok(json!({ "header": state.header() }))
+                } else {
+                    Err(Fault(StatusCode::NOT_FOUND, "etcdserver: requested lease not found"))
+                }
+            }
+            _ => Err(Fault(StatusCode::NOT_FOUND, "Not Found")),
+        };
+        let lost = state.lose_answers > 0 && answer.is_ok();
+        if lost {
+            state.lose_answers -= 1;
+        }
+        (answer, lost)
+    }
+}
+
+fn fail(res: &mut Response, fault: Fault) {
+    res.status_code(fault.0);
+    res.render(Json(json!({ "error": fault.1, "message": fault.1, "code": 0 })));
+}
+
+/// The keys of a watch.
+struct Keys {
+    key: Vec<u8>,
+    end: Option<Vec<u8>>,
+}
+
+impl Keys {
+    fn covers(&self, key: &[u8]) -> bool {
+        match &self.end {
+            None => key == self.key,
+            Some(end) => key >= self.key.as_slice() && (key < end.as_slice() || end == &[0]),
+        }
+    }
+}
+
+/// Streams one JSON element per line: first the present revision, then changes in their order.
+fn watch(shared: &Arc<Shared>, body: &Value, res: &mut Response) {
+    let request = body.get("create_request").cloned().unwrap_or_default();
+    let range = bytes_at(&request, "key").and_then(|key| {
+        let end = match request.get("range_end") {
+            Some(_) => Some(bytes_at(&request, "range_end")?),
+            None => None,
+        };
+        Ok((key, end, number_at(&request, "start_revision")?))
+    });
+    let (key, end, from) = match range {
+        Ok(range) => range,
+        Err(fault) => return fail(res, fault),
+    };
+    let (next, first) = {
+        let state = shared.lock();
+        let next = if from == 0 { state.revision + 1 } else { from };
+        let mut result = json!({ "header": state.header(), "watch_id": "0", "created": true });
+        if next <= state.compacted {
+            result["canceled"] = json!(true);
+            result["compact_revision"] = json!(state.compacted.to_string());
+        }
+        (next, json!({ "result": result }))
+    };
+    let start = (Arc::clone(shared), next, Some(first), Keys { key, end });
+    let lines = stream::unfold(start, |(shared, mut next, first, keys)| async move {
+        if let Some(first) = first {
+            return Some((Ok::<_, io::Error>(line(&first)), (shared, next, None, keys)));
+        }
+        loop {
+            let notifier = Arc::clone(&shared);
+            let changed = notifier.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(element) = shared.changes(&mut next, &keys)? {
+                return Some((Ok(line(&element)), (shared, next, None, keys)));
+            }
+            // Leases end without a call, so look again from time to time.
+            let _ = tokio::time::timeout(Duration::from_millis(500), changed).await;
+        }
+    });
+    res.stream(lines);
+}
+
+fn line(element: &Value) -> Vec<u8> {
+    let mut bytes = element.to_string().into_bytes();
+    bytes.push(b'\n');
+    bytes
+}
+
+impl Shared {
+    /// Changes from revision `next` on. The outer `None` ends the watch.
+    fn changes(&self, next: &mut u64, keys: &Keys) -> Option<Option<Value>> {
+        let mut state = self.lock();
+        if state.outage.is_some() {
+            return None;
+        }
+        state.sweep(Instant::now());
+        let events: Vec<Value> = state
+            .log
+            .iter()
+            .filter(|(revision, key, _)| *revision >= *next && keys.covers(key))
+            .map(|(revision, key, item)| match item {
+                Some(item) => json!({ "kv": pair(key, item) }),
+                None => json!({
+                    "type": "DELETE",
+                    "kv": { "key": STANDARD.encode(key), "mod_revision": revision.to_string() },
+                }),
+            })
+            .collect();
+        *next = state.revision + 1;
+        if events.is_empty() {
+            return Some(None);
+        }
+        let header = state.header();
+        Some(Some(json!({ "result": { "header": header, "events": events } })))
+    }
+}
--- /dev/null
+++ b/crates/store/src/gateway.rs
@@ -0,0 +1,293 @@
+//! JSON forms of the etcd v3 gateway: keys and values in base64, 64-bit numbers as strings.
+
+use crate::error::StoreError;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::{Value, json};
+
+/// A value found in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stored {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Revision at which the key was created.
+    pub created: u64,
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Lease that the key ends with; zero when it has none.
+    pub lease: u64,
+}
+
+/// Condition of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent(String),
+    /// The key was last changed at this revision.
+    Revision(String, u64),
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Op {
+    /// Reads one key.
+    Get(String),
+    /// Writes a key, under a lease unless the lease is zero.
+    Put(String, Vec<u8>, u64),
+    /// Removes a key.
+    Delete(String),
+}
+
+/// A transaction: all of `success` when every condition holds, else all of `failure`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// Conditions.
+    pub compare: Vec<Compare>,
+    /// Operations when all conditions hold.
+    pub success: Vec<Op>,
+    /// Operations when one does not.
+    pub failure: Vec<Op>,
+}
+
+/// Answer to one operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OpAnswer {
+    /// What a `Get` found.
+    Got(Option<Stored>),
+    /// A `Put` or `Delete` was carried out.
+    Changed,
+}
+
+/// Answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TxnAnswer {
+    /// Whether the conditions held.
+    pub succeeded: bool,
+    /// Revision of the store after it; that of every key that it wrote.
+    pub revision: u64,
+    /// One answer for each operation that was carried out.
+    pub answers: Vec<OpAnswer>,
+}
+
+/// A lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Identifier of the lease.
+    pub id: u64,
+    /// Time to live in seconds, as the store set it.
+    pub ttl: u64,
+}
+
+pub(crate) fn encode(bytes: impl AsRef<[u8]>) -> String {
+    STANDARD.encode(bytes)
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, StoreError> {
+    STANDARD.decode(text).map_err(|error| StoreError::Answer(error.to_string()))
+}
+
+fn number<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
+    match Value::deserialize(input)? {
+        Value::String(text) => text.parse().map_err(D::Error::custom),
+        Value::Number(number) => {
+            number.as_u64().ok_or_else(|| D::Error::custom("negative or fractional number"))
+        }
+        other => Err(D::Error::custom(format_args!("expected a number, found {other}"))),
+    }
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Header {
+    #[serde(deserialize_with = "number")]
+    pub(crate) revision: u64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct KeyValue {
+    key: String,
+    value: String,
+    #[serde(deserialize_with = "number")]
+    create_revision: u64,
+    #[serde(deserialize_with = "number")]
+    mod_revision: u64,
+    #[serde(deserialize_with = "number")]
+    lease: u64,
+}
+
+impl TryFrom<KeyValue> for Stored {
+    type Error = StoreError;
+
+    fn try_from(kv: KeyValue) -> Result<Self, StoreError> {
+        let key = String::from_utf8(decode(&kv.key)?)
+            .map_err(|error| StoreError::Answer(error.to_string()))?;
+        Ok(Self {
+            key,
+            value: decode(&kv.value)?,
+            created: kv.create_revision,
+            revision: kv.mod_revision,
+            lease: kv.lease,
+        })
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeAnswer {
+    pub(crate) header: Header,
+    pub(crate) kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct PutAnswer {
+    pub(crate) header: Header,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct OpAnswerJson {
+    response_range: Option<RangeAnswer>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnAnswerJson {
+    header: Header,
+    succeeded: bool,
+    responses: Vec<OpAnswerJson>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseAnswer {
+    #[serde(rename = "ID", deserialize_with = "number")]
+    pub(crate) id: u64,
+    #[serde(rename = "TTL", deserialize_with = "number")]
+    pub(crate) ttl: u64,
+}
+
+/// One element of a streamed answer.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Streamed<T> {
+    pub(crate) result: Option<T>,
+    pub(crate) error: Option<Value>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchAnswer {
+    pub(crate) header: Header,
+    pub(crate) canceled: bool,
+    #[serde(deserialize_with = "number")]
+    pub(crate) compact_revision: u64,
+    pub(crate) events: Vec<EventJson>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct EventJson {
+    #[serde(rename = "type")]
+    pub(crate) kind: EventKind,
+    pub(crate) kv: KeyValue,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+/// Body of a range call. With `end`, all keys from `key` up to but without `end`.
+#[derive(Serialize)]
+pub(crate) struct Range {
+    pub(crate) key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) range_end: Option<String>,
+}
+
+impl Range {
+    pub(crate) fn key(key: &str) -> Self {
+        Self { key: encode(key), range_end: None }
+    }
+
+    pub(crate) fn prefix(prefix: &str) -> Self {
+        Self { key: encode(prefix), range_end: Some(encode(prefix_end(prefix))) }
+    }
+}
+
+/// The first key behind all keys with this prefix.
+pub(crate) fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    // The gateway reads a single zero byte as "to the end of all keys".
+    vec![0]
+}
+
+pub(crate) fn put_body(key: &str, value: &[u8], lease: u64) -> Value {
+    json!({ "key": encode(key), "value": encode(value), "lease": lease.to_string() })
+}
+
+pub(crate) fn txn_body(txn: &Txn) -> Value {
+    json!({
+        "compare": txn.compare.iter().map(compare_body).collect::<Vec<_>>(),
+        "success": txn.success.iter().map(op_body).collect::<Vec<_>>(),
+        "failure": txn.failure.iter().map(op_body).collect::<Vec<_>>(),
+    })
+}
+
+fn compare_body(compare: &Compare) -> Value {
+    match compare {
+        Compare::Absent(key) => json!({
+            "key": encode(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0",
+        }),
+        Compare::Revision(key, revision) => json!({
+            "key": encode(key), "target": "MOD", "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }),
+    }
+}
+
+fn op_body(op: &Op) -> Value {
+    match op {
+        Op::Get(key) => json!({ "request_range": { "key": encode(key) } }),
+        Op::Put(key, value, lease) => json!({ "request_put": put_body(key, value, *lease) }),
+        Op::Delete(key) => json!({ "request_delete_range": { "key": encode(key) } }),
+    }
+}
+
+impl TxnAnswerJson {
+    pub(crate) fn checked(self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
+        let ops = if self.succeeded { &txn.success } else { &txn.failure };
+        if ops.len() != self.responses.len() {
+            let text = format!("{} answers to {} operations", self.responses.len(), ops.len());
+            return Err(StoreError::Answer(text));
+        }
+        let answers = ops
+            .iter()
+            .zip(self.responses)
+            .map(|(op, answer)| match op {
+                Op::Get(_) => {
+                    let range = answer.response_range.unwrap_or_default();
+                    let found = range.kvs.into_iter().next().map(Stored::try_from).transpose()?;
+                    Ok(OpAnswer::Got(found))
+                }
+                Op::Put(..) | Op::Delete(_) => Ok(OpAnswer::Changed),
+            })
+            .collect::<Result<Vec<_>, StoreError>>()?;
+        Ok(TxnAnswer { succeeded: self.succeeded, revision: self.header.revision, answers })
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,33 @@
-//! Client of the platform key-value service.
+//! Client of the platform's key-value service, spoken to by the JSON gateway of the etcd v3 API.
+//!
+//! Each call has a timeout, takes part in a rate share and backs off with decorrelated jitter. Errors
+//! tell whether a write certainly had no effect or may have had one; see [`StoreError::effect`].
+//!
+//! ```no_run
+//! use damaskweir_store::{Client, Settings};
+//! use rand_chacha::rand_core::SeedableRng;
+//!
+//! # async fn run() -> Result<(), damaskweir_store::StoreError> {
+//! let rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+//! let client = Client::new(Settings::new("http://127.0.0.1:2379"), rng)?;
+//! let manifest = client.get("/damaskweir/manifest").await?;
+//! println!("{:?}", manifest.map(|found| found.revision));
+//! # Ok(())
+//! # }
+//! ```
+
+mod claim;
+mod client;
+mod error;
+mod gateway;
+mod share;
+mod watch;
+
+pub use claim::{ClaimCounts, ClaimSettings, ClaimWriter, claim_key};
+pub use client::{Client, Settings, Usage};
+pub use error::{Effect, StoreError};
+pub use gateway::{Compare, Grant, Op, OpAnswer, Stored, Txn, TxnAnswer};
+pub use watch::{Watch, WatchEvent};
+
+/// Largest value that the service keeps.
+pub const VALUE_MAX_BYTES: usize = 1_000_000;
--- /dev/null
+++ b/crates/store/tests/gateway.rs
@@ -0,0 +1,194 @@
+//! Failures between the client and the gateway.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+use damaskweir_core::prelude::*;
+use damaskweir_standins::store::{Outage, Store};
+use damaskweir_store::{
+    Client, Compare, Effect, Op, OpAnswer, Settings, StoreError, Txn, WatchEvent,
+};
+use rand_chacha::rand_core::SeedableRng;
+use rstest::rstest;
+use std::time::Duration;
+
+fn client_at(url: &str) -> Client {
+    let settings = Settings {
+        timeout: Span::from_millis(300),
+        reads: 1_000,
+        writes: 1_000,
+        burst: 1_000,
+        ..Settings::new(url)
+    };
+    Client::new(settings, Rng::seed_from_u64(2)).unwrap()
+}
+
+fn create(key: &str, value: &[u8]) -> Txn {
+    Txn {
+        compare: vec![Compare::Absent(key.to_owned())],
+        success: vec![Op::Put(key.to_owned(), value.to_vec(), 0)],
+        failure: vec![Op::Get(key.to_owned())],
+    }
+}
+
+/// Guards against a compare-and-swap that overwrites what another writer wrote.
+#[tokio::test]
+async fn transaction_compares() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    let first = client.txn(&create("/a", b"1")).await.unwrap();
+    assert!(first.succeeded);
+    let second = client.txn(&create("/a", b"2")).await.unwrap();
+    assert!(!second.succeeded);
+    let [OpAnswer::Got(Some(found))] = second.answers.as_slice() else { panic!("{second:?}") };
+    assert_eq!((found.value.as_slice(), found.revision), (b"1".as_slice(), first.revision));
+    let swap = |revision| Txn {
+        compare: vec![Compare::Revision("/a".to_owned(), revision)],
+        success: vec![Op::Put("/a".to_owned(), b"3".to_vec(), 0)],
+        failure: Vec::new(),
+    };
+    assert!(client.txn(&swap(first.revision)).await.unwrap().succeeded);
+    assert!(!client.txn(&swap(first.revision)).await.unwrap().succeeded);
+    assert_eq!(client.get("/a").await.unwrap().unwrap().value, b"3");
+    assert_eq!(client.get("/b").await.unwrap(), None);
+}
+
+/// Guards against a failed write that is called "without effect" although it may have had one, or the
+/// other way round.
+#[rstest]
+#[case::refused(Some(Outage::Refuse), 0, Effect::Maybe)]
+#[case::hanging(Some(Outage::Hang), 0, Effect::Maybe)]
+#[case::lost(None, 1, Effect::Maybe)]
+#[tokio::test]
+async fn errors_tell_the_effect(
+    #[case] outage: Option<Outage>,
+    #[case] lost: u32,
+    #[case] effect: Effect,
+) {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    store.set_outage(outage);
+    store.lose_answers(lost);
+    let error = client.txn(&create("/a", b"1")).await.unwrap_err();
+    assert_eq!(error.effect(), effect, "{error}");
+    assert_eq!(store.peek("/a").is_some(), lost > 0);
+    assert_eq!(store.calls().writes, 1, "a write that may have had an effect was repeated");
+}
+
+/// Guards against a refusal that is taken for an open outcome.
+#[tokio::test]
+async fn unreachable_store_has_no_effect() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let error = client_at(&url).txn(&create("/a", b"1")).await.unwrap_err();
+    assert_eq!(error.effect(), Effect::None, "{error}");
+    let store = Store::start().await.unwrap();
+    let large = vec![0; 1_100_000];
+    let error = client_at(&store.url()).txn(&create("/a", &large)).await.unwrap_err();
+    assert!(matches!(error, StoreError::Refused { status: 400, .. }), "{error}");
+    assert_eq!(error.effect(), Effect::None);
+}
+
+/// Guards against a client that keeps calling a store which limits it, or gives up at once.
+#[tokio::test]
+async fn limited_calls_are_repeated() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    store.set_limit(Some(0));
+    let error = client.get("/a").await.unwrap_err();
+    assert!(matches!(error, StoreError::Refused { status: 429, .. }), "{error}");
+    assert_eq!(store.calls().reads, 3);
+}
+
+/// Guards against one process that uses more than its share of the store's rate.
+#[tokio::test]
+async fn share_is_kept() {
+    let store = Store::start().await.unwrap();
+    let settings = Settings { reads: 1, burst: 5, attempts: 1, ..Settings::new(&store.url()) };
+    let client = Client::new(settings, Rng::seed_from_u64(3)).unwrap();
+    let started = tokio::time::Instant::now();
+    let mut refused = 0;
+    for _ in 0..50 {
+        if let Err(error) = client.get("/a").await {
+            assert!(matches!(error, StoreError::Share), "{error}");
+            refused += 1;
+        }
+    }
+    // The share grows by one call a second however long the loop took.
+    let allowed = 5 + started.elapsed().as_secs() + 1;
+    assert!(50 - refused <= allowed, "{refused} of 50 calls refused");
+    assert_eq!(store.calls().reads, 50 - refused);
+}
+
+/// Guards against changes that a watch misses or reports twice, also across a broken connection.
+#[tokio::test]
+async fn watch_misses_nothing() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    let mut watch = client.watch("/w", 0).await.unwrap();
+    assert!(watch.next().await.unwrap().is_empty());
+    store.poke("/w", Some(b"1"));
+    store.poke("/other", Some(b"x"));
+    let mut seen = Vec::new();
+    while seen.is_empty() {
+        seen = watch.next().await.unwrap();
+    }
+    assert!(matches!(seen.as_slice(), [WatchEvent::Put(put)] if put.value == b"1"));
+    store.set_outage(Some(Outage::Refuse));
+    let ended = tokio::time::timeout(Duration::from_secs(60), async {
+        loop {
+            if let Err(error) = watch.next().await {
+                return error;
+            }
+        }
+    });
+    assert!(matches!(ended.await.unwrap(), StoreError::Lost(_)));
+    store.poke("/w", Some(b"2"));
+    store.poke("/w", None);
+    store.set_outage(None);
+    let mut again = client.watch("/w", watch.revision() + 1).await.unwrap();
+    let mut seen = Vec::new();
+    while seen.len() < 2 {
+        seen.extend(again.next().await.unwrap());
+    }
+    assert!(matches!(&seen[0], WatchEvent::Put(put) if put.value == b"2"));
+    assert_eq!(seen[1], WatchEvent::Delete("/w".to_owned()));
+}
+
+/// Guards against a watch that silently skips changes which the store has forgotten.
+#[tokio::test]
+async fn watch_from_compacted_revision_fails() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    store.poke("/w", Some(b"1"));
+    store.compact();
+    let mut watch = client.watch("/w", 1).await.unwrap();
+    assert!(matches!(watch.next().await.unwrap_err(), StoreError::Compacted(_)));
+}
+
+/// Guards against a key that outlives its lease, and a renewal that pretends to hold a lapsed lease.
+#[tokio::test]
+async fn lease_ends_its_keys() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    let lease = client.grant(60).await.unwrap();
+    client.put("/l", b"1", lease.id).await.unwrap();
+    assert_eq!(client.keepalive(lease.id).await.unwrap(), Some(lease));
+    store.lapse(lease.id);
+    assert_eq!(client.get("/l").await.unwrap(), None);
+    assert_eq!(client.keepalive(lease.id).await.unwrap(), None);
+    let error = client.put("/l", b"1", lease.id).await.unwrap_err();
+    assert!(matches!(error, StoreError::Refused { status: 404, .. }), "{error}");
+}
+
+/// Guards against a prefix that takes in its neighbours.
+#[tokio::test]
+async fn list_stays_within_prefix() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    for key in ["/a/1", "/a/2", "/a0", "/b"] {
+        client.put(key, b"1", 0).await.unwrap();
+    }
+    let keys: Vec<_> = client.list("/a/").await.unwrap().into_iter().map(|s| s.key).collect();
+    assert_eq!(keys, ["/a/1", "/a/2"]);
+}
