Resume a broken stream only where the pool's servers can

Cause: after a break the next attempt's chunks were joined to those already passed on even when the engine starts a new generation, whose text may differ. Change: pools say whether they can resume; without it the stream ends with 'stream_broken'. Conclusion: no mixed answers from two generations.

--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -38,6 +38,9 @@
         pub kind: PoolKind,
         /// Ids are unique across all pools.
         pub servers: Vec<BackendServer>,
+        /// Whether the backend servers can resume a stream from a given chunk. Without it a stream
+        /// that breaks is ended, since a second generation may differ from the first.
+        pub resume: bool,
         /// Share of extra attempts that retries and hedges may add, in thousandths.
         pub extra: u32,
     }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -190,6 +190,8 @@
         DeadlineExceeded,
         /// A stage failed.
         StageFailed,
+        /// The stream broke after part of it was passed on, and can't be resumed.
+        StreamBroken,
         /// A non-idempotent call may or may not have run; nobody runs it again.
         OutcomeUnknown,
     }
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -252,6 +252,10 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.streaming == Some(ended.id) {
             request.streaming = None;
+            if request.emitted > 0 && !request.resumes() {
+                self.give_up(id, Code::StreamBroken, Some(DEFAULT_RETRY), actions);
+                return;
+            }
         }
         if request.attempts.is_empty() {
             self.retry(now, rng, id, actions);
@@ -447,6 +451,12 @@
 }
 
 impl Request {
+    /// Whether the current stage's servers can resume a stream.
+    fn resumes(&self) -> bool {
+        let pool = self.stage().and_then(|stage| self.bundle.pools.get(&stage.pool));
+        pool.is_some_and(|pool| pool.resume)
+    }
+
     fn pipeline_len(&self) -> usize {
         self.bundle.pipelines.get(&self.call.pipeline).map_or(0, |p| p.stages.len())
     }
