Send path and key digest with each attempt

Cause: a Dispatch has no pipeline, so a side could not tell which path of its backend server a stage uses, nor pass the caller's key digest on. Change: Work holds path, key digest and body, and travels beside the Dispatch. Conclusion: the exchange tests pass with it.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,4 +25,4 @@
 pub use limits::Limits;
 pub use link::{Attempt, Dialer, Link};
 pub use listener::{AskReply, Connection, Listener, Peer, Rejected, Reply, Request, Ticket};
-pub use message::{PullRequest, ToEntry};
+pub use message::{PullRequest, ToEntry, Work};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -5,7 +5,7 @@
 use crate::hello::{Hello, Local, PeerId, read_hello, refuse_peer, send_hello};
 use crate::keys::Keys;
 use crate::limits::Limits;
-use crate::message::{EntryMessage, FromEntry, FromSide, PullRequest, SideMessage, ToEntry};
+use crate::message::{EntryMessage, FromEntry, FromSide, PullRequest, SideMessage, ToEntry, Work};
 use crate::pulse::Beats;
 use crate::session::Session;
 use bytes::Bytes;
@@ -99,10 +99,10 @@
         self.reports.subscribe()
     }
 
-    /// Sends an attempt with its body. After an error, and when the future is dropped, the side
-    /// can't have got the whole message, so the attempt does not run.
-    pub async fn dispatch(&self, dispatch: &Dispatch, body: Bytes) -> Result<Attempt, WireError> {
-        let message = EntryMessage::Dispatch(Box::new(dispatch.clone()), body);
+    /// Sends an attempt. After an error, and when the future is dropped, the side can't have got the
+    /// whole message, so the attempt does not run.
+    pub async fn dispatch(&self, dispatch: &Dispatch, work: Work) -> Result<Attempt, WireError> {
+        let message = EntryMessage::Dispatch(Box::new(dispatch.clone()), work);
         let (writer, reader) = self.request(message).await?;
         Ok(Attempt { writer: Some(writer), reader, link: self.clone(), ended: false })
     }
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -5,7 +5,7 @@
 use crate::hello::{Hello, Local, PeerId, read_hello, refuse_peer, send_hello};
 use crate::keys::Keys;
 use crate::limits::Limits;
-use crate::message::{EntryMessage, FromEntry, FromSide, PullRequest, SideMessage, ToEntry};
+use crate::message::{EntryMessage, FromEntry, FromSide, PullRequest, SideMessage, ToEntry, Work};
 use crate::pulse::Beats;
 use crate::session::Session;
 use bytes::Bytes;
@@ -274,8 +274,8 @@
     Dispatch {
         /// The attempt.
         dispatch: Box<Dispatch>,
-        /// Input of the stage.
-        body: Bytes,
+        /// What the backend server needs.
+        work: Work,
         /// Where its messages go.
         reply: Reply,
     },
@@ -421,11 +421,11 @@
     };
     peer.receive(version);
     match message {
-        EntryMessage::Dispatch(dispatch, body) => {
+        EntryMessage::Dispatch(dispatch, work) => {
             let attempt = dispatch.attempt;
             let (watching, over) = oneshot::channel();
             let reply = Reply { peer, writer, ticket, watching: Some(watching) };
-            if requests.send(Request::Dispatch { dispatch, body, reply }).await.is_err() {
+            if requests.send(Request::Dispatch { dispatch, work, reply }).await.is_err() {
                 return;
             }
             tokio::select! {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,6 +4,17 @@
 use damaskweir_core::prelude::*;
 
 value! {
+    /// What the backend server needs to run an attempt. Decisions don't depend on it.
+    pub struct Work {
+        /// Path on the backend server, from the stage in the bundle that the request runs under. The
+        /// side may no longer, or not yet, have that bundle.
+        pub path: String,
+        /// Digest of workspace and idempotency key, passed on to the backend server.
+        pub key: Option<Digest>,
+        /// Input of the stage.
+        pub body: Bytes,
+    }
+
     /// A side's message about one attempt.
     #[serde(rename_all = "snake_case")]
     pub enum ToEntry {
@@ -42,7 +53,7 @@
     #[serde(rename_all = "snake_case")]
     pub(crate) enum EntryMessage {
         Heartbeat,
-        Dispatch(Box<Dispatch>, Bytes),
+        Dispatch(Box<Dispatch>, Work),
         Ask(AttemptId, Incarnation),
         Pull(PullRequest),
         Pulled(Option<Bytes>),
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -14,11 +14,11 @@
     assert_eq!(pair.link.hello().id, PeerId::Side("engine-1".into()));
     assert_eq!(pair.connection.peer().hello().id, PeerId::Entry("entry-1".into()));
 
-    let body = Bytes::from(vec![7; 300_000]);
-    let mut attempt = within(pair.link.dispatch(&dispatch(4), body.clone())).await.unwrap();
-    let (got, got_body, mut reply) = next_dispatch(&mut pair.connection).await;
+    let work = work(vec![7; 300_000]);
+    let mut attempt = within(pair.link.dispatch(&dispatch(4), work.clone())).await.unwrap();
+    let (got, got_work, mut reply) = next_dispatch(&mut pair.connection).await;
     assert_eq!(*got, dispatch(4));
-    assert_eq!(got_body, body);
+    assert_eq!(got_work, work);
 
     let sent = [
         ToEntry::Accepted,
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use damaskweir_core::prelude::*;
 use damaskweir_wire::{
-    Connection, Dialer, Keys, Limits, Link, Listener, Local, PeerId, Reply, Request,
+    Connection, Dialer, Keys, Limits, Link, Listener, Local, PeerId, Reply, Request, Work,
 };
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use std::future::Future;
@@ -145,10 +145,14 @@
     }
 }
 
+pub(crate) fn work(body: impl Into<Bytes>) -> Work {
+    Work { path: "/v1/completions".to_owned(), key: Some(Digest([2; 32])), body: body.into() }
+}
+
 /// Takes the next request, which must be a dispatch.
-pub(crate) async fn next_dispatch(connection: &mut Connection) -> (Box<Dispatch>, Bytes, Reply) {
+pub(crate) async fn next_dispatch(connection: &mut Connection) -> (Box<Dispatch>, Work, Reply) {
     match within(connection.next()).await {
-        Some(Request::Dispatch { dispatch, body, reply }) => (dispatch, body, reply),
+        Some(Request::Dispatch { dispatch, work, reply }) => (dispatch, work, reply),
         other => panic!("expected a dispatch, got {other:?}"),
     }
 }
