Add the virtual-time bench and the baseline policy

The bench drives Entry and Side with an event queue in virtual time against stand-ins for backend servers, callers, store and network, and counts broken guarantees itself. The baseline (round robin, first in first out, no hedging, retry at once, no admission control) is a closed enum in the settings of entry and side, so both run the same code.

--- /dev/null
+++ b/crates/bench/src/arrival.rs
@@ -0,0 +1,136 @@
+//! Arrivals: drawn before the run from their own generator, so that all policies see the same ones.
+
+use crate::deployment::Deployment;
+use damaskweir_core::Rng;
+use damaskweir_core::time::{Span, Time};
+use rand_core::{Rng as _, SeedableRng as _};
+use std::f64::consts::TAU;
+
+/// Prompt prefixes per workspace; the popular ones come more often.
+const PREFIXES: f64 = 64.0;
+/// A repeat under the same key comes this long after the first call.
+const REPEAT_AFTER: Span = Span::from_millis(30);
+/// Time within which a surge rises and falls.
+const RAMP_S: f64 = 1.0;
+
+/// Load above the usual for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Surge {
+    pub(crate) from: Time,
+    pub(crate) to: Time,
+    /// Load between them, as a share of capacity.
+    pub(crate) load: f64,
+}
+
+/// How the load changes over time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    pub(crate) length: Span,
+    pub(crate) swing: f64,
+    pub(crate) surge: Option<Surge>,
+    /// Whether long work arrives; without it the short arrivals stay the same.
+    pub(crate) long: bool,
+}
+
+/// One call of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Time,
+    pub(crate) entry: usize,
+    pub(crate) pipeline: usize,
+    pub(crate) workspace: usize,
+    pub(crate) prefix: u64,
+    /// Identifies the body; a repeat has the body of its first call.
+    pub(crate) body: u64,
+    /// Work of each stage on a backend server of its own.
+    pub(crate) work: Vec<Span>,
+}
+
+/// Uniform in 0..1, never 0.
+pub(crate) fn uniform(rng: &mut Rng) -> f64 {
+    ((rng.next_u64() >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// Standard normal.
+pub(crate) fn normal(rng: &mut Rng) -> f64 {
+    (-2.0 * uniform(rng).ln()).sqrt() * (TAU * uniform(rng)).cos()
+}
+
+/// Draws all arrivals of a run, in order of time.
+pub(crate) fn draw(deployment: &Deployment, shape: &Shape, seed: u64) -> Vec<Arrival> {
+    let mut rng = Rng::seed_from_u64(seed);
+    let peak = peak(deployment, shape);
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at -= uniform(&mut rng).ln() / (deployment.rate() * peak);
+        if at >= shape.length.as_secs_f64() {
+            break;
+        }
+        let body = arrivals.len() as u64;
+        let kept = uniform(&mut rng) * peak < factor(deployment, shape, at);
+        let arrival = draw_one(deployment, &mut rng, at, body);
+        let repeat =
+            deployment.pipelines[arrival.pipeline].once() && uniform(&mut rng) < deployment.repeats;
+        if !kept || (deployment.pipelines[arrival.pipeline].long && !shape.long) {
+            continue;
+        }
+        if repeat {
+            let entry = (arrival.entry + 1) % deployment.entries;
+            arrivals.push(Arrival { at: arrival.at + REPEAT_AFTER, entry, ..arrival.clone() });
+        }
+        arrivals.push(arrival);
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// Load at a moment, as a multiple of the deployment's mean load.
+pub(crate) fn factor(deployment: &Deployment, shape: &Shape, at: f64) -> f64 {
+    let swing = 1.0 + shape.swing * (TAU * at / deployment.period.as_secs_f64()).sin();
+    shape.surge.map_or(swing, |surge| {
+        let (from, to) = (Span(surge.from.0).as_secs_f64(), Span(surge.to.0).as_secs_f64());
+        let part = ((at - from) / RAMP_S).min((to - at) / RAMP_S + 1.0).clamp(0.0, 1.0);
+        swing + (surge.load / deployment.load - swing).max(0.0) * part
+    })
+}
+
+fn peak(deployment: &Deployment, shape: &Shape) -> f64 {
+    let swing = 1.0 + shape.swing;
+    shape.surge.map_or(swing, |surge| swing.max(surge.load / deployment.load))
+}
+
+fn draw_one(deployment: &Deployment, rng: &mut Rng, at: f64, body: u64) -> Arrival {
+    let pipeline = pick(rng, deployment.pipelines.iter().map(|p| p.weight));
+    let workspace = pick(rng, deployment.workspaces.iter().map(|w| w.weight));
+    let rank = PREFIXES.powf(uniform(rng)) as u64;
+    let entry = (rng.next_u64() % deployment.entries as u64) as usize;
+    let work = deployment.pipelines[pipeline]
+        .stages
+        .iter()
+        .map(|stage| stage.median.scale((stage.sigma * normal(rng)).exp()))
+        .collect();
+    Arrival {
+        at: Time((at * 1e6) as u64),
+        entry,
+        pipeline,
+        workspace,
+        prefix: ((workspace as u64) << 32) | rank,
+        body,
+        work,
+    }
+}
+
+fn pick(rng: &mut Rng, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let total: f64 = weights.clone().sum();
+    let mut left = uniform(rng) * total;
+    let mut last = 0;
+    for (i, weight) in weights.enumerate() {
+        last = i;
+        left -= weight;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
--- /dev/null
+++ b/crates/bench/src/deployment.rs
@@ -0,0 +1,422 @@
+//! Deployments that the bench runs: pools, sizes, mix, swing and faults, read from an INI file.
+
+use damaskweir_core::prelude::*;
+use ini::{Ini, Properties};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::str::FromStr;
+
+/// A deployment that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum DeploymentError {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    /// The file is not an INI file.
+    #[error("not an INI file: {0}")]
+    Parse(#[from] ini::ParseError),
+    /// A key is missing.
+    #[error("[{section}]: key {key} is missing")]
+    Missing {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+    },
+    /// A value can't be used.
+    #[error("[{section}] {key} = {value}: not usable")]
+    Value {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+        /// Value.
+        value: String,
+    },
+}
+
+type Result<T> = std::result::Result<T, DeploymentError>;
+
+/// Backend servers of one pool and how they behave.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolSpec {
+    pub(crate) name: String,
+    pub(crate) kind: PoolKind,
+    pub(crate) servers: usize,
+    /// Streams that a backend server runs at once; more wait inside it.
+    pub(crate) slots: u32,
+    /// Each further stream lengthens all streams by this share of their own time.
+    pub(crate) slowdown: f64,
+    /// Prefixes that a backend server keeps.
+    pub(crate) cache: usize,
+    /// Share of the work that a kept prefix saves.
+    pub(crate) gain: f64,
+    /// Share of attempts that the backend server stalls on.
+    pub(crate) stall: f64,
+    pub(crate) extra: u32,
+}
+
+impl PoolSpec {
+    /// Work that all servers together do in a second, in seconds of a stream alone.
+    pub(crate) fn capacity(&self) -> f64 {
+        let slots = f64::from(self.slots);
+        self.servers as f64 * slots / (1.0 + self.slowdown * (slots - 1.0))
+    }
+}
+
+/// A customer and its part of the arrivals.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkspaceSpec {
+    pub(crate) name: String,
+    pub(crate) share: u32,
+    pub(crate) weight: f64,
+}
+
+/// A stage and its service times (log-normal).
+#[derive(Clone, Debug)]
+pub(crate) struct StageSpec {
+    pub(crate) name: String,
+    pub(crate) pool: usize,
+    pub(crate) effect: Effect,
+    pub(crate) median: Span,
+    pub(crate) sigma: f64,
+}
+
+impl StageSpec {
+    fn mean(&self) -> f64 {
+        self.median.as_secs_f64() * (self.sigma * self.sigma / 2.0).exp()
+    }
+}
+
+/// A pipeline and its part of the arrivals.
+#[derive(Clone, Debug)]
+pub(crate) struct PipelineSpec {
+    pub(crate) name: String,
+    pub(crate) deadline: Span,
+    pub(crate) weight: f64,
+    /// Many times longer than the rest.
+    pub(crate) long: bool,
+    pub(crate) stages: Vec<StageSpec>,
+}
+
+/// Faults that the experiments use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FaultSpec {
+    pub(crate) slowed: usize,
+    pub(crate) factor: f64,
+    pub(crate) lag: Span,
+    pub(crate) every: Span,
+    pub(crate) down: Span,
+}
+
+/// All that the bench needs to know of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub(crate) name: String,
+    pub(crate) zones: Vec<String>,
+    pub(crate) zone_delay: Span,
+    pub(crate) near_delay: Span,
+    pub(crate) entries: usize,
+    /// Mean load, as a share of the bottleneck pool's capacity.
+    pub(crate) load: f64,
+    pub(crate) bottleneck: usize,
+    pub(crate) report_lag: Span,
+    pub(crate) swing: f64,
+    pub(crate) period: Span,
+    /// Share of non-idempotent calls that the caller sends again under the same key.
+    pub(crate) repeats: f64,
+    pub(crate) faults: FaultSpec,
+    pub(crate) pools: Vec<PoolSpec>,
+    pub(crate) workspaces: Vec<WorkspaceSpec>,
+    pub(crate) pipelines: Vec<PipelineSpec>,
+}
+
+impl Deployment {
+    /// A built-in deployment (`board`, `teranga`) or one from a file.
+    pub fn load(name: &str) -> Result<Self> {
+        match name {
+            "board" => Self::parse(include_str!("../deployments/board.ini")),
+            "teranga" => Self::parse(include_str!("../deployments/teranga.ini")),
+            path => {
+                let text = std::fs::read_to_string(path)
+                    .map_err(|error| DeploymentError::Read(path.to_owned(), error))?;
+                Self::parse(&text)
+            }
+        }
+    }
+
+    /// Reads a deployment from INI text.
+    pub fn parse(text: &str) -> Result<Self> {
+        let ini = Ini::load_from_str(text)?;
+        let top = Section::find(&ini, "deployment")?;
+        let pools = titled(&ini, "pool ").map(read_pool).collect::<Result<Vec<_>>>()?;
+        let workspaces =
+            titled(&ini, "workspace ").map(read_workspace).collect::<Result<Vec<_>>>()?;
+        let pipelines =
+            titled(&ini, "pipeline ").map(|s| read_pipeline(&s, &pools)).collect::<Result<_>>()?;
+        let deployment = Self {
+            name: top.get("name")?,
+            zones: top.text("zones")?.split_whitespace().map(str::to_owned).collect(),
+            zone_delay: Span(top.get("zone-delay-us")?),
+            near_delay: Span(top.get("near-delay-us")?),
+            entries: top.positive("entries")?,
+            load: top.get("load")?,
+            bottleneck: top.pool("bottleneck", top.text("bottleneck")?, &pools)?,
+            report_lag: Span::from_millis(top.get("report-lag-ms")?),
+            swing: top.get("swing")?,
+            period: Span::from_secs(top.positive("swing-period-s")? as u64),
+            repeats: top.get("repeats")?,
+            faults: read_faults(&ini)?,
+            pools,
+            workspaces,
+            pipelines,
+        };
+        deployment.check(&top)?;
+        Ok(deployment)
+    }
+
+    fn check(&self, top: &Section<'_>) -> Result<()> {
+        if self.zones.is_empty() {
+            return Err(top.value("zones", ""));
+        }
+        if self.workspaces.is_empty() || self.pipelines.is_empty() || self.rate() <= 0.0 {
+            return Err(top.value("bottleneck", "no pipeline brings work to the pool"));
+        }
+        Ok(())
+    }
+
+    /// Requests per second at the deployment's load.
+    pub(crate) fn rate(&self) -> f64 {
+        let weight: f64 = self.pipelines.iter().map(|p| p.weight).sum();
+        let work: f64 = self
+            .pipelines
+            .iter()
+            .map(|p| p.weight / weight * p.stages.iter().map(|s| self.bound(s)).sum::<f64>())
+            .sum();
+        if work > 0.0 { self.load * self.capacity() / work } else { 0.0 }
+    }
+
+    /// Work that the bottleneck pool does in a second.
+    pub(crate) fn capacity(&self) -> f64 {
+        self.pools[self.bottleneck].capacity()
+    }
+
+    /// Mean work that a stage brings to the bottleneck pool.
+    fn bound(&self, stage: &StageSpec) -> f64 {
+        if stage.pool == self.bottleneck { stage.mean() } else { 0.0 }
+    }
+
+    /// The bundle that entries and sides run under.
+    pub(crate) fn bundle(&self) -> Bundle {
+        let pools = self.pools.iter().map(|pool| (pool.id(), self.pool(pool))).collect();
+        let pipelines = self.pipelines.iter().map(|p| (p.id(), self.pipeline(p))).collect();
+        let workspaces = self
+            .workspaces
+            .iter()
+            .map(|w| (w.id(), Workspace { share: w.share, limit: 1_000_000 }))
+            .collect();
+        Bundle { version: Version(1), pools, pipelines, workspaces, operators: BTreeMap::new() }
+    }
+
+    fn pool(&self, pool: &PoolSpec) -> Pool {
+        let servers = (0..pool.servers)
+            .map(|i| BackendServer {
+                id: pool.server(i),
+                zone: self.zone(i),
+                side: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                slots: pool.slots,
+            })
+            .collect();
+        Pool { kind: pool.kind, servers, extra: pool.extra }
+    }
+
+    /// Servers and entries are spread evenly over the zones.
+    pub(crate) fn zone(&self, i: usize) -> AvailabilityZone {
+        AvailabilityZone::from(self.zones[i % self.zones.len()].as_str())
+    }
+
+    fn pipeline(&self, pipeline: &PipelineSpec) -> Pipeline {
+        let stages = pipeline
+            .stages
+            .iter()
+            .map(|stage| Stage {
+                name: stage.name.clone(),
+                pool: self.pools[stage.pool].id(),
+                effect: stage.effect,
+                path: String::new(),
+                expected: stage.median,
+            })
+            .collect();
+        Pipeline { deadline: pipeline.deadline, stages }
+    }
+}
+
+impl PoolSpec {
+    pub(crate) fn id(&self) -> PoolId {
+        PoolId::from(self.name.as_str())
+    }
+
+    pub(crate) fn server(&self, i: usize) -> ServerId {
+        ServerId::from(format!("{}-{i:02}", self.name).as_str())
+    }
+}
+
+impl PipelineSpec {
+    pub(crate) fn id(&self) -> PipelineId {
+        PipelineId::from(self.name.as_str())
+    }
+
+    /// Calls need an idempotency key.
+    pub(crate) fn once(&self) -> bool {
+        self.stages.iter().any(|stage| stage.effect == Effect::Once)
+    }
+}
+
+impl WorkspaceSpec {
+    pub(crate) fn id(&self) -> WorkspaceId {
+        WorkspaceId::from(self.name.as_str())
+    }
+}
+
+/// One section, with its name for messages.
+struct Section<'a> {
+    name: &'a str,
+    properties: &'a Properties,
+}
+
+impl<'a> Section<'a> {
+    fn find(ini: &'a Ini, name: &'a str) -> Result<Self> {
+        let properties = ini.section(Some(name)).ok_or_else(|| DeploymentError::Missing {
+            section: name.to_owned(),
+            key: String::new(),
+        })?;
+        Ok(Self { name, properties })
+    }
+
+    fn text(&self, key: &str) -> Result<&'a str> {
+        self.properties.get(key).ok_or_else(|| DeploymentError::Missing {
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+        })
+    }
+
+    fn get<T: FromStr>(&self, key: &str) -> Result<T> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| self.value(key, text))
+    }
+
+    fn positive(&self, key: &str) -> Result<usize> {
+        let number: usize = self.get(key)?;
+        if number == 0 { Err(self.value(key, "0")) } else { Ok(number) }
+    }
+
+    fn get_or<T: FromStr>(&self, key: &str, default: T) -> Result<T> {
+        if self.properties.contains_key(key) { self.get(key) } else { Ok(default) }
+    }
+
+    fn pool(&self, key: &str, name: &str, pools: &[PoolSpec]) -> Result<usize> {
+        pools.iter().position(|pool| pool.name == name).ok_or_else(|| self.value(key, name))
+    }
+
+    fn value(&self, key: &str, value: &str) -> DeploymentError {
+        DeploymentError::Value {
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+        }
+    }
+
+    /// The name after the section's type.
+    fn title(&self) -> String {
+        self.name.split_once(' ').map_or("", |(_, title)| title).to_owned()
+    }
+}
+
+fn titled<'a>(ini: &'a Ini, prefix: &'static str) -> impl Iterator<Item = Section<'a>> {
+    ini.iter().filter_map(move |(name, properties)| {
+        let name = name.filter(|name| name.starts_with(prefix))?;
+        Some(Section { name, properties })
+    })
+}
+
+#[expect(clippy::needless_pass_by_value)]
+fn read_pool(section: Section<'_>) -> Result<PoolSpec> {
+    let kind = match section.text("kind")? {
+        "engine" => PoolKind::Engine,
+        "service" => PoolKind::Service,
+        other => return Err(section.value("kind", other)),
+    };
+    Ok(PoolSpec {
+        name: section.title(),
+        kind,
+        servers: section.positive("servers")?,
+        slots: section.positive("slots")? as u32,
+        slowdown: section.get_or("slowdown", 0.0)?,
+        cache: section.get_or("cache", 0)?,
+        gain: section.get_or("gain", 0.0)?,
+        stall: section.get_or("stall", 0.0)?,
+        extra: section.get("extra")?,
+    })
+}
+
+#[expect(clippy::needless_pass_by_value)]
+fn read_workspace(section: Section<'_>) -> Result<WorkspaceSpec> {
+    Ok(WorkspaceSpec {
+        name: section.title(),
+        share: section.positive("share")? as u32,
+        weight: section.get("weight")?,
+    })
+}
+
+fn read_pipeline(section: &Section<'_>, pools: &[PoolSpec]) -> Result<PipelineSpec> {
+    let stages = section
+        .properties
+        .iter()
+        .filter(|(key, _)| key.starts_with("stage-"))
+        .map(|(key, text)| read_stage(section, key, text, pools))
+        .collect::<Result<Vec<_>>>()?;
+    if stages.is_empty() {
+        return Err(section.value("stage-1", ""));
+    }
+    Ok(PipelineSpec {
+        name: section.title(),
+        deadline: Span::from_millis(section.get("deadline-ms")?),
+        weight: section.get("weight")?,
+        long: section.properties.get("long") == Some("yes"),
+        stages,
+    })
+}
+
+fn read_stage(
+    section: &Section<'_>,
+    key: &str,
+    text: &str,
+    pools: &[PoolSpec],
+) -> Result<StageSpec> {
+    let wrong = || section.value(key, text);
+    let words: Vec<_> = text.split_whitespace().collect();
+    let [name, pool, effect, median, sigma] = words[..] else { return Err(wrong()) };
+    let effect = match effect {
+        "idempotent" => Effect::Idempotent,
+        "once" => Effect::Once,
+        _ => return Err(wrong()),
+    };
+    Ok(StageSpec {
+        name: name.to_owned(),
+        pool: section.pool(key, pool, pools)?,
+        effect,
+        median: Span::from_millis(median.parse().map_err(|_| wrong())?),
+        sigma: sigma.parse().map_err(|_| wrong())?,
+    })
+}
+
+fn read_faults(ini: &Ini) -> Result<FaultSpec> {
+    let section = Section::find(ini, "faults")?;
+    Ok(FaultSpec {
+        slowed: section.get("slowed")?,
+        factor: section.get("factor")?,
+        lag: Span::from_secs(section.get("lag-s")?),
+        every: Span::from_secs(section.positive("die-every-s")? as u64),
+        down: Span::from_secs(section.get("down-s")?),
+    })
+}
--- /dev/null
+++ b/crates/bench/src/store.rs
@@ -0,0 +1,65 @@
+//! Stand-in for the platform's key-value service: claims only, by compare-and-swap.
+
+use damaskweir_core::claim::ClaimRecord;
+use damaskweir_core::entry::{ClaimAnswer, ClaimWrite};
+use damaskweir_core::ids::{Digest, RequestId};
+use std::collections::BTreeMap;
+
+/// A write that waits in an entry's batch.
+#[derive(Clone, Debug)]
+pub(crate) enum Write {
+    Claim { request: RequestId, key: Digest, record: ClaimRecord, write: ClaimWrite },
+    Settle { key: Digest, record: ClaimRecord, revision: u64 },
+}
+
+/// Records and their revisions.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Store {
+    records: BTreeMap<Digest, (ClaimRecord, u64)>,
+    revision: u64,
+    /// Calls taken, each with a batch of writes.
+    pub(crate) calls: u64,
+}
+
+impl Store {
+    /// Takes one call with a batch of writes.
+    pub(crate) fn call(&mut self, batch: Vec<Write>) -> Vec<(RequestId, ClaimAnswer)> {
+        self.calls += 1;
+        batch.into_iter().filter_map(|write| self.apply(write)).collect()
+    }
+
+    fn apply(&mut self, write: Write) -> Option<(RequestId, ClaimAnswer)> {
+        match write {
+            Write::Claim { request, key, record, write } => {
+                Some((request, self.claim(key, record, write)))
+            }
+            Write::Settle { key, record, revision } => {
+                if self.records.get(&key).is_some_and(|(_, stands)| *stands == revision) {
+                    self.put(key, record);
+                }
+                None
+            }
+        }
+    }
+
+    fn claim(&mut self, key: Digest, record: ClaimRecord, write: ClaimWrite) -> ClaimAnswer {
+        let allowed = match (self.records.get(&key), write) {
+            (None, ClaimWrite::Create) => true,
+            (Some((_, stands)), ClaimWrite::Replace(revision)) => *stands == revision,
+            _ => false,
+        };
+        if allowed {
+            return ClaimAnswer::Won(self.put(key, record));
+        }
+        match self.records.get(&key) {
+            Some((found, revision)) => ClaimAnswer::Found(found.clone(), *revision),
+            None => ClaimAnswer::Down,
+        }
+    }
+
+    fn put(&mut self, key: Digest, record: ClaimRecord) -> u64 {
+        self.revision += 1;
+        self.records.insert(key, (record, self.revision));
+        self.revision
+    }
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,6 +9,7 @@
     WorkspaceId,
 };
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
+use crate::policy::Policy;
 use crate::predict::Estimator;
 use crate::retry::{Backoff, Budget};
 use crate::route::Router;
@@ -214,11 +215,20 @@
     pub hedging: bool,
     /// Whether requests that are predicted to be late are refused.
     pub admission: bool,
+    /// Which decisions are in force.
+    pub policy: Policy,
+}
+
+impl EntrySettings {
+    /// Settings of the baseline that the bench measures against.
+    pub fn baseline() -> Self {
+        Self { hedging: false, admission: false, policy: Policy::Baseline }
+    }
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { hedging: true, admission: true }
+        Self { hedging: true, admission: true, policy: Policy::default() }
     }
 }
 
@@ -364,7 +374,9 @@
         self.routers.retain(|id, _| bundle.pools.contains_key(id));
         for (id, pool) in &bundle.pools {
             let zone = self.zone.clone();
-            let router = self.routers.entry(id.clone()).or_insert_with(|| Router::new(zone));
+            let policy = self.settings.policy;
+            let router =
+                self.routers.entry(id.clone()).or_insert_with(|| Router::with_policy(zone, policy));
             router.set_servers(&pool.servers);
             self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
         }
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -5,12 +5,16 @@
 use crate::entry::{Answer, Attempt, Code, Entry, EntryAction, Execution, Input, Request};
 use crate::ids::{AttemptId, Incarnation, RequestId, ServerId};
 use crate::message::{Dispatch, Failure, Outcome, Refusal};
+use crate::policy::Policy;
 use crate::predict::Estimator;
 use crate::route::Need;
 use crate::time::{Span, Time};
 
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
+/// Delay of the baseline's retries. Not zero, so that a pool without an open server is not tried in
+/// an endless loop.
+const BASELINE_DELAY: Span = Span::from_millis(1);
 
 impl Entry {
     /// Starts the current stage of a request.
@@ -263,7 +267,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(stage) = request.stage() else { return };
         let pool = stage.pool.clone();
-        if self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
+        let free = self.settings.policy == Policy::Baseline;
+        if free || self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
             self.retry_later(now, rng, id, actions);
         } else {
             self.give_up(id, Code::StageFailed, Some(DEFAULT_RETRY), actions);
@@ -278,8 +283,13 @@
         id: RequestId,
         actions: &mut Vec<EntryAction>,
     ) {
+        let policy = self.settings.policy;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let at = now + request.backoff.next_delay(rng);
+        let at = now
+            + match policy {
+                Policy::Damaskweir => request.backoff.next_delay(rng),
+                Policy::Baseline => BASELINE_DELAY,
+            };
         if at >= request.deadline {
             let unknown = request.claim.is_some() && request.execution() == Execution::Unknown;
             let code = if unknown { Code::OutcomeUnknown } else { Code::Unavailable };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod ids;
 pub mod lease;
 pub mod message;
+pub mod policy;
 pub mod predict;
 pub mod prelude;
 pub mod queue;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -9,5 +9,6 @@
     ServerId, Version, WorkspaceId,
 };
 pub use crate::message::{Dispatch, Failure, Outcome, Refusal, Report, Standing};
+pub use crate::policy::Policy;
 pub use crate::time::{Span, Time};
 pub use crate::value;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,6 +1,7 @@
 //! Order of waiting attempts at a side.
 
 use crate::ids::{AttemptId, WorkspaceId};
+use crate::policy::Policy;
 use crate::time::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -39,6 +40,7 @@
 /// Waiting attempts: fair between workspaces by share, least slack first within one.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    policy: Policy,
     lanes: BTreeMap<WorkspaceId, Lane>,
     /// Virtual time of the last attempt that was taken.
     virtual_now: u64,
@@ -48,6 +50,11 @@
 }
 
 impl Queue {
+    /// An empty queue.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Adds an attempt.
     pub fn push(&mut self, waiting: Waiting) {
         self.backlog += waiting.estimate;
@@ -60,7 +67,21 @@
     }
 
     /// Takes the attempt that should start next.
-    pub fn pop(&mut self, _now: Time) -> Option<Waiting> {
+    pub fn pop(&mut self, now: Time) -> Option<Waiting> {
+        match self.policy {
+            Policy::Damaskweir => self.pop_fair(now),
+            Policy::Baseline => self.pop_first(),
+        }
+    }
+
+    /// Takes the attempt that has waited longest.
+    fn pop_first(&mut self) -> Option<Waiting> {
+        let items = self.lanes.values().flat_map(|lane| &lane.items);
+        let first = items.min_by_key(|item| (item.arrived, item.attempt))?.attempt;
+        self.remove(first)
+    }
+
+    fn pop_fair(&mut self, _now: Time) -> Option<Waiting> {
         let lane = self
             .lanes
             .values_mut()
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -4,6 +4,7 @@
 use crate::bundle::BackendServer;
 use crate::ids::{AvailabilityZone, Incarnation, ServerId};
 use crate::message::Report;
+use crate::policy::Policy;
 use crate::time::{Span, Time};
 use rand_core::Rng as _;
 use std::collections::BTreeMap;
@@ -52,6 +53,9 @@
 /// An entry's view of one pool.
 #[derive(Clone, Debug)]
 pub struct Router {
+    policy: Policy,
+    /// Attempts sent so far; the turn of round robin.
+    turn: u64,
     zone: AvailabilityZone,
     targets: BTreeMap<ServerId, Target>,
 }
@@ -59,7 +63,12 @@
 impl Router {
     /// A router for an entry in the given zone.
     pub fn new(zone: AvailabilityZone) -> Self {
-        Self { zone, targets: BTreeMap::new() }
+        Self::with_policy(zone, Policy::default())
+    }
+
+    /// A router for an entry in the given zone, under the given policy.
+    pub fn with_policy(zone: AvailabilityZone, policy: Policy) -> Self {
+        Self { policy, turn: 0, zone, targets: BTreeMap::new() }
     }
 
     /// Takes the pool's servers from a bundle; what is known about those that stay is kept.
@@ -88,6 +97,10 @@
         if open.is_empty() {
             return None;
         }
+        if self.policy == Policy::Baseline {
+            let (id, target) = open[(self.turn % open.len() as u64) as usize];
+            return Some(Choice { server: id.clone(), wait: target.wait(need.estimate) });
+        }
         let mut pick = || open[(rng.next_u64() % open.len() as u64) as usize];
         let (first, second) = (pick(), pick());
         let cost = |target: &Target| self.cost(target, need.estimate);
@@ -102,6 +115,7 @@
 
     /// An attempt was sent.
     pub fn sent(&mut self, server: &ServerId) {
+        self.turn += 1;
         if let Some(target) = self.targets.get_mut(server) {
             target.sent += 1;
         }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -3,6 +3,7 @@
 use crate::bundle::Effect;
 use crate::ids::{AttemptId, Incarnation, Version};
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
+use crate::policy::Policy;
 use crate::queue::{Queue, Waiting};
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,11 +17,18 @@
     pub queue: u32,
     /// How long ends of non-idempotent attempts are kept.
     pub retention: Span,
+    /// Which decisions are in force.
+    pub policy: Policy,
 }
 
 impl Default for SideSettings {
     fn default() -> Self {
-        Self { slots: 8, queue: 256, retention: Span::from_secs(24 * 3600) }
+        Self {
+            slots: 8,
+            queue: 256,
+            retention: Span::from_secs(24 * 3600),
+            policy: Policy::default(),
+        }
     }
 }
 
@@ -78,7 +86,7 @@
             incarnation,
             settings,
             version: Version::default(),
-            queue: Queue::default(),
+            queue: Queue::new(settings.policy),
             effects: BTreeMap::new(),
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -189,7 +197,10 @@
     pub fn tick(&mut self, now: Time) -> Vec<SideAction> {
         let retention = self.settings.retention;
         self.ended.retain(|_, ended| now.since(ended.at) < retention);
-        let late = self.queue.expired(now);
+        let late = match self.settings.policy {
+            Policy::Damaskweir => self.queue.expired(now),
+            Policy::Baseline => Vec::new(),
+        };
         let mut actions: Vec<_> =
             late.iter().map(|item| SideAction::Refuse(item.attempt, Refusal::Expired)).collect();
         for item in &late {
@@ -201,6 +212,9 @@
 
     /// When `tick` has something to do.
     pub fn next_tick(&self) -> Option<Time> {
+        if self.settings.policy == Policy::Baseline {
+            return None;
+        }
         // One microsecond later, since an attempt is too late only after its latest start.
         self.queue.next_expiry().map(|at| at + Span(1))
     }
@@ -230,6 +244,11 @@
         self.version
     }
 
+    /// The policy in force.
+    pub fn policy(&self) -> Policy {
+        self.settings.policy
+    }
+
     /// Attempts that run now.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -266,8 +285,9 @@
             return Some(Refusal::Down);
         }
         let wait = self.wait(now);
+        let late = wait + dispatch.estimate > dispatch.remaining;
         if self.queue.len() >= self.settings.queue as usize
-            || wait + dispatch.estimate > dispatch.remaining
+            || (late && self.settings.policy == Policy::Damaskweir)
         {
             return Some(Refusal::Overloaded { retry: wait });
         }
