Add the clients of engines and services and their stand-ins

Cause: sides had no way to give work to backend servers. Both tell apart refused before it ran, ran and failed, and may have run; neither follows redirects nor repeats a call. The stand-ins count runs per attempt and key and can refuse, fail, die in the middle of an answer and lose an answer.

--- /dev/null
+++ b/crates/engines/src/client.rs
@@ -0,0 +1,124 @@
+//! The client.
+
+use crate::completion::{Completion, prompt};
+use crate::error::{EngineError, check};
+use damaskweir_core::prelude::*;
+use reqwest::header::{ACCEPT, HeaderMap, HeaderValue};
+use reqwest::redirect::Policy;
+use reqwest::{Client, RequestBuilder};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+/// Settings of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineSettings {
+    /// URL of the engine without a path, such as `http://127.0.0.1:8000`.
+    pub url: String,
+    /// Time to connect.
+    pub connect: Duration,
+    /// Longest time between two events of an answer; the first may take as long as the caller waits.
+    pub idle: Duration,
+    /// Time for a load report, an order or a health check.
+    pub timeout: Duration,
+    /// Whether the engine honours `priority`.
+    pub priority: bool,
+    /// Whether the engine honours `resume_from` and sends `token_index`.
+    pub resume: bool,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            url: "http://127.0.0.1:8000".to_owned(),
+            connect: Duration::from_millis(500),
+            idle: Duration::from_secs(10),
+            timeout: Duration::from_secs(2),
+            priority: true,
+            resume: false,
+        }
+    }
+}
+
+/// A completion call.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Path, usually `/v1/completions`.
+    pub path: &'a str,
+    /// The attempt that the call is for.
+    pub attempt: AttemptId,
+    /// Digest of workspace and idempotency key.
+    pub key: Option<Digest>,
+    /// A JSON object with a `prompt`, passed on with all its fields, or else the prompt itself.
+    pub body: &'a [u8],
+    /// Index of the first token that is wanted.
+    pub resume: u32,
+    /// A smaller value is served earlier.
+    pub priority: i64,
+}
+
+/// Client of one engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub(crate) client: Client,
+    pub(crate) settings: EngineSettings,
+}
+
+impl Engine {
+    /// A client; nothing is sent yet.
+    pub fn new(settings: EngineSettings) -> Result<Self, EngineError> {
+        let client = Client::builder()
+            .connect_timeout(settings.connect)
+            // A redirected or repeated call would run twice.
+            .redirect(Policy::none())
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()?;
+        Ok(Self { client, settings })
+    }
+
+    /// Starts a completion. Dropping it cancels it at the engine.
+    pub async fn complete(&self, call: Call<'_>) -> Result<Completion, EngineError> {
+        if call.resume > 0 && !self.settings.resume {
+            let reason = "the engine can't resume an answer".to_owned();
+            return Err(EngineError::Refused { reason, retry: None });
+        }
+        let response = self
+            .client
+            .post(self.url(call.path))
+            .headers(headers(call.attempt, call.key))
+            .header(ACCEPT, "text/event-stream")
+            .json(&prompt(&call, &self.settings))
+            .send()
+            .await?;
+        Ok(Completion::new(check(response).await?, call.resume, self.settings.idle))
+    }
+
+    /// Whether the engine answers `GET /health`.
+    pub async fn healthy(&self) -> bool {
+        let request = self.client.get(self.url("/health")).timeout(self.settings.timeout);
+        request.send().await.is_ok_and(|response| response.status().is_success())
+    }
+
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.settings.url)
+    }
+
+    pub(crate) async fn fetch<T: DeserializeOwned>(
+        &self,
+        request: RequestBuilder,
+    ) -> Result<T, EngineError> {
+        let response = request.timeout(self.settings.timeout).send().await?;
+        Ok(check(response).await?.json().await?)
+    }
+}
+
+fn headers(attempt: AttemptId, key: Option<Digest>) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&attempt.to_string()) {
+        headers.insert("damaskweir-attempt", value);
+    }
+    if let Some(Ok(value)) = key.map(|key| HeaderValue::from_str(&key.to_string())) {
+        headers.insert("idempotency-key", value);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/engines/src/completion.rs
@@ -0,0 +1,140 @@
+//! Streamed completions.
+
+use crate::client::{Call, EngineSettings};
+use crate::error::EngineError;
+use eventsource_stream::{EventStreamError, Eventsource};
+use futures::stream::BoxStream;
+use futures::{StreamExt, TryStreamExt};
+use reqwest::Response;
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Data of the last event.
+const DONE: &str = "[DONE]";
+
+/// One token of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Token {
+    /// Position in the whole answer.
+    pub index: u32,
+    /// Its text.
+    pub text: String,
+}
+
+/// An answer that is being generated. Dropping it closes the connection, which makes the engine stop.
+pub struct Completion {
+    events: BoxStream<'static, Result<String, EngineError>>,
+    /// Index of the next token.
+    next: u32,
+    idle: Duration,
+    /// No event has arrived yet.
+    fresh: bool,
+    ended: bool,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    token_index: Option<u32>,
+    error: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+}
+
+impl Completion {
+    pub(crate) fn new(response: Response, resume: u32, idle: Duration) -> Self {
+        let events = response
+            .bytes_stream()
+            .eventsource()
+            .map_ok(|event| event.data)
+            .map_err(|error| match error {
+                EventStreamError::Transport(error) => error.into(),
+                error => EngineError::Unknown(format!("answer is not readable: {error}")),
+            })
+            .boxed();
+        Self { events, next: resume, idle, fresh: true, ended: false }
+    }
+
+    /// The next token; `None` after the last one of a whole answer. Nothing is lost when the future
+    /// is dropped.
+    pub async fn next(&mut self) -> Result<Option<Token>, EngineError> {
+        while !self.ended {
+            let data = self.event().await?;
+            if data == DONE {
+                self.ended = true;
+                break;
+            }
+            let event: Event = serde_json::from_str(&data)
+                .map_err(|error| EngineError::Unknown(format!("event is not readable: {error}")))?;
+            if let Some(error) = event.error {
+                return Err(EngineError::Failed(error.to_string()));
+            }
+            let text: String =
+                event.choices.into_iter().take(1).map(|choice| choice.text).collect();
+            let index = event.token_index.unwrap_or(self.next);
+            // The last event often tells only why the generation stopped; a repeated token was passed
+            // on already.
+            if text.is_empty() || index < self.next {
+                continue;
+            }
+            if index > self.next {
+                let reason = format!("token {index} follows token {}", i64::from(self.next) - 1);
+                return Err(EngineError::Unknown(reason));
+            }
+            self.next = index + 1;
+            return Ok(Some(Token { index, text }));
+        }
+        Ok(None)
+    }
+
+    async fn event(&mut self) -> Result<String, EngineError> {
+        let event = if self.fresh {
+            self.events.next().await
+        } else {
+            timeout(self.idle, self.events.next()).await.map_err(|_| {
+                EngineError::Unknown(format!("no event within {} ms", self.idle.as_millis()))
+            })?
+        };
+        self.fresh = false;
+        event.unwrap_or_else(|| {
+            Err(EngineError::Unknown("answer ended before its last event".to_owned()))
+        })
+    }
+}
+
+impl fmt::Debug for Completion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Completion").field("next", &self.next).finish_non_exhaustive()
+    }
+}
+
+/// The request's body.
+pub(crate) fn prompt(call: &Call<'_>, settings: &EngineSettings) -> Value {
+    let mut fields = match serde_json::from_slice(call.body) {
+        Ok(Value::Object(fields)) if fields.contains_key("prompt") => fields,
+        _ => {
+            let mut fields = Map::new();
+            fields.insert("prompt".to_owned(), json!(String::from_utf8_lossy(call.body)));
+            fields
+        }
+    };
+    fields.insert("stream".to_owned(), json!(true));
+    // Callers have no say in these.
+    fields.remove("priority");
+    fields.remove("resume_from");
+    if settings.priority {
+        fields.insert("priority".to_owned(), json!(call.priority));
+    }
+    if call.resume > 0 {
+        fields.insert("resume_from".to_owned(), json!(call.resume));
+    }
+    Value::Object(fields)
+}
--- /dev/null
+++ b/crates/engines/tests/completions.rs
@@ -0,0 +1,151 @@
+//! Completions against the stand-in of an engine.
+
+#![allow(clippy::unwrap_used, reason = "used by tests only")]
+
+use damaskweir_core::prelude::*;
+use damaskweir_engines::{Call, Completion, Engine, EngineError, EngineSettings};
+use damaskweir_standins::engine as standin;
+use std::time::Duration;
+
+const PROMPT: &[u8] = br#"{"prompt": "labels for Kollam", "max_tokens": 12}"#;
+
+fn attempt(number: u16) -> AttemptId {
+    let request = RequestId { entry: Incarnation(7), serial: 1 };
+    AttemptId { request, stage: 0, number }
+}
+
+fn call(body: &[u8]) -> Call<'_> {
+    Call {
+        path: "/v1/completions",
+        attempt: attempt(0),
+        key: Some(Digest([3; 32])),
+        body,
+        resume: 0,
+        priority: 0,
+    }
+}
+
+fn client(engine: &standin::Engine, resume: bool) -> Engine {
+    Engine::new(EngineSettings { url: engine.url(), resume, ..EngineSettings::default() }).unwrap()
+}
+
+/// Reads to the end: the text and how it ended.
+async fn read(completion: &mut Completion) -> (String, Result<(), EngineError>) {
+    let mut text = String::new();
+    loop {
+        match completion.next().await {
+            Ok(Some(token)) => text.push_str(&token.text),
+            Ok(None) => return (text, Ok(())),
+            Err(error) => return (text, Err(error)),
+        }
+    }
+}
+
+/// Guards against lost or doubled tokens and against a missing attempt or key header.
+#[tokio::test]
+async fn whole_answer_arrives_once() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let mut completion = client(&engine, false).complete(call(PROMPT)).await.unwrap();
+    let (text, end) = read(&mut completion).await;
+    assert_eq!(end, Ok(()));
+    assert_eq!(text, standin::answer("labels for Kollam", 12));
+    let runs = engine.runs();
+    assert_eq!(runs.attempts.get(&attempt(0).to_string()), Some(&1));
+    assert_eq!(runs.keys.get(&Digest([3; 32]).to_string()), Some(&1));
+}
+
+/// Guards against bodies that are not JSON being refused: they are the prompt themselves.
+#[tokio::test]
+async fn plain_body_is_the_prompt() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let mut completion = client(&engine, false).complete(call(b"plain words")).await.unwrap();
+    let (text, end) = read(&mut completion).await;
+    assert_eq!(end, Ok(()));
+    assert_eq!(text, standin::answer("plain words", 16));
+}
+
+/// Guards against a resumed answer that repeats or skips tokens.
+#[tokio::test]
+async fn resumed_answer_continues_the_first() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    engine.set(|behaviour| behaviour.die = Some(5));
+    let client = client(&engine, true);
+    let mut first = client.complete(call(PROMPT)).await.unwrap();
+    let (head, end) = read(&mut first).await;
+    assert!(matches!(end, Err(EngineError::Unknown(_))), "{end:?}");
+
+    engine.set(|behaviour| behaviour.die = None);
+    let mut second = client.complete(Call { resume: 5, ..call(PROMPT) }).await.unwrap();
+    let token = second.next().await.unwrap().unwrap();
+    assert_eq!(token.index, 5);
+    let (tail, end) = read(&mut second).await;
+    assert_eq!(end, Ok(()));
+    assert_eq!(head + &token.text + &tail, standin::answer("labels for Kollam", 12));
+}
+
+/// Guards against a resume that an engine without support would answer from the beginning.
+#[tokio::test]
+async fn resume_without_support_is_refused_before_it_runs() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let refused = client(&engine, false).complete(Call { resume: 5, ..call(PROMPT) }).await;
+    assert!(matches!(refused, Err(EngineError::Refused { .. })));
+    assert_eq!(engine.runs().total(), 0);
+}
+
+/// Guards against "not run" for work that ran, and the reverse.
+#[tokio::test]
+async fn errors_tell_what_happened_to_the_work() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let client = client(&engine, false);
+
+    engine.set(|behaviour| behaviour.refuse = true);
+    let refused = client.complete(call(PROMPT)).await;
+    assert!(matches!(refused, Err(EngineError::Refused { .. })));
+    assert_eq!(engine.runs().total(), 0);
+
+    engine.set(|behaviour| {
+        behaviour.refuse = false;
+        behaviour.fail = true;
+    });
+    let mut failing = client.complete(call(PROMPT)).await.unwrap();
+    assert!(matches!(read(&mut failing).await.1, Err(EngineError::Failed(_))));
+
+    // Bound but not listening: connections are refused, and no other process gets the port.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let port = socket.local_addr().unwrap();
+    let settings = EngineSettings { url: format!("http://{port}"), ..EngineSettings::default() };
+    let nobody = Engine::new(settings).unwrap().complete(call(PROMPT)).await;
+    assert!(matches!(nobody, Err(EngineError::Refused { .. })), "{nobody:?}");
+}
+
+/// Guards against an engine that hangs in the middle of an answer holding its attempt for ever.
+#[tokio::test]
+async fn silence_ends_an_answer() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let idle = Duration::from_millis(50);
+    let settings = EngineSettings { url: engine.url(), idle, ..EngineSettings::default() };
+    let mut completion = Engine::new(settings).unwrap().complete(call(PROMPT)).await.unwrap();
+    completion.next().await.unwrap();
+    engine.set(|behaviour| behaviour.token = Duration::from_secs(3600));
+    let (_, end) = read(&mut completion).await;
+    assert!(matches!(end, Err(EngineError::Unknown(_))));
+}
+
+/// Guards against generations that go on after nobody wants them.
+#[tokio::test]
+async fn dropping_a_completion_stops_the_engine() {
+    let engine = standin::Engine::start(4).await.unwrap();
+    let body = br#"{"prompt": "long draft", "max_tokens": 1000000}"#;
+    let mut completion = client(&engine, false).complete(call(body)).await.unwrap();
+    completion.next().await.unwrap();
+    drop(completion);
+    tokio::time::timeout(Duration::from_secs(60), async {
+        while engine.runs().cancelled == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .expect("the engine goes on");
+    assert_eq!(engine.runs().finished, 0);
+}
--- /dev/null
+++ b/crates/services/src/client.rs
@@ -0,0 +1,133 @@
+//! The client.
+
+use crate::error::{ServiceError, status_error};
+use bytes::{Bytes, BytesMut};
+use damaskweir_core::prelude::*;
+use reqwest::Client;
+use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use reqwest::redirect::Policy;
+use std::time::Duration;
+
+/// Bytes of an error answer that go into the log.
+const EXCERPT: usize = 200;
+
+/// Settings of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// URL of the service without a path, such as `http://127.0.0.1:8000`.
+    pub url: String,
+    /// Time to connect.
+    pub connect: Duration,
+    /// Time for a call. For a non-idempotent one its outcome is unknown afterwards, so this is much
+    /// longer than any deadline.
+    pub timeout: Duration,
+    /// Time for a health check.
+    pub check: Duration,
+    /// Path of the health check.
+    pub health: String,
+    /// Bytes of an answer. Below the frame limit, so that it fits into a frame.
+    pub limit: usize,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            url: "http://127.0.0.1:8000".to_owned(),
+            connect: Duration::from_millis(500),
+            timeout: Duration::from_secs(60),
+            check: Duration::from_secs(2),
+            health: "/health".to_owned(),
+            limit: 8 << 20,
+        }
+    }
+}
+
+/// A call.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Path on the service.
+    pub path: &'a str,
+    /// The attempt that the call is for.
+    pub attempt: AttemptId,
+    /// Digest of workspace and idempotency key.
+    pub key: Option<Digest>,
+    /// Whether the call may be repeated.
+    pub effect: Effect,
+    /// JSON body.
+    pub body: Bytes,
+}
+
+/// Client of one service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pooled: Client,
+    /// Opens a connection per call. A service that closes an idle connection just when a call is sent
+    /// on it would leave that call's outcome unknown.
+    fresh: Client,
+    settings: ServiceSettings,
+}
+
+impl Service {
+    /// A client; nothing is sent yet.
+    pub fn new(settings: ServiceSettings) -> Result<Self, ServiceError> {
+        let builder = || {
+            Client::builder()
+                .connect_timeout(settings.connect)
+                .timeout(settings.timeout)
+                // A redirected or repeated call would run twice.
+                .redirect(Policy::none())
+                .retry(reqwest::retry::never())
+                .no_proxy()
+        };
+        let pooled = builder().build()?;
+        let fresh = builder().pool_max_idle_per_host(0).build()?;
+        Ok(Self { pooled, fresh, settings })
+    }
+
+    /// Makes a call. Dropping the future closes the connection; the service may go on all the same.
+    pub async fn call(&self, call: Call<'_>) -> Result<Bytes, ServiceError> {
+        let client = match call.effect {
+            Effect::Idempotent => &self.pooled,
+            Effect::Once => &self.fresh,
+        };
+        let mut response = client
+            .post(format!("{}{}", self.settings.url, call.path))
+            .headers(headers(call.attempt, call.key))
+            .body(call.body)
+            .send()
+            .await?;
+        let status = response.status();
+        let mut answer = BytesMut::new();
+        while let Some(part) = response.chunk().await? {
+            if answer.len() + part.len() > self.settings.limit {
+                let limit = self.settings.limit;
+                return Err(ServiceError::Failed(format!("answer is larger than {limit} bytes")));
+            }
+            answer.extend_from_slice(&part);
+        }
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&answer);
+            return Err(status_error(status, &text.chars().take(EXCERPT).collect::<String>()));
+        }
+        Ok(answer.freeze())
+    }
+
+    /// Whether the service answers its health check.
+    pub async fn healthy(&self) -> bool {
+        let url = format!("{}{}", self.settings.url, self.settings.health);
+        let request = self.pooled.get(url).timeout(self.settings.check);
+        request.send().await.is_ok_and(|response| response.status().is_success())
+    }
+}
+
+fn headers(attempt: AttemptId, key: Option<Digest>) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(value) = HeaderValue::from_str(&attempt.to_string()) {
+        headers.insert("damaskweir-attempt", value);
+    }
+    if let Some(Ok(value)) = key.map(|key| HeaderValue::from_str(&key.to_string())) {
+        headers.insert("idempotency-key", value);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/services/tests/calls.rs
@@ -0,0 +1,94 @@
+//! Calls against the stand-in of a plain service.
+
+#![allow(clippy::unwrap_used, reason = "used by tests only")]
+
+use bytes::Bytes;
+use damaskweir_core::prelude::*;
+use damaskweir_services::{Call, Service, ServiceError, ServiceSettings};
+use damaskweir_standins::service as standin;
+use rstest::rstest;
+use std::time::Duration;
+
+fn call(effect: Effect) -> Call<'static> {
+    let request = RequestId { entry: Incarnation(7), serial: 1 };
+    Call {
+        path: "/orders/print",
+        attempt: AttemptId { request, stage: 0, number: 0 },
+        key: Some(Digest([3; 32])),
+        effect,
+        body: Bytes::from_static(br#"{"sheets": 40}"#),
+    }
+}
+
+fn client(url: String) -> Service {
+    Service::new(ServiceSettings { url, ..ServiceSettings::default() }).unwrap()
+}
+
+/// Guards against answers that are changed on the way, and against a missing attempt or key header.
+#[rstest]
+#[case(Effect::Idempotent)]
+#[case(Effect::Once)]
+#[tokio::test]
+async fn answer_arrives(#[case] effect: Effect) {
+    let service = standin::Service::start().await.unwrap();
+    let client = client(service.url());
+    assert!(client.healthy().await);
+    let answer = client.call(call(effect)).await.unwrap();
+    let value: serde_json::Value = serde_json::from_slice(&answer).unwrap();
+    assert_eq!(value["path"], "/orders/print");
+    assert_eq!(value["input"]["sheets"], 40);
+    let runs = service.runs();
+    assert_eq!(runs.attempts.get(&call(effect).attempt.to_string()), Some(&1));
+    assert_eq!(runs.keys.get(&Digest([3; 32]).to_string()), Some(&1));
+}
+
+/// Guards against "not run" for work that ran or may have run, and against a silent second run.
+#[rstest]
+#[case::fails(|b: &mut standin::Behaviour| b.fail = true, "ran and failed", 1)]
+#[case::loses_the_answer(|b: &mut standin::Behaviour| b.lose = true, "may have run", 1)]
+#[case::dies_while_answering(|b: &mut standin::Behaviour| b.die = true, "may have run", 1)]
+#[case::refuses(|b: &mut standin::Behaviour| b.refuse = true, "refused before it ran", 0)]
+#[tokio::test]
+async fn errors_tell_what_happened_to_the_work(
+    #[case] change: fn(&mut standin::Behaviour),
+    #[case] kind: &str,
+    #[case] runs: u32,
+    #[values(Effect::Idempotent, Effect::Once)] effect: Effect,
+) {
+    let service = standin::Service::start().await.unwrap();
+    service.set(change);
+    let error = client(service.url()).call(call(effect)).await.unwrap_err();
+    assert!(error.to_string().starts_with(kind), "{error}");
+    assert_eq!(service.runs().total(), runs);
+}
+
+/// Guards against "may have run" for a service that can't have got the call.
+#[tokio::test]
+async fn connect_error_means_not_run() {
+    // Bound but not listening: connections are refused, and no other process gets the port.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let port = socket.local_addr().unwrap();
+    let error = client(format!("http://{port}")).call(call(Effect::Once)).await.unwrap_err();
+    assert!(matches!(error, ServiceError::Refused(_)), "{error}");
+}
+
+/// Guards against "not run" for a call that was sent and timed out.
+#[tokio::test]
+async fn timeout_means_may_have_run() {
+    let service = standin::Service::start().await.unwrap();
+    service.set(|behaviour| behaviour.delay = Duration::from_secs(3600));
+    let timeout = Duration::from_millis(300);
+    let settings = ServiceSettings { url: service.url(), timeout, ..ServiceSettings::default() };
+    let error = Service::new(settings).unwrap().call(call(Effect::Once)).await.unwrap_err();
+    assert!(matches!(error, ServiceError::Unknown(_)), "{error}");
+}
+
+/// Guards against an answer that fills the memory, or that no frame can hold.
+#[tokio::test]
+async fn too_large_answer_is_an_error() {
+    let service = standin::Service::start().await.unwrap();
+    let settings = ServiceSettings { url: service.url(), limit: 10, ..ServiceSettings::default() };
+    let error = Service::new(settings).unwrap().call(call(Effect::Once)).await.unwrap_err();
+    assert!(matches!(error, ServiceError::Failed(_)), "{error}");
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,437 @@
+//! Stand-in of a model engine: streamed completions, load reports, cache events and orders.
+
+use crate::runs::Runs;
+use futures::{Stream, stream};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::http::header::{CONTENT_TYPE, HeaderValue};
+use salvo::prelude::*;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, sleep};
+
+/// Tokens of an answer when the request does not say.
+const DEFAULT_TOKENS: u32 = 16;
+/// Prefixes that the cache holds.
+const CACHE_PREFIXES: usize = 64;
+/// Bytes of a prompt that count as its prefix.
+const PREFIX_BYTES: usize = 64;
+
+/// Behaviour of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Behaviour {
+    /// Time for each token.
+    pub token: Duration,
+    /// Time between changes of the load report.
+    pub lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub fenced: bool,
+    /// Answers with 429 and starts nothing.
+    pub refuse: bool,
+    /// Sends an error event instead of the last token.
+    pub fail: bool,
+    /// Breaks the connection instead of sending this token of an answer.
+    pub die: Option<u32>,
+    /// Fails its health check.
+    pub sick: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            token: Duration::from_millis(2),
+            lag: Duration::ZERO,
+            fenced: true,
+            refuse: false,
+            fail: false,
+            die: None,
+            sick: false,
+        }
+    }
+}
+
+/// A running stand-in on a loopback port.
+#[derive(Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    slots: Arc<Semaphore>,
+    limit: u32,
+    /// A cache event was added.
+    stored: Arc<Notify>,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    runs: Runs,
+    running: u32,
+    waiting: u32,
+    /// The load report that is shown, and since when.
+    shown: Option<(Instant, Value)>,
+    fence: u64,
+    orders: Vec<Value>,
+    cache: VecDeque<u64>,
+    /// Number of the first event in `events`.
+    first: u64,
+    events: Vec<String>,
+    /// Events to drop before the next is recorded.
+    gap: u64,
+}
+
+#[derive(Deserialize)]
+struct Prompt {
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    resume_from: u32,
+}
+
+#[derive(Deserialize)]
+struct OrderRequest {
+    fence: u64,
+    order: Value,
+}
+
+impl Engine {
+    /// Starts on a free loopback port with streams for `limit` answers at once.
+    pub async fn start(limit: u32) -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let state = State {
+            behaviour: Behaviour::default(),
+            runs: Runs::default(),
+            running: 0,
+            waiting: 0,
+            shown: None,
+            fence: 0,
+            orders: Vec::new(),
+            cache: VecDeque::new(),
+            first: 0,
+            events: Vec::new(),
+            gap: 0,
+        };
+        let slots = Arc::new(Semaphore::new(limit as usize));
+        let stored = Arc::new(Notify::new());
+        let shared = Arc::new(Shared { state: Mutex::new(state), slots, limit, stored });
+        let router = Router::new()
+            .push(Router::with_path("v1/completions").post(Completions(Arc::clone(&shared))))
+            .push(Router::with_path("load").get(ShowLoad(Arc::clone(&shared))))
+            .push(Router::with_path("cache/events").get(CacheEvents(Arc::clone(&shared))))
+            .push(Router::with_path("orders").post(TakeOrder(Arc::clone(&shared))))
+            .push(Router::with_path("health").get(Health(Arc::clone(&shared))));
+        let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(Self { address, shared, server })
+    }
+
+    /// Address that it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base address for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Changes its behaviour; answers in progress follow the new one too.
+    pub fn set(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.shared.lock().behaviour);
+    }
+
+    /// The work that it did.
+    pub fn runs(&self) -> Runs {
+        self.shared.lock().runs.clone()
+    }
+
+    /// Orders that it applied.
+    pub fn orders(&self) -> Vec<Value> {
+        self.shared.lock().orders.clone()
+    }
+
+    /// Leaves out this many numbers before the next cache event.
+    pub fn skip_events(&self, count: u64) {
+        self.shared.lock().gap += count;
+    }
+}
+
+/// The whole answer to a prompt.
+pub fn answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+/// Token `index` of the answer to a prompt.
+pub fn token(prompt: &str, index: u32) -> String {
+    format!("{:06x} ", digest(prompt.as_bytes(), u64::from(index)) & 0xff_ffff)
+}
+
+/// FNV-1a with a seed: the same on each machine.
+fn digest(bytes: &[u8], seed: u64) -> u64 {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let start = seed.to_le_bytes().into_iter().fold(0xcbf2_9ce4_8422_2325, mix);
+    bytes.iter().copied().fold(start, mix)
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn store_prefix(&self, prompt: &str) {
+        let prefix = digest(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)], 0);
+        let mut state = self.lock();
+        if state.cache.contains(&prefix) {
+            return;
+        }
+        if state.cache.len() == CACHE_PREFIXES
+            && let Some(old) = state.cache.pop_front()
+        {
+            state.record(&json!({ "evicted": old }));
+        }
+        state.cache.push_back(prefix);
+        state.record(&json!({ "stored": prefix }));
+        drop(state);
+        self.stored.notify_waiters();
+    }
+}
+
+impl State {
+    fn record(&mut self, change: &Value) {
+        if self.gap > 0 {
+            self.first += self.gap + self.events.len() as u64;
+            self.gap = 0;
+            self.events.clear();
+        }
+        self.events.push(change.to_string());
+    }
+
+    fn load(&mut self, limit: u32) -> Value {
+        let now = Instant::now();
+        let lag = self.behaviour.lag;
+        match &self.shown {
+            Some((since, shown)) if now - *since < lag => {
+                let mut shown = shown.clone();
+                shown["age"] = json!((now - *since).as_millis() as u64);
+                shown
+            }
+            _ => {
+                let (running, waiting) = (self.running, self.waiting);
+                let fresh = json!({
+                    "running": running, "waiting": waiting, "slots": limit, "age": 0
+                });
+                self.shown = Some((now, fresh.clone()));
+                fresh
+            }
+        }
+    }
+}
+
+/// Counts an answer as waiting, then as running, until it is dropped.
+struct Job {
+    shared: Arc<Shared>,
+    permit: Option<OwnedSemaphorePermit>,
+    finished: bool,
+}
+
+impl Job {
+    async fn start(shared: &Arc<Shared>) -> Self {
+        shared.lock().waiting += 1;
+        let mut job = Self { shared: Arc::clone(shared), permit: None, finished: false };
+        let permit = Arc::clone(&shared.slots).acquire_owned().await.ok();
+        let mut state = shared.lock();
+        state.waiting -= 1;
+        state.running += 1;
+        job.permit = permit;
+        drop(state);
+        job
+    }
+
+    fn finish(&mut self) {
+        self.finished = true;
+        self.shared.lock().runs.finished += 1;
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if self.permit.is_some() {
+            state.running -= 1;
+        } else {
+            state.waiting -= 1;
+        }
+        if !self.finished {
+            state.runs.cancelled += 1;
+        }
+    }
+}
+
+struct Completions(Arc<Shared>);
+
+#[handler]
+impl Completions {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let shared = &self.0;
+        if shared.lock().behaviour.refuse {
+            response.status_code(StatusCode::TOO_MANY_REQUESTS);
+            return;
+        }
+        let Ok(prompt) = request.parse_json::<Prompt>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let job = Job::start(shared).await;
+        shared.lock().runs.count(request);
+        shared.store_prefix(&prompt.prompt);
+        event_stream(response);
+        response.stream(generate(job, prompt));
+    }
+}
+
+enum Step {
+    Token(u32),
+    Done,
+    End,
+}
+
+fn generate(job: Job, prompt: Prompt) -> impl Stream<Item = io::Result<String>> {
+    let tokens = prompt.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let first = Step::Token(prompt.resume_from);
+    stream::unfold((job, prompt, first), move |(mut job, prompt, step)| async move {
+        match step {
+            Step::Token(index) if index < tokens => {
+                let behaviour = job.shared.lock().behaviour;
+                sleep(behaviour.token).await;
+                if behaviour.die == Some(index) {
+                    let error = io::Error::other("told to die");
+                    return Some((Err(error), (job, prompt, Step::End)));
+                }
+                if behaviour.fail && index + 1 == tokens {
+                    job.finish();
+                    let event = json!({ "error": { "message": "told to fail" } });
+                    return Some((Ok(format!("data: {event}\n\n")), (job, prompt, Step::End)));
+                }
+                let text = token(&prompt.prompt, index);
+                let event = json!({
+                    "object": "text_completion",
+                    "choices": [{ "index": 0, "text": text, "finish_reason": null }],
+                    "token_index": index,
+                });
+                Some((Ok(format!("data: {event}\n\n")), (job, prompt, Step::Token(index + 1))))
+            }
+            Step::Token(_) => {
+                job.finish();
+                let event = json!({
+                    "object": "text_completion",
+                    "choices": [{ "index": 0, "text": "", "finish_reason": "stop" }],
+                });
+                Some((Ok(format!("data: {event}\n\n")), (job, prompt, Step::Done)))
+            }
+            Step::Done => Some((Ok("data: [DONE]\n\n".to_owned()), (job, prompt, Step::End))),
+            Step::End => None,
+        }
+    })
+}
+
+struct ShowLoad(Arc<Shared>);
+
+#[handler]
+impl ShowLoad {
+    async fn handle(&self, response: &mut Response) {
+        let load = self.0.lock().load(self.0.limit);
+        response.render(Json(load));
+    }
+}
+
+struct CacheEvents(Arc<Shared>);
+
+#[handler]
+impl CacheEvents {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let shared = Arc::clone(&self.0);
+        let next = match request.header::<u64>("last-event-id") {
+            Some(last) => last + 1,
+            None => {
+                let state = shared.lock();
+                state.first + state.events.len() as u64
+            }
+        };
+        event_stream(response);
+        response.stream(stream::unfold((shared, next), |(shared, next)| async move {
+            loop {
+                let stored = Arc::clone(&shared.stored).notified_owned();
+                let found = {
+                    let state = shared.lock();
+                    // Numbers that were left out can't be read any more.
+                    let number = next.max(state.first);
+                    state.events.get((number - state.first) as usize).map(|e| (number, e.clone()))
+                };
+                if let Some((number, event)) = found {
+                    let text = format!("id: {number}\ndata: {event}\n\n");
+                    return Some((Ok::<_, io::Error>(text), (shared, number + 1)));
+                }
+                stored.await;
+            }
+        }));
+    }
+}
+
+struct TakeOrder(Arc<Shared>);
+
+#[handler]
+impl TakeOrder {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Ok(OrderRequest { fence, order }) = request.parse_json().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let mut state = self.0.lock();
+        if !state.behaviour.fenced {
+            state.orders.push(order);
+            response.render(Json(json!({})));
+        } else if fence < state.fence {
+            response.status_code(StatusCode::CONFLICT);
+            response.render(Json(json!({ "fence": state.fence })));
+        } else {
+            state.fence = fence;
+            state.orders.push(order);
+            response.render(Json(json!({ "fence": fence })));
+        }
+    }
+}
+
+struct Health(Arc<Shared>);
+
+#[handler]
+impl Health {
+    async fn handle(&self, response: &mut Response) {
+        if self.0.lock().behaviour.sick {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        } else {
+            response.render(Json(json!({})));
+        }
+    }
+}
+
+fn event_stream(response: &mut Response) {
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,162 @@
+//! Stand-in of a plain service: answers JSON after a delay.
+
+use crate::runs::Runs;
+use futures::stream;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Behaviour of the service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Behaviour {
+    /// Time for each call.
+    pub delay: Duration,
+    /// Answers with 429 and does nothing.
+    pub refuse: bool,
+    /// Does the work and answers with 500.
+    pub fail: bool,
+    /// Breaks the connection in the middle of its answer.
+    pub die: bool,
+    /// Does the work and breaks the connection instead of answering.
+    pub lose: bool,
+    /// Fails its health check.
+    pub sick: bool,
+}
+
+/// A running stand-in on a loopback port.
+#[derive(Debug)]
+pub struct Service {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    behaviour: Behaviour,
+    runs: Runs,
+}
+
+impl Service {
+    /// Starts on a free loopback port.
+    pub async fn start() -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let shared = Arc::new(Shared::default());
+        let router = Router::new()
+            .push(Router::with_path("health").get(Health(Arc::clone(&shared))))
+            .push(Router::with_path("{**path}").post(Work(Arc::clone(&shared))));
+        let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(Self { address, shared, server })
+    }
+
+    /// Address that it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base address for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Changes its behaviour for calls that arrive from now on.
+    pub fn set(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.shared.lock().behaviour);
+    }
+
+    /// The work that it did.
+    pub fn runs(&self) -> Runs {
+        self.shared.lock().runs.clone()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a call as cancelled unless it finished.
+struct Job<'a> {
+    shared: &'a Shared,
+    finished: bool,
+}
+
+impl Drop for Job<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if self.finished {
+            state.runs.finished += 1;
+        } else {
+            state.runs.cancelled += 1;
+        }
+    }
+}
+
+struct Work(Arc<Shared>);
+
+#[handler]
+impl Work {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let behaviour = self.0.lock().behaviour;
+        if behaviour.refuse {
+            response.status_code(StatusCode::TOO_MANY_REQUESTS);
+            return;
+        }
+        let path = request.uri().path().to_owned();
+        let input = match request.payload().await {
+            Ok(bytes) => serde_json::from_slice(bytes).unwrap_or(Value::Null),
+            Err(_) => {
+                response.status_code(StatusCode::BAD_REQUEST);
+                return;
+            }
+        };
+        self.0.lock().runs.count(request);
+        let mut job = Job { shared: &self.0, finished: false };
+        sleep(behaviour.delay).await;
+        job.finished = true;
+        let answer = json!({ "path": path, "input": input }).to_string();
+        if behaviour.fail {
+            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        } else if behaviour.lose {
+            response.stream(stream::iter([Err::<String, _>(io::Error::other("told to lose"))]));
+        } else if behaviour.die {
+            let half = answer[..answer.len() / 2].to_owned();
+            response.stream(stream::iter([Ok(half), Err(io::Error::other("told to die"))]));
+        } else {
+            response.render(Text::Json(answer));
+        }
+    }
+}
+
+struct Health(Arc<Shared>);
+
+#[handler]
+impl Health {
+    async fn handle(&self, response: &mut Response) {
+        if self.0.lock().behaviour.sick {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        } else {
+            response.render(Json(json!({})));
+        }
+    }
+}
