--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod engine;
 pub mod service;
+pub mod store;
 
 pub use runs::Runs;
