Add the callers' HTTP API

Callers need one entry point with whole and streamed answers and one error shape. The API checks a request, hands it to a Gateway and writes its reply. The status alone tells whether the work did not run (4xx, 500, 503), may have run (504) or ran (502); a test checks this for every code and execution.

--- /dev/null
+++ b/crates/callers/src/api.rs
@@ -0,0 +1,115 @@
+//! The routes and the server.
+
+use crate::call::run_pipeline;
+use crate::code::ErrorCode;
+use crate::error::ErrorBody;
+use crate::gateway::Gateway;
+use crate::limit::Limits;
+use crate::probe::{health, metrics, ready};
+use crate::workspace::Directory;
+use salvo::affix_state;
+use salvo::catch_panic::CatchPanic;
+use salvo::catcher::Catcher;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::http::StatusCode;
+use salvo::oapi::OpenApi;
+use salvo::server::ServerHandle;
+use salvo::{Depot, FlowCtrl, Request, Response, Router, Server, Service, handler};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+/// What the handlers share.
+#[derive(Clone)]
+pub(crate) struct State {
+    pub(crate) gateway: Arc<dyn Gateway>,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) limits: Limits,
+}
+
+/// The API on a listening socket.
+pub struct Api {
+    server: Server<TcpAcceptor>,
+    address: SocketAddr,
+    service: Service,
+}
+
+impl Api {
+    /// Puts the API on a socket.
+    pub fn new(
+        listener: TcpListener,
+        gateway: Arc<dyn Gateway>,
+        directory: Directory,
+        limits: Limits,
+    ) -> io::Result<Self> {
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let address = acceptor.local_addr()?;
+        let timeouts = FuseConfig::default()
+            .with_http1_header_timeout(limits.headers)
+            .with_request_body_timeout(limits.upload);
+        let server =
+            Server::new(acceptor).fuse_config(timeouts).max_connections(limits.connections);
+        let state = State { gateway, directory: Arc::new(directory), limits };
+        Ok(Self { server, address, service: build_service(state) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server.
+    pub fn handle(&self) -> ServerHandle {
+        self.server.handle()
+    }
+
+    /// Serves until the handle stops it.
+    pub fn serve(self) -> impl Future<Output = io::Result<()>> + Send {
+        self.server.try_serve(self.service)
+    }
+}
+
+fn build_service(state: State) -> Service {
+    let catcher = Catcher::default().hoop(affix_state::inject(state.clone())).hoop(catch);
+    Service::new(routes().hoop(affix_state::inject(state))).hoop(CatchPanic::new()).catcher(catcher)
+}
+
+fn routes() -> Router {
+    Router::new()
+        .push(Router::with_path("v1/pipelines/{name}").post(run_pipeline))
+        .push(Router::with_path("health").get(health))
+        .push(Router::with_path("ready").get(ready))
+        .push(Router::with_path("metrics").get(metrics))
+}
+
+/// Gives errors of the server itself the one error shape.
+#[handler]
+async fn catch(_: &mut Request, depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    let code = match res.status_code {
+        Some(StatusCode::NOT_FOUND) => ErrorCode::NotFound,
+        Some(StatusCode::METHOD_NOT_ALLOWED) => ErrorCode::MethodNotAllowed,
+        Some(StatusCode::PAYLOAD_TOO_LARGE) => ErrorCode::BodyTooLarge,
+        Some(StatusCode::UNSUPPORTED_MEDIA_TYPE) => ErrorCode::UnsupportedMediaType,
+        Some(StatusCode::BAD_REQUEST) => ErrorCode::BodyUnreadable,
+        _ => ErrorCode::Internal,
+    };
+    let request =
+        depot.get_typed::<State>().map_or_else(|_| String::new(), |s| s.gateway.refuse(code, None));
+    let body = if code == ErrorCode::Internal {
+        // A handler that panicked may have handed the request on.
+        ErrorBody::broken(request)
+    } else {
+        ErrorBody::refusal(code, request)
+    };
+    res.render(body);
+    ctrl.skip_rest();
+}
+
+/// The OpenAPI description as JSON, as committed in `docs/openapi.json`.
+pub fn description() -> Result<String, serde_json::Error> {
+    let document = OpenApi::new("damaskweir", "1").merge_router(&routes());
+    serde_json::to_string_pretty(&document).map(|text| text + "\n")
+}
--- /dev/null
+++ b/crates/callers/src/call.rs
@@ -0,0 +1,393 @@
+//! The endpoint that runs a pipeline.
+
+use crate::api::State;
+use crate::code::ErrorCode;
+use crate::error::ErrorBody;
+use crate::gateway::{Failed, Finished, Form, Reply, ReplyEvent, StageTiming, Submission};
+use bytes::{Bytes, BytesMut};
+use damaskweir_core::ids::{Digest, PipelineId, WorkspaceId};
+use damaskweir_core::time::Span;
+use futures::stream;
+use salvo::http::{HeaderMap, ParseError, header};
+use salvo::oapi::{ToSchema, endpoint};
+use salvo::sse::{self, SseEvent};
+use salvo::writing::Json;
+use salvo::{Depot, Request, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
+use sha2::{Digest as _, Sha256};
+use std::convert::Infallible;
+
+/// Longest deadline that is passed on; every pipeline's ceiling is far below.
+const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
+/// Longest idempotency key in bytes.
+const MAX_KEY: usize = 255;
+/// Bytes at the start of a prompt that decide about affinity.
+const PREFIX: usize = 512;
+
+/// A whole answer.
+#[derive(Debug, Serialize, ToSchema)]
+pub(crate) struct Completion {
+    /// Id of the request, as in the entry's log.
+    pub(crate) request: String,
+    /// Output of the last stage: text of a model engine, or JSON of a plain service.
+    #[salvo(schema(value_type = serde_json::Value))]
+    pub(crate) output: Box<RawValue>,
+    /// The stages, when the entry is set to name them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) stages: Option<Vec<StageItem>>,
+}
+
+/// A stage of a whole answer.
+#[derive(Debug, Serialize, ToSchema)]
+pub(crate) struct StageItem {
+    /// Name of the stage.
+    pub(crate) stage: String,
+    /// Server that gave its output.
+    pub(crate) server: String,
+    /// Time in milliseconds.
+    pub(crate) ms: f64,
+}
+
+/// Data of a `chunk` event.
+#[derive(Debug, Serialize, ToSchema)]
+pub(crate) struct ChunkItem {
+    /// The next part of the output.
+    pub(crate) text: String,
+}
+
+/// Data of the `done` event.
+#[derive(Debug, Serialize, ToSchema)]
+pub(crate) struct DoneItem {
+    /// Id of the request, as in the entry's log.
+    pub(crate) request: String,
+    /// Number of `chunk` events before.
+    pub(crate) chunks: u32,
+    /// The stages, when the entry is set to name them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) stages: Option<Vec<StageItem>>,
+}
+
+/// Members of the body that the API itself reads.
+#[derive(Debug, Deserialize)]
+struct Head {
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    prompt: Option<serde_json::Value>,
+}
+
+/// Runs a pipeline on the body.
+///
+/// The answer is given whole, or as server-sent events when the caller accepts `text/event-stream` or
+/// sends `"stream": true`: `chunk` events in order, then one `done` or one `error` event. A stream that
+/// ends without either was cut off; its outcome is unknown.
+#[endpoint(
+    operation_id = "run_pipeline",
+    tags("pipelines"),
+    parameters(
+        ("name" = String, Path, description = "Pipeline."),
+        ("x-workspace" = Option<String>, Header, description = "Workspace of the caller; may be left out with a credential."),
+        ("authorization" = Option<String>, Header, description = "`Bearer` and a credential that settings map to a workspace."),
+        ("x-deadline-ms" = Option<u64>, Header, description = "Deadline in milliseconds from now; the pipeline's deadline is the ceiling and the default."),
+        ("idempotency-key" = Option<String>, Header, description = "1 to 255 visible ASCII characters. Required by pipelines with a stage that may run only once.")
+    ),
+    request_body(content = serde_json::Value, content_type = "application/json", description = "A JSON object; `stream` asks for server-sent events."),
+    responses(
+        (status_code = 200, body = Completion, description = "The whole answer, or server-sent events."),
+        (status_code = 400, body = ErrorBody, description = "body_malformed, body_unreadable, bad_deadline, bad_key, key_required; not run."),
+        (status_code = 401, body = ErrorBody, description = "workspace_required, unknown_credential; not run."),
+        (status_code = 403, body = ErrorBody, description = "workspace_denied, unknown_workspace; not run."),
+        (status_code = 404, body = ErrorBody, description = "not_found, unknown_pipeline; not run."),
+        (status_code = 405, body = ErrorBody, description = "method_not_allowed; not run."),
+        (status_code = 409, body = ErrorBody, description = "key_reused; not run."),
+        (status_code = 413, body = ErrorBody, description = "body_too_large; not run."),
+        (status_code = 415, body = ErrorBody, description = "unsupported_media_type; not run."),
+        (status_code = 429, body = ErrorBody, description = "workspace_limit; not run."),
+        (status_code = 500, body = ErrorBody, description = "internal; not run."),
+        (status_code = 502, body = ErrorBody, description = "Some of the work ran, and there is no answer."),
+        (status_code = 503, body = ErrorBody, description = "overloaded, unavailable, draining, store_down, deadline_exceeded, stage_failed; not run."),
+        (status_code = 504, body = ErrorBody, description = "Some of the work may have run, and there is no answer.")
+    )
+)]
+pub(crate) async fn run_pipeline(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let Ok(state) = depot.get_typed::<State>().cloned() else {
+        res.render(ErrorBody::refusal(ErrorCode::Internal, String::new()));
+        return;
+    };
+    let workspace = state.directory.resolve(req.headers());
+    let named = workspace.as_ref().ok().cloned();
+    let checked = match workspace {
+        Ok(workspace) => check(&state, req, workspace).await,
+        Err(code) => Err(code),
+    };
+    match checked {
+        Err(code) => {
+            let request = state.gateway.refuse(code, named.as_ref());
+            res.render(ErrorBody::refusal(code, request));
+        }
+        Ok(submission) => {
+            let stream = submission.stream;
+            let reply = state.gateway.submit(submission);
+            if stream {
+                answer_stream(reply, state.limits.stages, res).await;
+            } else {
+                answer_whole(reply, state.limits.stages, res).await;
+            }
+        }
+    }
+}
+
+async fn check(
+    state: &State,
+    req: &mut Request,
+    workspace: WorkspaceId,
+) -> Result<Submission, ErrorCode> {
+    let headers = req.headers();
+    check_media_type(headers)?;
+    let deadline = read_deadline(headers)?;
+    let key = read_key(headers, &workspace)?;
+    let accepts = headers
+        .get_all(header::ACCEPT)
+        .iter()
+        .any(|value| value.to_str().is_ok_and(|value| value.contains("text/event-stream")));
+    let name = req.param::<String>("name").ok_or(ErrorCode::UnknownPipeline)?;
+    let body = read_body(req, state.limits.body).await?;
+    let head = read_head(&body)?;
+    let prefix = head.prompt.as_ref().and_then(|prompt| prompt.as_str()).map(prefix_digest);
+    Ok(Submission {
+        pipeline: PipelineId::from(name.as_str()),
+        workspace,
+        deadline,
+        key,
+        digest: Digest(Sha256::digest(&body).into()),
+        body,
+        prefix,
+        stream: accepts || head.stream,
+    })
+}
+
+fn check_media_type(headers: &HeaderMap) -> Result<(), ErrorCode> {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else { return Ok(()) };
+    let value = value.to_str().unwrap_or_default();
+    let essence = value.split(';').next().unwrap_or_default().trim();
+    if essence.eq_ignore_ascii_case("application/json") {
+        Ok(())
+    } else {
+        Err(ErrorCode::UnsupportedMediaType)
+    }
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Span>, ErrorCode> {
+    let Some(value) = headers.get("x-deadline-ms") else { return Ok(None) };
+    let millis: u64 =
+        value.to_str().ok().and_then(|v| v.parse().ok()).ok_or(ErrorCode::BadDeadline)?;
+    if millis == 0 {
+        return Err(ErrorCode::BadDeadline);
+    }
+    Ok(Some(Span::from_millis(millis.min(MAX_DEADLINE_MS))))
+}
+
+/// Digest of workspace and key. The length goes first, so that no two pairs give the same input.
+fn read_key(headers: &HeaderMap, workspace: &WorkspaceId) -> Result<Option<Digest>, ErrorCode> {
+    let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
+    let key = value.as_bytes();
+    let valid = (1..=MAX_KEY).contains(&key.len()) && key.iter().all(u8::is_ascii_graphic);
+    if !valid {
+        return Err(ErrorCode::BadKey);
+    }
+    let workspace = workspace.as_str().as_bytes();
+    let digest = Sha256::new()
+        .chain_update((workspace.len() as u64).to_be_bytes())
+        .chain_update(workspace)
+        .chain_update(key);
+    Ok(Some(Digest(digest.finalize().into())))
+}
+
+async fn read_body(req: &mut Request, limit: usize) -> Result<Bytes, ErrorCode> {
+    let declared = req.headers().get(header::CONTENT_LENGTH);
+    let declared: Option<u64> = declared.and_then(|v| v.to_str().ok()?.parse().ok());
+    if declared.is_some_and(|length| length > limit as u64) {
+        return Err(ErrorCode::BodyTooLarge);
+    }
+    match req.payload_with_max_size(limit).await {
+        Ok(body) => Ok(body.clone()),
+        Err(ParseError::PayloadTooLarge) => Err(ErrorCode::BodyTooLarge),
+        Err(_) => Err(ErrorCode::BodyUnreadable),
+    }
+}
+
+fn read_head(body: &[u8]) -> Result<Head, ErrorCode> {
+    // serde would also read the members of `Head` from an array.
+    if !body.trim_ascii_start().starts_with(b"{") {
+        return Err(ErrorCode::BodyMalformed);
+    }
+    serde_json::from_slice(body).map_err(|_| ErrorCode::BodyMalformed)
+}
+
+fn prefix_digest(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    let digest = Sha256::digest(&bytes[..bytes.len().min(PREFIX)]);
+    digest.iter().take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
+async fn answer_whole(mut reply: Reply, stages: bool, res: &mut Response) {
+    loop {
+        match reply.next().await {
+            Some(ReplyEvent::Chunk(_)) => {}
+            Some(ReplyEvent::Finished(finished)) => {
+                res.render(Json(complete(&finished, reply.request.clone(), stages)));
+                return;
+            }
+            Some(ReplyEvent::Failed(failed)) => {
+                res.render(ErrorBody::failed(failed, reply.request.clone()));
+                return;
+            }
+            None => {
+                res.render(ErrorBody::broken(reply.request.clone()));
+                return;
+            }
+        }
+    }
+}
+
+fn complete(finished: &Finished, request: String, stages: bool) -> Completion {
+    Completion {
+        request,
+        output: raw_output(finished),
+        stages: stages.then(|| list_stages(&finished.stages)),
+    }
+}
+
+/// Output of a service that is not JSON after all is given as text, so that nothing is lost.
+fn raw_output(finished: &Finished) -> Box<RawValue> {
+    if finished.form == Form::Json
+        && let Ok(value) = serde_json::from_slice::<Box<RawValue>>(&finished.output)
+    {
+        return value;
+    }
+    let text = String::from_utf8_lossy(&finished.output);
+    to_raw_value(&text).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+fn list_stages(stages: &[StageTiming]) -> Vec<StageItem> {
+    let item = |timing: &StageTiming| StageItem {
+        stage: timing.stage.clone(),
+        server: timing.server.clone(),
+        ms: timing.elapsed.as_secs_f64() * 1e3,
+    };
+    stages.iter().map(item).collect()
+}
+
+/// What was sent of a stream.
+struct Progress {
+    reply: Reply,
+    stages: bool,
+    /// An event that was received and not sent yet.
+    next: Option<ReplyEvent>,
+    chunks: u32,
+    /// Bytes of the output that were received as chunks.
+    received: usize,
+    /// The start of a character whose other bytes have not arrived.
+    tail: BytesMut,
+    ended: bool,
+}
+
+/// The first event decides: an error that comes before any chunk has its own status.
+async fn answer_stream(mut reply: Reply, stages: bool, res: &mut Response) {
+    let first = reply.next().await;
+    match first {
+        Some(ReplyEvent::Failed(failed)) => {
+            res.render(ErrorBody::failed(failed, reply.request.clone()));
+        }
+        None => res.render(ErrorBody::broken(reply.request.clone())),
+        next @ Some(_) => {
+            let progress = Progress {
+                reply,
+                stages,
+                next,
+                chunks: 0,
+                received: 0,
+                tail: BytesMut::new(),
+                ended: false,
+            };
+            let events = stream::unfold(progress, |mut progress| async move {
+                progress.next_event().await.map(|event| (Ok::<_, Infallible>(event), progress))
+            });
+            sse::stream(res, events);
+        }
+    }
+}
+
+impl Progress {
+    async fn next_event(&mut self) -> Option<SseEvent> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let event = match self.next.take() {
+                Some(event) => Some(event),
+                None => self.reply.next().await,
+            };
+            match event {
+                Some(ReplyEvent::Chunk(bytes)) => {
+                    self.received += bytes.len();
+                    self.tail.extend_from_slice(&bytes);
+                    let text = take_text(&mut self.tail);
+                    if !text.is_empty() {
+                        return Some(self.chunk(text));
+                    }
+                }
+                Some(ReplyEvent::Finished(finished)) => {
+                    // A repeat of a finished call has its whole output here and no chunks.
+                    let rest = finished.output.get(self.received..).unwrap_or_default();
+                    self.tail.extend_from_slice(rest);
+                    self.received += rest.len();
+                    if !self.tail.is_empty() {
+                        let text = String::from_utf8_lossy(&self.tail.split()).into_owned();
+                        self.next = Some(ReplyEvent::Finished(finished));
+                        return Some(self.chunk(text));
+                    }
+                    self.ended = true;
+                    let stages = self.stages.then(|| list_stages(&finished.stages));
+                    let request = self.reply.request.clone();
+                    let done = DoneItem { request, chunks: self.chunks, stages };
+                    return Some(write_event("done", &done));
+                }
+                Some(ReplyEvent::Failed(failed)) => return Some(self.error(failed)),
+                None => {
+                    self.ended = true;
+                    let broken = ErrorBody::broken(self.reply.request.clone());
+                    return Some(write_event("error", &broken));
+                }
+            }
+        }
+    }
+
+    fn chunk(&mut self, text: String) -> SseEvent {
+        let event = write_event("chunk", &ChunkItem { text }).id(self.chunks.to_string());
+        self.chunks += 1;
+        event
+    }
+
+    fn error(&mut self, failed: Failed) -> SseEvent {
+        self.ended = true;
+        let body = ErrorBody::failed(failed, self.reply.request.clone());
+        write_event("error", &body)
+    }
+}
+
+/// Takes all whole characters. Invalid bytes are replaced; an incomplete last character stays.
+fn take_text(tail: &mut BytesMut) -> String {
+    let whole = match std::str::from_utf8(tail) {
+        Ok(text) => text.len(),
+        Err(error) if error.error_len().is_none() => error.valid_up_to(),
+        Err(_) => tail.len(),
+    };
+    String::from_utf8_lossy(&tail.split_to(whole)).into_owned()
+}
+
+fn write_event(name: &str, data: &impl Serialize) -> SseEvent {
+    let event = SseEvent::default().name(name);
+    event.json(data).unwrap_or_else(|_| SseEvent::default().name(name))
+}
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -1,1 +1,30 @@
-//! HTTP API for callers.
+//! HTTP API for callers: checks a request, hands it to the [`Gateway`] and writes its answer or its
+//! error, whole or as server-sent events.
+//!
+//! ```
+//! use damaskweir_callers::{ErrorCode, Execution};
+//!
+//! let code = ErrorCode::DeadlineExceeded;
+//! assert_eq!(code.status(Execution::NotRun), 503);
+//! assert_eq!(code.status(Execution::Unknown), 504);
+//! assert_eq!(code.status(Execution::Ran), 502);
+//! ```
+
+mod api;
+mod call;
+mod code;
+mod error;
+mod gateway;
+mod limit;
+mod probe;
+mod workspace;
+
+pub use api::{Api, description};
+pub use code::{ErrorCode, Execution};
+pub use error::ErrorBody;
+pub use gateway::{
+    Failed, Finished, Form, Gateway, Readiness, Reply, ReplyEvent, ReplySender, StageTiming,
+    Submission, reply,
+};
+pub use limit::Limits;
+pub use workspace::{Directory, credential_digest};
