--- a/crates/callers/src/code.rs
+++ b/crates/callers/src/code.rs
@@ -55,6 +55,8 @@
     DeadlineExceeded,
     /// A stage failed.
     StageFailed,
+    /// The stream broke after part of it was passed on, and can't be resumed.
+    StreamBroken,
     /// A non-idempotent call may or may not have run; nobody runs it again.
     OutcomeUnknown,
     /// A fault in the entry itself.
@@ -82,7 +84,7 @@
 
 impl ErrorCode {
     /// Every code, in the order of the API description.
-    pub const ALL: [ErrorCode; 24] = [
+    pub const ALL: [ErrorCode; 25] = [
         Self::NotFound,
         Self::MethodNotAllowed,
         Self::UnsupportedMediaType,
@@ -105,6 +107,7 @@
         Self::StoreDown,
         Self::DeadlineExceeded,
         Self::StageFailed,
+        Self::StreamBroken,
         Self::OutcomeUnknown,
         Self::Internal,
     ];
@@ -141,6 +144,7 @@
             | Self::StoreDown
             | Self::DeadlineExceeded
             | Self::StageFailed
+            | Self::StreamBroken
             | Self::OutcomeUnknown => 503,
         }
     }
@@ -170,6 +174,7 @@
             Self::StoreDown => "store_down",
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::StageFailed => "stage_failed",
+            Self::StreamBroken => "stream_broken",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::Internal => "internal",
         }
@@ -200,6 +205,7 @@
             Self::StoreDown => "the store is needed for this call and can't be reached",
             Self::DeadlineExceeded => "the deadline passed",
             Self::StageFailed => "a stage failed",
+            Self::StreamBroken => "the stream broke and can't be resumed",
             Self::OutcomeUnknown => "the call may or may not have run; it is not run again",
             Self::Internal => "a fault in the entry",
         }
@@ -226,6 +232,7 @@
             entry::Code::StoreDown => Self::StoreDown,
             entry::Code::DeadlineExceeded => Self::DeadlineExceeded,
             entry::Code::StageFailed => Self::StageFailed,
+            entry::Code::StreamBroken => Self::StreamBroken,
             entry::Code::OutcomeUnknown => Self::OutcomeUnknown,
         }
     }
--- a/crates/callers/tests/api.rs
+++ b/crates/callers/tests/api.rs
@@ -291,6 +291,7 @@
         entry::Code::StoreDown,
         entry::Code::DeadlineExceeded,
         entry::Code::StageFailed,
+        entry::Code::StreamBroken,
         entry::Code::OutcomeUnknown,
     ];
     for code in core {
