Fix faults of claims, promises and kept ends in the core

Change: - Attempts that may still run are a set of ids in place of two counters. A promise that was told twice counted twice, hid a running attempt and led to an untrue 'not run'. - A Duplicate refusal no longer ends the attempt, and neither Duplicate nor Stale counts as a promise. - The claimed server and run are checked again before sending; a claim for a server that left or restarted is replaced. - A finished record without its answer sends the entry to the side, and is never replaced. - An unreachable side leads back to the store, where another entry may have recorded the answer. So does a failed write of 'unknown'. - The claim key is mixed with the stage's name, not its position; the body digest with the pipeline's name. - Events after the deadline, as after a pause, end the request first. - Attempt numbers stop at their maximum; sums of estimates saturate. - The side leaves queued attempts to their entry, refuses non-idempotent work that names no run, sets a timer for kept ends, and remembers per entry up to where it has forgotten attempts. - Interrupted work is reported as unknown, not as run. - Routers of pools that a new bundle removes stay while requests use them.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// First delay of retries.
 const RETRY_BASE: Span = Span::from_millis(5);
@@ -57,14 +58,29 @@
     Done(AttemptId, Outcome),
     /// The connection broke before the attempt ended; it may run or have run.
     Lost(AttemptId),
-    /// The store answered a claim.
+    /// The store answered a claim. Exactly one answer per `EntryAction::Claim`.
     Claimed(RequestId, ClaimAnswer),
-    /// A side answered what it knows; `None` when it can't be reached.
+    /// A side answered what it knows; `None` when it can't be reached. Exactly one answer per
+    /// `EntryAction::Ask`.
     Stands(RequestId, Option<Standing>),
     /// The caller went away.
     Gone(RequestId),
 }
 
+impl EntryEvent {
+    /// The request that the event is about.
+    pub fn request(&self) -> RequestId {
+        match self {
+            Self::Accepted(attempt)
+            | Self::Refused(attempt, _)
+            | Self::Chunk(attempt, _)
+            | Self::Done(attempt, _)
+            | Self::Lost(attempt) => attempt.request,
+            Self::Claimed(id, _) | Self::Stands(id, _) | Self::Gone(id) => *id,
+        }
+    }
+}
+
 /// The store's answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimAnswer {
@@ -81,7 +97,8 @@
 pub enum ClaimWrite {
     /// Only if no record exists.
     Create,
-    /// Only if the record still has this revision.
+    /// Only if the record still has this revision. When the record is gone, its retention has
+    /// passed: the write is repeated as `Create`.
     Replace(u64),
 }
 
@@ -112,14 +129,15 @@
     Claim {
         /// The request that it is for.
         request: RequestId,
-        /// Digest of workspace, key and stage.
+        /// Digest of workspace, key and stage name.
         key: Digest,
         /// The record to write.
         record: ClaimRecord,
         /// Under which condition.
         write: ClaimWrite,
     },
-    /// Ask a side to promise never to start an attempt, and report its word.
+    /// Ask a side to promise never to start an attempt, and report its word. When it ended, the
+    /// side's kept output belongs to this attempt.
     Ask {
         /// The request that it is for.
         request: RequestId,
@@ -132,7 +150,7 @@
     },
     /// Record the end of a claimed call in the store; no answer is awaited.
     Settle {
-        /// Digest of workspace, key and stage.
+        /// Digest of workspace, key and stage name.
         key: Digest,
         /// The record to write; its answer is filled in from the attempt's output.
         record: ClaimRecord,
@@ -240,7 +258,7 @@
     Asking(ClaimRecord, u64),
     /// Asks again at the request's retry time.
     Waiting(ClaimRecord, u64),
-    /// Writes `Unknown`.
+    /// Writes `Unknown` over a record whose side is gone.
     Marking,
     /// Claims at the request's retry time.
     Planned(ClaimWrite),
@@ -259,10 +277,8 @@
     /// Number of the next attempt.
     pub(crate) number: u16,
     pub(crate) input: Input,
-    /// Attempts that were sent, at any stage.
-    pub(crate) sent: u32,
-    /// Attempts that a side promised never to start; at most `sent`.
-    pub(crate) refused: u32,
+    /// Attempts that were sent, at any stage, and that no side has promised never to start.
+    pub(crate) open: BTreeSet<AttemptId>,
     /// Some attempt ran.
     pub(crate) ran: bool,
     /// Another request's attempt under the same key may run.
@@ -296,21 +312,33 @@
     pub(crate) fn execution(&self) -> Execution {
         if self.ran {
             Execution::Ran
-        } else if self.foreign || self.refused < self.sent {
+        } else if self.foreign || !self.open.is_empty() {
             Execution::Unknown
         } else {
             Execution::NotRun
         }
     }
 
-    /// Digest of workspace, key and stage.
+    /// Digest of workspace, key and stage name.
+    ///
+    /// One caller's key covers each non-idempotent stage of its pipeline separately. The name stands
+    /// for the stage, since a new bundle may move it to another position.
     pub(crate) fn key(&self) -> Digest {
-        let mut key = self.call.key.unwrap_or(self.call.body);
-        // One caller's key covers each non-idempotent stage of its pipeline separately.
-        key.0[30] ^= (self.stage >> 8) as u8;
-        key.0[31] ^= self.stage as u8;
-        key
+        let key = self.call.key.unwrap_or(self.call.body);
+        mix(key, self.stage().map_or("", |stage| &stage.name))
     }
+
+    /// Digest of body and pipeline: a key that returns through another pipeline is refused.
+    pub(crate) fn body(&self) -> Digest {
+        mix(self.call.body, self.call.pipeline.as_str())
+    }
+}
+
+/// Mixes a name into a digest. For one name this maps different digests to different ones.
+fn mix(mut digest: Digest, name: &str) -> Digest {
+    let hash = xxh3_128(name.as_bytes()).to_le_bytes();
+    digest.0.iter_mut().zip(hash).for_each(|(byte, mask)| *byte ^= mask);
+    digest
 }
 
 /// All requests of an entry process.
@@ -361,7 +389,9 @@
 
     /// Puts a bundle into force for new requests; running ones keep theirs.
     pub fn configure(&mut self, bundle: Arc<Bundle>) {
-        self.routers.retain(|id, _| bundle.pools.contains_key(id));
+        // Requests in progress run on under the bundle that they began with.
+        let old = |id: &PoolId| self.requests.values().any(|r| r.bundle.pools.contains_key(id));
+        self.routers.retain(|id, _| bundle.pools.contains_key(id) || old(id));
         for (id, pool) in &bundle.pools {
             let zone = self.zone.clone();
             let router = self.routers.entry(id.clone()).or_insert_with(|| Router::new(zone));
@@ -394,6 +424,11 @@
     /// Takes an event.
     pub fn event(&mut self, now: Time, rng: &mut Rng, event: EntryEvent) -> Vec<EntryAction> {
         let mut actions = Vec::new();
+        let id = event.request();
+        if self.requests.get(&id).is_some_and(|request| request.deadline <= now) {
+            // The process was paused past the deadline and its timers have not run yet.
+            self.expire(id, &mut actions);
+        }
         match event {
             EntryEvent::Accepted(_) => {}
             EntryEvent::Refused(attempt, refusal) => {
@@ -519,8 +554,7 @@
             used: Vec::new(),
             number: 0,
             input: Input::Caller,
-            sent: 0,
-            refused: 0,
+            open: BTreeSet::new(),
             ran: false,
             foreign: false,
             armed: deadline,
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -61,6 +61,10 @@
         id: RequestId,
     ) -> Option<(ServerId, Dispatch)> {
         let request = self.requests.get(&id)?;
+        if request.number == u16::MAX {
+            // A number that wrapped would name an attempt that may have run.
+            return None;
+        }
         let stage = request.stage()?;
         let estimate = self.estimate(&request.call.pipeline, request.stage, stage);
         let need = Need { estimate, prefix: request.call.prefix, avoid: &request.used };
@@ -97,12 +101,14 @@
         let estimator = self.estimators.get(&(request.call.pipeline.clone(), request.stage));
         let high = estimator.map_or(stage.expected * 2, Estimator::high);
         request.attempts.push(Attempt { id: dispatch.attempt, server: server.clone(), sent: now });
-        request.used.push(server.clone());
-        request.number += 1;
+        if !request.used.contains(&server) {
+            request.used.push(server.clone());
+        }
+        request.number = request.number.saturating_add(1);
         request.retry_at = None;
         let hedge = hedging && effect == Effect::Idempotent && request.attempts.len() == 1;
         request.hedge_at = hedge.then(|| now + high);
-        request.sent += 1;
+        request.open.insert(dispatch.attempt);
         if let Some(router) = self.routers.get_mut(&pool) {
             router.sent(&server);
         }
@@ -118,12 +124,19 @@
         refusal: Refusal,
         actions: &mut Vec<EntryAction>,
     ) {
+        if refusal == Refusal::Duplicate {
+            // The other copy of the message is answered for itself.
+            self.dropped += 1;
+            return;
+        }
         let Some(gone) = self.take_attempt(attempt) else { return };
         if matches!(refusal, Refusal::Down | Refusal::Draining) {
             self.pause(now, attempt.request, &gone.server);
         }
         let Some(request) = self.requests.get_mut(&attempt.request) else { return };
-        request.refused += 1;
+        if refusal.is_promise() {
+            request.open.remove(&attempt);
+        }
         if request.claim.is_some() {
             self.claim_refused(now, rng, attempt, refusal, actions);
         } else if request.attempts.is_empty() {
@@ -170,7 +183,9 @@
     ) {
         let Some(ended) = self.take_attempt(attempt) else { return };
         let id = attempt.request;
-        self.ran(id);
+        if outcome != Outcome::Failed(Failure::Interrupted) {
+            self.ran(id);
+        }
         if self.requests.get(&id).is_some_and(|request| request.claim.is_some()) {
             self.claim_ended(now, rng, attempt, outcome, actions);
         } else {
@@ -280,7 +295,8 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let at = now + request.backoff.next_delay(rng);
-        if at >= request.deadline {
+        // Without a further attempt number, waiting brings nothing.
+        if at >= request.deadline || request.number == u16::MAX {
             let unknown = request.claim.is_some() && request.execution() == Execution::Unknown;
             let code = if unknown { Code::OutcomeUnknown } else { Code::Unavailable };
             self.give_up(id, code, Some(DEFAULT_RETRY), actions);
@@ -331,7 +347,7 @@
     }
 
     /// The deadline passed.
-    fn expire(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
+    pub(crate) fn expire(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
         let Some(request) = self.requests.get(&id) else { return };
         let code = if request.claim.is_some() && request.execution() == Execution::Unknown {
             Code::OutcomeUnknown
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -72,7 +72,8 @@
         Aborted,
     }
 
-    /// Why an attempt was not started. The side promises never to start it.
+    /// Why an attempt was not started. All but `Duplicate` and `Stale` are a side's promise, for
+    /// the incarnation that the attempt was meant for, never to start it.
     #[derive(Copy)]
     #[serde(rename_all = "snake_case")]
     pub enum Refusal {
@@ -89,11 +90,11 @@
         Cancelled,
         /// An earlier `Forbid` named this attempt.
         Forbidden,
-        /// The same attempt id was seen before.
+        /// The same attempt id was seen before: another copy of the message waits, runs or ran.
         Duplicate,
         /// The backend server is down.
         Down,
-        /// Meant for another run of the side process.
+        /// Meant for another run of the side process, which may have started a copy.
         Stale,
     }
 
@@ -103,11 +104,18 @@
     pub enum Standing {
         /// Never started, and never will be in this incarnation.
         Forbidden,
-        /// Runs now.
+        /// Waits in the queue or runs.
         Running,
         /// Has ended; the answer is kept.
         Ended(Outcome),
-        /// Belongs to another incarnation, whose memory is gone.
+        /// Belongs to another incarnation, or is so old that the side forgot it.
         Gone,
     }
 }
+
+impl Refusal {
+    /// Whether the attempt has not run and never will.
+    pub fn is_promise(self) -> bool {
+        !matches!(self, Self::Duplicate | Self::Stale)
+    }
+}
--- a/crates/core/src/once.rs
+++ b/crates/core/src/once.rs
@@ -5,8 +5,8 @@
 
 use crate::Rng;
 use crate::claim::{ClaimRecord, ClaimState, ClaimStep, judge, resolve};
-use crate::entry::{Answer, Claim, ClaimAnswer, ClaimWrite, Code, Entry, EntryAction};
-use crate::ids::{AttemptId, RequestId};
+use crate::entry::{Answer, Claim, ClaimAnswer, ClaimWrite, Code, Entry, EntryAction, Execution};
+use crate::ids::{AttemptId, Incarnation, RequestId, ServerId};
 use crate::message::{Failure, Outcome, Refusal, Standing};
 use crate::time::{Span, Time};
 use bytes::Bytes;
@@ -44,11 +44,11 @@
             self.retry_later(now, rng, id, actions);
             return;
         };
-        // Each record has an attempt id of its own, so that a late answer of the store to an earlier
-        // write is not taken for this one.
-        request.number += 1;
+        // Each record has an attempt id of its own: the one in an earlier record may have been
+        // promised never to start, or its side may have forgotten it.
+        request.number = request.number.saturating_add(1);
         let record = ClaimRecord {
-            body: request.call.body,
+            body: request.body(),
             attempt,
             server,
             incarnation,
@@ -78,8 +78,12 @@
             }
             (Some(Claim::Writing(_)), ClaimAnswer::Down) => {
                 // Nobody else can send the attempt of a record that may have been written, and this
-                // request ends here: the call is truly not run.
-                self.give_up(id, Code::StoreDown, Some(STORE_RETRY), actions);
+                // request ends here: that attempt truly does not run.
+                self.stop(id, Code::StoreDown, actions);
+            }
+            (Some(Claim::Marking), ClaimAnswer::Found(found, revision)) => {
+                // Another entry settled or replaced the record meanwhile.
+                self.marked(now, rng, id, found, revision, actions);
             }
             (Some(Claim::Marking), _) => self.unknown(id, actions),
             (other, _) => {
@@ -102,13 +106,59 @@
     ) {
         match resolve(&mine, &found) {
             ClaimStep::Dispatch => self.send_claimed(now, rng, id, mine, revision, actions),
+            step => self.follow(now, rng, id, step, found, revision, actions),
+        }
+    }
+
+    /// Follows a record that stands in the way of writing `Unknown`.
+    fn marked(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        id: RequestId,
+        found: ClaimRecord,
+        revision: u64,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if found.body != request.body() {
+            self.give_up(id, Code::KeyReused, None, actions);
+            return;
+        }
+        let step = match &found.state {
+            ClaimState::Unknown => ClaimStep::Unknown,
+            ClaimState::Ended { outcome, answer } => ClaimStep::Answer(*outcome, answer.clone()),
+            ClaimState::Claimed => ClaimStep::Ask,
+        };
+        self.follow(now, rng, id, step, found, revision, actions);
+    }
+
+    /// Follows a record that is not this request's to send.
+    #[expect(clippy::too_many_arguments)]
+    fn follow(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        id: RequestId,
+        step: ClaimStep,
+        found: ClaimRecord,
+        revision: u64,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match step {
+            // The answer was too large for the store; the side may still have it.
+            ClaimStep::Answer(Outcome::Finished, None) => {
+                self.ran(id);
+                self.ask(id, found, revision, actions);
+            }
             ClaimStep::Answer(outcome, answer) => {
                 self.kept(now, rng, id, found.attempt, outcome, answer, actions);
             }
             ClaimStep::KeyReused => self.give_up(id, Code::KeyReused, None, actions),
             ClaimStep::Ask => {
                 if let Some(request) = self.requests.get_mut(&id) {
-                    request.foreign = true;
+                    // An own attempt is in `open` until a side has promised not to start it.
+                    request.foreign = found.attempt.request != id;
                 }
                 self.ask(id, found, revision, actions);
             }
@@ -125,8 +175,11 @@
         revision: u64,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some((_, mut dispatch)) = self.choose(now, rng, id) else {
-            // The chosen server left meanwhile and nothing was sent: claim for another one.
+        let open = self.is_open(now, id, &mine.server, mine.incarnation);
+        let chosen = self.choose(now, rng, id).filter(|_| open);
+        let Some((_, mut dispatch)) = chosen else {
+            // The claimed server left or its side restarted meanwhile, and nothing was sent: claim
+            // for another one.
             let write = ClaimWrite::Replace(revision);
             self.write_claim(now, rng, id, write, actions);
             return;
@@ -176,24 +229,35 @@
                 return;
             }
         };
-        match judge(standing) {
+        let step = judge(standing);
+        let ended = found.state != ClaimState::Claimed;
+        match step {
+            ClaimStep::Replace | ClaimStep::MarkUnknown if ended => {
+                // The call ran, and its answer is neither in the store nor at the side any more.
+                self.give_up(id, Code::StageFailed, None, actions);
+            }
             ClaimStep::Replace => {
-                if found.attempt.request == id {
-                    request.refused += 1;
-                }
+                request.open.remove(&found.attempt);
                 request.foreign = false;
                 self.write_claim(now, rng, id, ClaimWrite::Replace(revision), actions);
             }
             ClaimStep::MarkUnknown => self.mark_unknown(id, found, revision, actions),
             ClaimStep::Answer(outcome, _) => {
-                self.settle(id, &found, revision, outcome, actions);
+                if !ended {
+                    self.settle(id, &found, revision, outcome, actions);
+                }
                 self.kept(now, rng, id, found.attempt, outcome, None, actions);
             }
-            _ => {
-                // Runs, or the side can't be reached: ask again until the deadline.
+            ClaimStep::Unknown | ClaimStep::Wait if ended || step == ClaimStep::Wait => {
                 request.claim = Some(Claim::Waiting(found, revision));
                 self.retry_later(now, rng, id, actions);
             }
+            _ => {
+                // The side can't be reached from here. Another entry may reach it and settle or
+                // replace the record, so the store is asked again until the deadline.
+                request.claim = Some(Claim::Planned(ClaimWrite::Create));
+                self.retry_later(now, rng, id, actions);
+            }
         }
     }
 
@@ -209,7 +273,9 @@
         answer: Option<Bytes>,
         actions: &mut Vec<EntryAction>,
     ) {
-        self.ran(id);
+        if outcome != Outcome::Failed(Failure::Interrupted) {
+            self.ran(id);
+        }
         match outcome {
             Outcome::Finished => {
                 if let Some(answer) = answer {
@@ -301,7 +367,7 @@
     /// The connection broke while the claimed attempt may run.
     pub(crate) fn claim_lost(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if let Some(Claim::Held(record, revision)) = request.claim.take() {
+        if let Some(Claim::Held(record, revision)) = request.claim.clone() {
             self.ask(id, record, revision, actions);
         }
     }
@@ -322,10 +388,27 @@
         }
     }
 
+    /// Ends a request whose next store call can't be made.
+    fn stop(&mut self, id: RequestId, code: Code, actions: &mut Vec<EntryAction>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        match request.execution() {
+            Execution::Unknown => self.unknown(id, actions),
+            _ => self.give_up(id, code, Some(STORE_RETRY), actions),
+        }
+    }
+
+    /// Whether a claimed server can take work and its side still is the claimed run.
+    fn is_open(&self, now: Time, id: RequestId, server: &ServerId, run: Incarnation) -> bool {
+        let stage = self.requests.get(&id).and_then(|request| request.stage());
+        stage
+            .and_then(|stage| self.routers.get(&stage.pool))
+            .is_some_and(|router| router.is_open(now, server, run))
+    }
+
     fn unknown(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
         let answer = Answer::Error {
             code: Code::OutcomeUnknown,
-            execution: crate::entry::Execution::Unknown,
+            execution: Execution::Unknown,
             retry: None,
         };
         self.answer(id, answer, actions);
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -69,7 +69,8 @@
         let next = (0..lane.items.len()).min_by_key(|i| lane.items[*i].latest_start())?;
         let waiting = lane.items.swap_remove(next);
         self.virtual_now = lane.start;
-        lane.start += waiting.estimate.0 / u64::from(waiting.share.max(1));
+        lane.start =
+            lane.start.saturating_add(waiting.estimate.0 / u64::from(waiting.share.max(1)));
         self.removed(waiting.estimate);
         Some(waiting)
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -156,6 +156,13 @@
         Some(self.targets.get(server)?.report?.incarnation)
     }
 
+    /// Whether a server can take work and its side still is the given run.
+    pub fn is_open(&self, now: Time, server: &ServerId, incarnation: Incarnation) -> bool {
+        self.targets.get(server).is_some_and(|target| {
+            target.open(now) && target.report.is_some_and(|r| r.incarnation == incarnation)
+        })
+    }
+
     fn cost(&self, target: &Target, estimate: Span) -> Span {
         let near = target.zone == self.zone;
         target.wait(estimate) + if near { Span::ZERO } else { ZONE_PENALTY }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -5,7 +5,7 @@
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::queue::{Queue, Waiting};
 use crate::time::{Span, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Settings of a side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,7 +14,7 @@
     pub slots: u32,
     /// Attempts that may wait.
     pub queue: u32,
-    /// How long ends of non-idempotent attempts are kept.
+    /// How long ends of non-idempotent attempts, and promises never to start one, are kept.
     pub retention: Span,
 }
 
@@ -44,12 +44,6 @@
     estimate: Span,
 }
 
-#[derive(Clone, Debug)]
-struct Ended {
-    outcome: Outcome,
-    at: Time,
-}
-
 /// State of a side.
 #[derive(Clone, Debug)]
 pub struct Side {
@@ -62,10 +56,16 @@
     /// At most `settings.slots`.
     running: BTreeMap<AttemptId, Running>,
     /// Non-idempotent attempts that ended, for the retention time.
-    ended: BTreeMap<AttemptId, Ended>,
-    /// Non-idempotent attempts that were promised never to start. Kept for the whole incarnation:
-    /// a delayed dispatch may arrive at any time.
+    ended: BTreeMap<AttemptId, Outcome>,
+    /// Non-idempotent attempts that were promised never to start, for the retention time.
     forbidden: BTreeSet<AttemptId>,
+    /// When each element of `ended` and `forbidden` was added; oldest first.
+    kept: VecDeque<(Time, AttemptId)>,
+    /// Highest request of each entry of which something was forgotten. Attempts up to there are
+    /// neither started, since they may have run, nor promised, since that may be untrue.
+    forgotten: BTreeMap<Incarnation, u64>,
+    /// Time of the last event.
+    now: Time,
     draining: bool,
     down: bool,
     serial: u64,
@@ -83,6 +83,9 @@
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             forbidden: BTreeSet::new(),
+            kept: VecDeque::new(),
+            forgotten: BTreeMap::new(),
+            now: Time::default(),
             draining: false,
             down: false,
             serial: 0,
@@ -91,10 +94,11 @@
 
     /// Takes a new attempt, or refuses it.
     pub fn dispatch(&mut self, now: Time, dispatch: &Dispatch) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if let Some(refusal) = self.refusal(now, dispatch) {
             if dispatch.effect == Effect::Once && refusal != Refusal::Duplicate {
                 // A refusal is a promise; a copy of the dispatch must not start either.
-                self.forbidden.insert(dispatch.attempt);
+                self.promise(dispatch.attempt);
             }
             return vec![SideAction::Refuse(dispatch.attempt, refusal)];
         }
@@ -112,6 +116,7 @@
 
     /// The entry no longer wants the attempt.
     pub fn cancel(&mut self, now: Time, attempt: AttemptId) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if self.queue.remove(attempt).is_some() {
             self.withdraw(attempt);
             let mut actions = vec![SideAction::Refuse(attempt, Refusal::Cancelled)];
@@ -132,9 +137,11 @@
 
     /// The backend server ended an attempt.
     pub fn finish(&mut self, now: Time, attempt: AttemptId, outcome: Outcome) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         match self.running.remove(&attempt) {
             Some(Running { effect: Effect::Once, .. }) => {
-                self.ended.insert(attempt, Ended { outcome, at: now });
+                self.ended.insert(attempt, outcome);
+                self.kept.push_back((self.now, attempt));
             }
             Some(_) => {}
             None => return Vec::new(),
@@ -143,20 +150,23 @@
     }
 
     /// Promises never to start a non-idempotent attempt, if that is still possible.
+    ///
+    /// An attempt that waits in the queue is left there: the entry that sent it waits for it, and
+    /// would not learn that it was taken out.
     pub fn forbid(&mut self, attempt: AttemptId, incarnation: Incarnation) -> Standing {
         if incarnation != self.incarnation {
             return Standing::Gone;
         }
-        if let Some(ended) = self.ended.get(&attempt) {
-            return Standing::Ended(ended.outcome);
+        if let Some(outcome) = self.ended.get(&attempt) {
+            return Standing::Ended(*outcome);
         }
-        if self.running.contains_key(&attempt) {
+        if self.running.contains_key(&attempt) || self.effects.contains_key(&attempt) {
             return Standing::Running;
         }
-        if self.queue.remove(attempt).is_some() {
-            self.effects.remove(&attempt);
+        if self.is_forgotten(attempt) && !self.forbidden.contains(&attempt) {
+            return Standing::Gone;
         }
-        self.forbidden.insert(attempt);
+        self.promise(attempt);
         Standing::Forbidden
     }
 
@@ -170,6 +180,7 @@
 
     /// The backend server went down or came back.
     pub fn set_down(&mut self, now: Time, down: bool) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         self.down = down;
         if down { self.hand_back(Refusal::Down) } else { self.start(now) }
     }
@@ -187,8 +198,8 @@
 
     /// Hands back attempts that can no longer make it and forgets old ends.
     pub fn tick(&mut self, now: Time) -> Vec<SideAction> {
-        let retention = self.settings.retention;
-        self.ended.retain(|_, ended| now.since(ended.at) < retention);
+        self.now = self.now.max(now);
+        self.forget();
         let late = self.queue.expired(now);
         let mut actions: Vec<_> =
             late.iter().map(|item| SideAction::Refuse(item.attempt, Refusal::Expired)).collect();
@@ -202,7 +213,9 @@
     /// When `tick` has something to do.
     pub fn next_tick(&self) -> Option<Time> {
         // One microsecond later, since an attempt is too late only after its latest start.
-        self.queue.next_expiry().map(|at| at + Span(1))
+        let expiry = self.queue.next_expiry().map(|at| at + Span(1));
+        let forget = self.kept.front().map(|(at, _)| *at + self.settings.retention);
+        expiry.into_iter().chain(forget).min()
     }
 
     /// The report to attach to the next message.
@@ -240,14 +253,18 @@
         if self.running.len() < self.settings.slots as usize && self.queue.is_empty() {
             return Span::ZERO;
         }
-        let left: u64 =
-            self.running.values().map(|r| r.estimate.saturating_sub(now.since(r.started)).0).sum();
-        Span((left + self.queue.backlog().0) / u64::from(self.settings.slots.max(1)))
+        // Estimates come from the network: a sum that wraps would make a full side look idle.
+        let left = self.running.values().fold(self.queue.backlog(), |sum, running| {
+            sum + running.estimate.saturating_sub(now.since(running.started))
+        });
+        Span(left.0 / u64::from(self.settings.slots.max(1)))
     }
 
     fn refusal(&self, now: Time, dispatch: &Dispatch) -> Option<Refusal> {
         let attempt = dispatch.attempt;
-        if dispatch.incarnation.is_some_and(|meant| meant != self.incarnation) {
+        let meant = dispatch.incarnation;
+        let unbound = meant.is_none() && dispatch.effect == Effect::Once;
+        if unbound || meant.is_some_and(|meant| meant != self.incarnation) {
             return Some(Refusal::Stale);
         }
         if self.forbidden.contains(&attempt) {
@@ -256,6 +273,7 @@
         if self.effects.contains_key(&attempt)
             || self.running.contains_key(&attempt)
             || self.ended.contains_key(&attempt)
+            || dispatch.effect == Effect::Once && self.is_forgotten(attempt)
         {
             return Some(Refusal::Duplicate);
         }
@@ -290,7 +308,34 @@
     /// Records that a waiting attempt will never start.
     fn withdraw(&mut self, attempt: AttemptId) {
         if self.effects.remove(&attempt) == Some(Effect::Once) {
-            self.forbidden.insert(attempt);
+            self.promise(attempt);
+        }
+    }
+
+    /// Records that an attempt that neither waits, runs nor ended will never start.
+    fn promise(&mut self, attempt: AttemptId) {
+        if self.forbidden.insert(attempt) {
+            self.kept.push_back((self.now, attempt));
+        }
+    }
+
+    /// Whether the attempt may have ended, or been promised, so long ago that it was forgotten.
+    fn is_forgotten(&self, attempt: AttemptId) -> bool {
+        let request = attempt.request;
+        self.forgotten.get(&request.entry).is_some_and(|serial| request.serial <= *serial)
+    }
+
+    /// Forgets what is older than the retention time.
+    fn forget(&mut self) {
+        while let Some((at, attempt)) = self.kept.front().copied() {
+            if self.now.since(at) < self.settings.retention {
+                break;
+            }
+            self.kept.pop_front();
+            self.ended.remove(&attempt);
+            self.forbidden.remove(&attempt);
+            let serial = self.forgotten.entry(attempt.request.entry).or_default();
+            *serial = attempt.request.serial.max(*serial);
         }
     }
 
