--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -61,6 +61,7 @@
             })
             .collect(),
         extra: 200,
+        resume: true,
     };
     let pipeline = |stages: Vec<Stage>| Pipeline { deadline: Span::from_secs(3), stages };
     let once = |name: &str| stage(name, "orders", Effect::Once);
@@ -98,7 +99,7 @@
 
 /// An entry whose sides are all connected and have reported.
 pub(crate) fn entry_of(incarnation: u64, bundle: &Bundle) -> Entry {
-    let settings = EntrySettings { hedging: false, admission: true };
+    let settings = EntrySettings { hedging: false, ..EntrySettings::default() };
     let zone = "kerala-south-1".into();
     let mut entry = Entry::new(Incarnation(incarnation), zone, settings, Arc::new(bundle.clone()));
     for (id, pool) in &bundle.pools {
--- a/crates/core/tests/side.rs
+++ b/crates/core/tests/side.rs
@@ -10,7 +10,10 @@
 const RETENTION: Span = Span::from_secs(60);
 
 fn side(slots: u32) -> Side {
-    Side::new(RUN, SideSettings { slots, queue: 8, retention: RETENTION })
+    Side::new(
+        RUN,
+        SideSettings { slots, queue: 8, retention: RETENTION, ..SideSettings::default() },
+    )
 }
 
 fn once(serial: u64) -> Dispatch {
