--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -4,6 +4,7 @@
 //! become tasks that report back with an event.
 
 use crate::metrics::{EntryMetrics, MetricsError};
+use crate::settings::EntryFile;
 use bytes::{Bytes, BytesMut};
 use damaskweir_callers::{
     Api, Directory, ErrorCode, Execution, Failed, Finished, Form, Gateway, Limits, Readiness,
@@ -15,8 +16,8 @@
 };
 use damaskweir_core::prelude::*;
 use damaskweir_core::retry::Backoff;
-use damaskweir_store::ClaimWriter;
-use damaskweir_wire::{Attempt, Dialer, Link, Local, PeerId, ToEntry, WireError, Work};
+use damaskweir_store::{ClaimSettings, ClaimWriter, Client, StoreError};
+use damaskweir_wire::{Attempt, Dialer, Keys, Link, Local, PeerId, ToEntry, WireError, Work};
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Logger, debug, info, o, warn};
 use std::collections::{BTreeMap, HashMap};
@@ -57,7 +58,7 @@
     /// Local address of the connections to sides.
     pub wire_address: SocketAddr,
     /// Certificates.
-    pub keys: damaskweir_wire::Keys,
+    pub keys: Keys,
     /// Limits of the connections to sides.
     pub wire: damaskweir_wire::Limits,
     /// The bundle in force.
@@ -70,6 +71,43 @@
     pub drain_limit: Duration,
 }
 
+impl EntryOptions {
+    /// Options from a settings file. Runs on a tokio runtime, since the claim writer does.
+    pub fn from_file(file: EntryFile, bundle: Arc<Bundle>) -> Result<Self, EntryError> {
+        let wire = &file.wire;
+        let keys = Keys::from_files(&wire.authority, &wire.certificate, &wire.key)?;
+        let claims = match file.store {
+            Some(store) => {
+                let client = Client::new(store, seeded_rng()?)?;
+                Some(ClaimWriter::spawn(client, ClaimSettings::default()))
+            }
+            None => None,
+        };
+        Ok(Self {
+            instance: file.instance,
+            zone: file.zone,
+            core: file.core,
+            listen: file.listen,
+            limits: file.limits,
+            directory: file.directory,
+            wire_address: wire.address,
+            keys: keys.with_name(&wire.name),
+            wire: wire.limits,
+            bundle,
+            claims,
+            drain_grace: file.drain_grace,
+            drain_limit: file.drain_limit,
+        })
+    }
+}
+
+/// A random number generator that the system seeds.
+pub(crate) fn seeded_rng() -> Result<Rng, EntryError> {
+    let mut seed = [0; 32];
+    getrandom::fill(&mut seed).map_err(EntryError::Random)?;
+    Ok(Rng::from_seed(seed))
+}
+
 /// Why an entry can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum EntryError {
@@ -84,6 +122,9 @@
     /// The socket for sides can't be opened, or the certificates can't be used.
     #[error(transparent)]
     Wire(#[from] WireError),
+    /// The store's settings can't be used.
+    #[error(transparent)]
+    Store(#[from] StoreError),
     /// Metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -111,8 +152,7 @@
     /// Starts an entry on the current tokio runtime.
     pub async fn start(options: EntryOptions, log: Logger) -> Result<Self, EntryError> {
         let incarnation = Incarnation(getrandom::u64().map_err(EntryError::Random)?);
-        let mut seed = [0; 32];
-        getrandom::fill(&mut seed).map_err(EntryError::Random)?;
+        let rng = seeded_rng()?;
         let id = PeerId::Entry(options.instance.clone());
         let local = Local::new(id, options.zone.clone(), incarnation);
         local.set_version(options.bundle.version);
@@ -125,7 +165,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 entry,
-                rng: Rng::from_seed(seed),
+                rng,
                 open: HashMap::new(),
                 running: HashMap::new(),
                 links: BTreeMap::new(),
@@ -305,8 +345,9 @@
 
     fn finish_stage(&mut self, now: Instant) {
         let Some((position, started)) = self.stage.take() else { return };
+        let winner = self.winner.take();
         let Some(stage) = self.stage_of(position) else { return };
-        let server = self.winner.take().and_then(|winner| self.servers.get(&winner));
+        let server = winner.and_then(|winner| self.servers.get(&winner));
         self.timings.push(StageTiming {
             stage: stage.name.clone(),
             server: server.map_or_else(|| "kept".to_owned(), ToString::to_string),
@@ -328,7 +369,7 @@
     fn event(self: &Arc<Self>, event: EntryEvent) {
         let mut state = self.lock();
         let state = &mut *state;
-        let owner = owner_of(&event);
+        let owner = Some(event.request());
         let actions = state.entry.event(self.now(), &mut state.rng, event);
         self.carry_out(state, owner, actions);
     }
@@ -343,7 +384,7 @@
         for action in actions {
             match action {
                 EntryAction::Send { server, dispatch, input } => {
-                    self.send(state, server, dispatch, input);
+                    self.send(state, &server, dispatch, input);
                 }
                 EntryAction::Cancel(_, attempt) => {
                     if let Some(task) = state.running.remove(&attempt) {
@@ -372,7 +413,7 @@
                     }
                 }
                 EntryAction::Emit(attempt, index) => self.emit(state, attempt, index),
-                EntryAction::Answer(request, answer) => self.answer(state, request, answer),
+                EntryAction::Answer(request, answer) => self.answer(state, request, &answer),
             }
         }
         let next = state.entry.next_tick();
@@ -387,15 +428,15 @@
     fn send(
         self: &Arc<Self>,
         state: &mut State,
-        server: ServerId,
+        server: &ServerId,
         dispatch: Dispatch,
         input: Input,
     ) {
         let attempt = dispatch.attempt;
         let now = Instant::now();
-        let link = state.links.get(&server).cloned();
+        let link = state.links.get(server).cloned();
         let Some(open) = state.open.get_mut(&attempt.request) else { return };
-        open.note(attempt, &server, now);
+        open.note(attempt, server, now);
         let body = match input {
             Input::Caller => Some(open.body.clone()),
             Input::Attempt(winner) => open.outputs.get(&winner).map(Output::whole),
@@ -467,14 +508,14 @@
         let _ = open.reply.send(ReplyEvent::Chunk(chunk));
     }
 
-    fn answer(&self, state: &mut State, request: RequestId, answer: Answer) {
+    fn answer(&self, state: &mut State, request: RequestId, answer: &Answer) {
         let Some(mut open) = state.open.remove(&request) else { return };
         let now = Instant::now();
         let event = match answer {
             Answer::Complete(winner) => {
                 let form = last_form(&open);
                 open.finish_stage(now);
-                match open.outputs.get(&winner) {
+                match open.outputs.get(winner) {
                     Some(output) => ReplyEvent::Finished(Finished {
                         output: output.whole(),
                         form,
@@ -484,10 +525,10 @@
                 }
             }
             Answer::Error { code, execution, retry } => ReplyEvent::Failed(Failed {
-                code: code.into(),
-                execution: execution.into(),
+                code: (*code).into(),
+                execution: (*execution).into(),
                 stage: open.stage_name(),
-                retry,
+                retry: *retry,
             }),
         };
         self.close(request, &open, event);
@@ -689,19 +730,6 @@
     }
 }
 
-fn owner_of(event: &EntryEvent) -> Option<RequestId> {
-    match event {
-        EntryEvent::Accepted(attempt)
-        | EntryEvent::Refused(attempt, _)
-        | EntryEvent::Chunk(attempt, _)
-        | EntryEvent::Done(attempt, _)
-        | EntryEvent::Lost(attempt) => Some(attempt.request),
-        EntryEvent::Claimed(request, _)
-        | EntryEvent::Stands(request, _)
-        | EntryEvent::Gone(request) => Some(*request),
-    }
-}
-
 fn last_form(open: &Open) -> Form {
     let pool = open.stages().last().and_then(|stage| open.bundle.pools.get(&stage.pool));
     match pool.map(|pool| pool.kind) {
--- /dev/null
+++ b/crates/damaskweir/src/settings.rs
@@ -0,0 +1,484 @@
+//! Settings files of the daemons: INI, checked as a whole at the start.
+
+use crate::logs::{LogForm, LogSettings};
+use damaskweir_callers::{Directory, Limits};
+use damaskweir_core::entry::EntrySettings;
+use damaskweir_core::prelude::*;
+use ini::{Ini, ParseOption, Properties};
+use slog::Level;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The file.
+    pub file: PathBuf,
+    /// Section, when the fault is in one.
+    pub section: Option<String>,
+    /// Key, when the fault is at one.
+    pub key: Option<String>,
+    /// What is wrong and what is accepted.
+    pub text: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.file.display())?;
+        if let Some(section) = &self.section {
+            write!(f, "[{section}] ")?;
+        }
+        if let Some(key) = &self.key {
+            write!(f, "{key}: ")?;
+        }
+        f.write_str(&self.text)
+    }
+}
+
+/// All faults of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct SettingsError(pub Vec<Problem>);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, problem) in self.0.iter().enumerate() {
+            let end = if i == 0 { "" } else { "\n" };
+            write!(f, "{end}{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Settings of the connections between entries and sides.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireSettings {
+    /// Local address.
+    pub address: SocketAddr,
+    /// PEM file of the certificate authority.
+    pub authority: PathBuf,
+    /// PEM file of the certificate chain.
+    pub certificate: PathBuf,
+    /// PEM file of the private key.
+    pub key: PathBuf,
+    /// DNS name in certificates of sides.
+    pub name: String,
+    /// Limits.
+    pub limits: damaskweir_wire::Limits,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntryFile {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Settings of the core.
+    pub core: EntrySettings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Limits of the callers' API.
+    pub limits: Limits,
+    /// Credentials of callers.
+    pub directory: Directory,
+    /// Connections to sides.
+    pub wire: WireSettings,
+    /// Bundle file.
+    pub bundle: PathBuf,
+    /// The store; without it non-idempotent calls are refused.
+    pub store: Option<damaskweir_store::Settings>,
+    /// Time between the start of a drain and the earliest exit.
+    pub drain_grace: Duration,
+    /// Time after which a drain ends with requests still in progress.
+    pub drain_limit: Duration,
+    /// Logs.
+    pub logs: LogSettings,
+}
+
+impl EntryFile {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(path, &read_text(path)?)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let mut reader = Reader::new(path, text)?;
+        let file = Self {
+            instance: InstanceId::from(reader.name("entry", "instance").as_str()),
+            zone: AvailabilityZone::from(reader.name("entry", "zone").as_str()),
+            core: EntrySettings {
+                hedging: reader.flag("entry", "hedging", true),
+                admission: reader.flag("entry", "admission", true),
+                ..EntrySettings::default()
+            },
+            listen: reader.address("callers", "listen", None),
+            limits: read_limits(&mut reader),
+            directory: read_directory(&mut reader),
+            wire: read_wire(&mut reader),
+            bundle: reader.file("bundle", "file"),
+            store: read_store(&mut reader),
+            drain_grace: reader.millis("drain", "grace-ms", 0..=60_000, 500),
+            drain_limit: reader.millis("drain", "limit-ms", 100..=600_000, 30_000),
+            logs: read_logs(&mut reader),
+        };
+        reader.finish().map(|()| file)
+    }
+}
+
+fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let text = format!("can't be read: {error}");
+        SettingsError(vec![Problem { file: path.to_owned(), section: None, key: None, text }])
+    })
+}
+
+fn read_limits(reader: &mut Reader) -> Limits {
+    let defaults = Limits::default();
+    let millis = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    Limits {
+        body: reader.size("callers", "body-max-bytes", 1_024..=67_108_864, defaults.body),
+        connections: reader.size("callers", "connections-max", 1..=1_000_000, defaults.connections),
+        headers: reader.millis(
+            "callers",
+            "headers-timeout-ms",
+            100..=300_000,
+            millis(defaults.headers),
+        ),
+        upload: reader.millis(
+            "callers",
+            "upload-timeout-ms",
+            100..=300_000,
+            millis(defaults.upload),
+        ),
+        stages: reader.flag("callers", "name-stages", defaults.stages),
+    }
+}
+
+/// Each key of `[credentials]` is a workspace; its value lists digests of credentials. No value of
+/// this section is ever part of an error: it may be a credential that was pasted by mistake.
+fn read_directory(reader: &mut Reader) -> Directory {
+    const ACCEPTED: &str =
+        "expected SHA-256 digests of credentials, 64 hexadecimal digits each, separated by commas";
+    let mut credentials = BTreeMap::new();
+    for (workspace, value) in reader.take_section("credentials") {
+        for digest in value.split(',') {
+            match parse_digest(digest.trim()) {
+                Some(digest) => {
+                    let owner = WorkspaceId::from(workspace.as_str());
+                    if credentials.insert(digest, owner).is_some() {
+                        let text = "a credential belongs to two workspaces or is listed twice";
+                        reader.problem("credentials", &workspace, text.to_owned());
+                    }
+                }
+                None => reader.problem("credentials", &workspace, ACCEPTED.to_owned()),
+            }
+        }
+    }
+    // Without credentials, nothing but the header can name the workspace.
+    let believed = reader.flag("callers", "trust-workspace-header", credentials.is_empty());
+    Directory::new(credentials, believed)
+}
+
+fn parse_digest(text: &str) -> Option<Digest> {
+    let mut digest = [0; 32];
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    for (i, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
+    }
+    Some(Digest(digest))
+}
+
+pub(crate) fn read_wire(reader: &mut Reader) -> WireSettings {
+    let defaults = damaskweir_wire::Limits::default();
+    let any = SocketAddr::from(([0, 0, 0, 0], 0));
+    WireSettings {
+        address: reader.address("wire", "address", Some(any)),
+        authority: reader.file("wire", "authority"),
+        certificate: reader.file("wire", "certificate"),
+        key: reader.file("wire", "key"),
+        name: reader.name_or("wire", "name", "damaskweir"),
+        limits: damaskweir_wire::Limits {
+            frame: reader.size("wire", "frame-max-bytes", 1_048_576..=268_435_456, defaults.frame),
+            connections: reader.size("wire", "connections-max", 1..=100_000, defaults.connections),
+            ..defaults
+        },
+    }
+}
+
+fn read_store(reader: &mut Reader) -> Option<damaskweir_store::Settings> {
+    let endpoints = reader.urls("store", "endpoints");
+    let mut settings = damaskweir_store::Settings::new(endpoints.first().map_or("", |url| url));
+    let timeout = settings.timeout.as_millis();
+    settings.timeout = reader.millis("store", "timeout-ms", 10..=10_000, timeout).into();
+    settings.reads = reader.count("store", "reads-per-second", 1..=100_000, settings.reads);
+    settings.writes = reader.count("store", "writes-per-second", 1..=100_000, settings.writes);
+    settings.burst = reader.count("store", "burst", 1..=100_000, settings.burst);
+    if endpoints.is_empty() {
+        return None;
+    }
+    settings.endpoints = endpoints;
+    Some(settings)
+}
+
+pub(crate) fn read_logs(reader: &mut Reader) -> LogSettings {
+    let forms = [("json", LogForm::Json), ("terminal", LogForm::Terminal)];
+    let levels = [
+        ("error", Level::Error),
+        ("warning", Level::Warning),
+        ("info", Level::Info),
+        ("debug", Level::Debug),
+    ];
+    LogSettings {
+        form: reader.choice("logs", "form", &forms, LogForm::Json),
+        level: reader.choice("logs", "level", &levels, Level::Info),
+    }
+}
+
+/// Reads settings and collects all faults.
+pub(crate) struct Reader {
+    file: PathBuf,
+    sections: BTreeMap<String, Properties>,
+    known: BTreeMap<&'static str, BTreeSet<&'static str>>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    /// Parses the file; keys outside sections, and sections and keys that occur twice, are faults.
+    pub(crate) fn new(file: &Path, text: &str) -> Result<Self, SettingsError> {
+        let option =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..Default::default() };
+        let mut reader = Self {
+            file: file.to_owned(),
+            sections: BTreeMap::new(),
+            known: BTreeMap::new(),
+            problems: Vec::new(),
+        };
+        let ini = match Ini::load_from_str_opt(text, option) {
+            Ok(ini) => ini,
+            Err(error) => {
+                let text = format!("line {}: {}", error.line, error.msg);
+                reader.problems.push(Problem { file: reader.file, section: None, key: None, text });
+                return Err(SettingsError(reader.problems));
+            }
+        };
+        for (section, properties) in &ini {
+            let Some(section) = section else {
+                for (key, _) in properties {
+                    reader.problem("", key, "the key stands outside all sections".to_owned());
+                }
+                continue;
+            };
+            let mut keys = BTreeSet::new();
+            for (key, _) in properties {
+                if !keys.insert(key) {
+                    reader.problem(section, key, "the key occurs twice".to_owned());
+                }
+            }
+            if reader.sections.insert(section.to_owned(), properties.clone()).is_some() {
+                reader.section_problem(section, "the section occurs twice");
+            }
+        }
+        Ok(reader)
+    }
+
+    /// Everything that was not asked for is a fault.
+    pub(crate) fn finish(mut self) -> Result<(), SettingsError> {
+        let sections = std::mem::take(&mut self.sections);
+        for (section, properties) in &sections {
+            match self.known.get(section.as_str()).cloned() {
+                None => {
+                    let known: Vec<_> = self.known.keys().copied().collect();
+                    let text = format!("unknown section; known are {}", known.join(", "));
+                    self.section_problem(section, &text);
+                }
+                Some(keys) => {
+                    let unknown = properties.iter().filter(|(key, _)| !keys.contains(*key));
+                    for (key, _) in unknown {
+                        let known: Vec<_> = keys.iter().copied().collect();
+                        let text = format!("unknown key; known are {}", known.join(", "));
+                        self.problem(section, key, text);
+                    }
+                }
+            }
+        }
+        if self.problems.is_empty() { Ok(()) } else { Err(SettingsError(self.problems)) }
+    }
+
+    pub(crate) fn problem(&mut self, section: &str, key: &str, text: String) {
+        self.problems.push(Problem {
+            file: self.file.clone(),
+            section: (!section.is_empty()).then(|| section.to_owned()),
+            key: Some(key.to_owned()),
+            text,
+        });
+    }
+
+    fn section_problem(&mut self, section: &str, text: &str) {
+        self.problems.push(Problem {
+            file: self.file.clone(),
+            section: Some(section.to_owned()),
+            key: None,
+            text: text.to_owned(),
+        });
+    }
+
+    /// Takes a section whose keys are free.
+    fn take_section(&mut self, section: &'static str) -> Vec<(String, String)> {
+        self.known.entry(section).or_default();
+        let taken = self.sections.remove(section);
+        let pairs = taken.iter().flat_map(|properties| properties.iter());
+        pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+    }
+
+    fn value(&mut self, section: &'static str, key: &'static str) -> Option<String> {
+        self.known.entry(section).or_default().insert(key);
+        self.sections.get(section)?.get(key).map(|value| value.trim().to_owned())
+    }
+
+    /// Reads a value. Without a default, the key is required.
+    fn read<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        accepted: &str,
+        default: Option<T>,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let Some(value) = self.value(section, key) else {
+            if default.is_none() {
+                self.problem(section, key, format!("required; expected {accepted}"));
+            }
+            return default;
+        };
+        let parsed = parse(&value);
+        if parsed.is_none() {
+            self.problem(section, key, format!("'{value}' is not accepted; expected {accepted}"));
+        }
+        parsed.or(default)
+    }
+
+    fn number(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let accepted = format!("a whole number from {} to {}", range.start(), range.end());
+        let parse = |value: &str| value.parse().ok().filter(|number| range.contains(number));
+        self.read(section, key, &accepted, Some(default), parse).unwrap_or(default)
+    }
+
+    pub(crate) fn size(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: usize,
+    ) -> usize {
+        let number = self.number(section, key, range, default as u64);
+        usize::try_from(number).unwrap_or(default)
+    }
+
+    pub(crate) fn count(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u32,
+    ) -> u32 {
+        let number = self.number(section, key, range, u64::from(default));
+        u32::try_from(number).unwrap_or(default)
+    }
+
+    pub(crate) fn millis(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Duration {
+        Duration::from_millis(self.number(section, key, range, default))
+    }
+
+    pub(crate) fn flag(&mut self, section: &'static str, key: &'static str, default: bool) -> bool {
+        self.choice(section, key, &[("yes", true), ("no", false)], default)
+    }
+
+    pub(crate) fn choice<T: Copy>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        choices: &[(&'static str, T)],
+        default: T,
+    ) -> T {
+        let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
+        let accepted = format!("one of {}", names.join(", "));
+        let parse = |value: &str| choices.iter().find(|(name, _)| *name == value).map(|(_, t)| *t);
+        self.read(section, key, &accepted, Some(default), parse).unwrap_or(default)
+    }
+
+    pub(crate) fn address(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: Option<SocketAddr>,
+    ) -> SocketAddr {
+        let accepted = "an IP address and port such as 127.0.0.1:8080";
+        let read = self.read(section, key, accepted, default, |value| value.parse().ok());
+        read.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    pub(crate) fn name(&mut self, section: &'static str, key: &'static str) -> String {
+        self.read(section, key, NAME, None, parse_name).unwrap_or_default()
+    }
+
+    pub(crate) fn name_or(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: &str,
+    ) -> String {
+        self.read(section, key, NAME, Some(default.to_owned()), parse_name).unwrap_or_default()
+    }
+
+    /// A file that exists; relative paths begin at the directory of the settings file.
+    pub(crate) fn file(&mut self, section: &'static str, key: &'static str) -> PathBuf {
+        let base = self.file.parent().map(Path::to_owned).unwrap_or_default();
+        let parse = |value: &str| Some(base.join(value)).filter(|path| path.is_file());
+        self.read(section, key, "a file that exists", None, parse).unwrap_or_default()
+    }
+
+    pub(crate) fn url(&mut self, section: &'static str, key: &'static str) -> String {
+        self.read(section, key, URL, None, parse_url).unwrap_or_default()
+    }
+
+    fn urls(&mut self, section: &'static str, key: &'static str) -> Vec<String> {
+        let accepted = "URLs such as http://127.0.0.1:2379, separated by commas";
+        let parse = |value: &str| value.split(',').map(|url| parse_url(url.trim())).collect();
+        self.read(section, key, accepted, Some(Vec::new()), parse).unwrap_or_default()
+    }
+}
+
+const NAME: &str = "1 to 64 letters, digits, '-', '_' and '.'";
+const URL: &str = "a URL such as http://127.0.0.1:9000";
+
+fn parse_name(value: &str) -> Option<String> {
+    let valid = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    ((1..=64).contains(&value.len()) && value.chars().all(valid)).then(|| value.to_owned())
+}
+
+fn parse_url(value: &str) -> Option<String> {
+    let url = reqwest::Url::parse(value).ok()?;
+    let http = matches!(url.scheme(), "http" | "https") && url.has_host();
+    // A password in a URL would reach error texts.
+    let plain = url.username().is_empty() && url.password().is_none();
+    (http && plain).then(|| value.trim_end_matches('/').to_owned())
+}
