--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -510,32 +510,32 @@
 
     fn answer(&self, state: &mut State, request: RequestId, answer: &Answer) {
         let Some(mut open) = state.open.remove(&request) else { return };
-        let now = Instant::now();
+        let stage = open.stage_name();
         let event = match answer {
             Answer::Complete(winner) => {
                 let form = last_form(&open);
-                open.finish_stage(now);
+                open.finish_stage(Instant::now());
                 match open.outputs.get(winner) {
                     Some(output) => ReplyEvent::Finished(Finished {
                         output: output.whole(),
                         form,
                         stages: open.timings.clone(),
                     }),
-                    None => ReplyEvent::Failed(lost_answer(&open)),
+                    None => ReplyEvent::Failed(lost_answer(stage.clone())),
                 }
             }
             Answer::Error { code, execution, retry } => ReplyEvent::Failed(Failed {
                 code: (*code).into(),
                 execution: (*execution).into(),
-                stage: open.stage_name(),
+                stage: stage.clone(),
                 retry: *retry,
             }),
         };
-        self.close(request, &open, event);
+        self.close(request, &open, stage, event);
     }
 
     /// Gives the last event of a request.
-    fn close(&self, request: RequestId, open: &Open, event: ReplyEvent) {
+    fn close(&self, request: RequestId, open: &Open, stage: Option<String>, event: ReplyEvent) {
         let elapsed = open.started.elapsed();
         let code = match &event {
             ReplyEvent::Failed(failed) => failed.code.as_str(),
@@ -549,7 +549,7 @@
             }
         }
         info!(self.log, "request answered"; "request" => %request,
-            "workspace" => %open.workspace, "stage" => open.stage_name(),
+            "workspace" => %open.workspace, "stage" => stage,
             "pipeline" => %open.pipeline, "code" => code, "ms" => elapsed.as_secs_f64() * 1e3);
         let _ = open.reply.send(event);
     }
@@ -566,8 +566,9 @@
             }
         }
         if let Some(open) = state.open.remove(&request) {
-            let event = ReplyEvent::Failed(lost_answer(&open));
-            self.close(request, &open, event);
+            let stage = open.stage_name();
+            let event = ReplyEvent::Failed(lost_answer(stage.clone()));
+            self.close(request, &open, stage, event);
         }
     }
 
@@ -739,13 +740,8 @@
 }
 
 /// The call ran and its answer is nowhere any more.
-fn lost_answer(open: &Open) -> Failed {
-    Failed {
-        code: ErrorCode::StageFailed,
-        execution: Execution::Ran,
-        stage: open.stage_name(),
-        retry: None,
-    }
+fn lost_answer(stage: Option<String>) -> Failed {
+    Failed { code: ErrorCode::StageFailed, execution: Execution::Ran, stage, retry: None }
 }
 
 fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
--- /dev/null
+++ b/crates/damaskweir/tests/common/mod.rs
@@ -0,0 +1,408 @@
+//! Entries and scripted sides for the tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "used by tests only")]
+
+use bytes::Bytes;
+use damaskweir::entry::{EntryDaemon, EntryOptions};
+use damaskweir::logs::quiet_logger;
+use damaskweir_callers::{Directory, ErrorBody, Limits};
+use damaskweir_core::prelude::*;
+use damaskweir_standins::store::Store;
+use damaskweir_store::{ClaimSettings, ClaimWriter, Client, Settings};
+use damaskweir_wire::{Keys, Listener, Local, PeerId, Reply, Request, ToEntry, Work};
+use rand_chacha::rand_core::SeedableRng;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// A hang is a failure; no verdict depends on how long anything takes.
+pub(crate) const HANG: Duration = Duration::from_secs(60);
+
+pub(crate) async fn within<F: Future>(future: F) -> F::Output {
+    tokio::time::timeout(HANG, future).await.expect("the test hangs")
+}
+
+/// A certificate authority.
+pub(crate) struct Authority {
+    pem: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    pub(crate) fn new() -> Self {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        // Authorities of one name differ in nothing but their signatures.
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let name = format!("authority {}", COUNT.fetch_add(1, Ordering::Relaxed));
+        params.distinguished_name.push(rcgen::DnType::CommonName, name);
+        let pem = params.self_signed(&key).unwrap().pem();
+        Self { pem, issuer: Issuer::new(params, key) }
+    }
+
+    pub(crate) fn keys(&self) -> Keys {
+        let (authority, certificate, key) = self.pem();
+        Keys::from_pem(authority.as_bytes(), certificate.as_bytes(), key.as_bytes()).unwrap()
+    }
+
+    /// PEM texts of the authority, a certificate and its key.
+    pub(crate) fn pem(&self) -> (String, String, String) {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec!["damaskweir".to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.issuer).unwrap();
+        (self.pem.clone(), certificate.pem(), key.serialize_pem())
+    }
+}
+
+pub(crate) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// What a scripted side does with each attempt.
+#[derive(Clone)]
+pub(crate) enum Script {
+    /// Sends these chunks and finishes.
+    Chunks(Vec<&'static str>),
+    /// Sends the input back with this in front.
+    Echo(&'static str),
+    /// Sends these chunks, then breaks the connection.
+    Break(Vec<&'static str>),
+    /// Takes the attempt, sends these chunks, and goes on when `release` was called.
+    Hold(Vec<&'static str>),
+    /// Takes the attempt and never ends it.
+    Silent,
+    /// Ends as failed.
+    Fail(Failure),
+    /// Does not start the attempt.
+    Refuse(Refusal),
+}
+
+#[derive(Default)]
+struct Seen {
+    works: Vec<Work>,
+    dispatches: Vec<Dispatch>,
+    cancelled: Vec<AttemptId>,
+    /// Ends of non-idempotent attempts.
+    ended: HashMap<AttemptId, Bytes>,
+    started: Vec<AttemptId>,
+}
+
+/// A side that follows a script in place of the side daemon.
+pub(crate) struct ScriptedSide {
+    pub(crate) address: SocketAddr,
+    pub(crate) id: ServerId,
+    seen: Arc<Mutex<Seen>>,
+    release: watch::Sender<bool>,
+    changed: watch::Receiver<u64>,
+    task: AbortHandle,
+}
+
+/// What the tasks of a scripted side share.
+#[derive(Clone)]
+struct Actor {
+    script: Script,
+    incarnation: Incarnation,
+    seen: Arc<Mutex<Seen>>,
+    release: watch::Receiver<bool>,
+    change: Arc<watch::Sender<u64>>,
+}
+
+impl Drop for ScriptedSide {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl ScriptedSide {
+    pub(crate) fn start(keys: &Keys, id: &str, script: Script) -> Self {
+        let incarnation = Incarnation(77);
+        let local = Local::new(PeerId::Side(id.into()), "zone-a".into(), incarnation);
+        let serial = AtomicU64::new(0);
+        let report = move || Report {
+            incarnation,
+            serial: serial.fetch_add(1, Ordering::Relaxed) + 1,
+            version: Version(1),
+            queued: 0,
+            running: 0,
+            limit: 8,
+            wait: Span::ZERO,
+            draining: false,
+        };
+        let limits = damaskweir_wire::Limits::default();
+        let mut listener = Listener::bind(loopback(), keys, local, limits, report).unwrap();
+        let address = listener.address();
+        let seen = Arc::<Mutex<Seen>>::default();
+        let (release, released) = watch::channel(false);
+        let (change, changed) = watch::channel(0);
+        let actor = Actor {
+            script,
+            incarnation,
+            seen: Arc::clone(&seen),
+            release: released,
+            change: Arc::new(change),
+        };
+        let task = tokio::spawn(async move {
+            while let Some(accepted) = listener.accept().await {
+                let Ok(mut connection) = accepted else { continue };
+                let actor = actor.clone();
+                tokio::spawn(async move {
+                    while let Some(request) = connection.next().await {
+                        actor.take(request);
+                    }
+                });
+            }
+        })
+        .abort_handle();
+        Self { address, id: id.into(), seen, release, changed, task }
+    }
+
+    /// Lets held attempts go on.
+    pub(crate) fn release(&self) {
+        self.release.send_replace(true);
+    }
+
+    pub(crate) fn works(&self) -> Vec<Work> {
+        self.seen.lock().unwrap().works.clone()
+    }
+
+    pub(crate) fn dispatches(&self) -> Vec<Dispatch> {
+        self.seen.lock().unwrap().dispatches.clone()
+    }
+
+    /// Waits until so many attempts arrived.
+    pub(crate) async fn wait_for_attempts(&self, count: usize) {
+        self.wait(|seen| seen.dispatches.len() >= count).await;
+    }
+
+    /// Waits until so many attempts were cancelled.
+    pub(crate) async fn wait_for_cancels(&self, count: usize) {
+        self.wait(|seen| seen.cancelled.len() >= count).await;
+    }
+
+    /// Attempts that were started.
+    pub(crate) fn started(&self) -> usize {
+        self.seen.lock().unwrap().started.len()
+    }
+
+    async fn wait(&self, done: impl Fn(&Seen) -> bool) {
+        let mut changed = self.changed.clone();
+        let seen = &self.seen;
+        within(changed.wait_for(|_| done(&seen.lock().unwrap()))).await.unwrap();
+    }
+}
+
+impl Actor {
+    fn note(&self, change: impl FnOnce(&mut Seen)) {
+        change(&mut self.seen.lock().unwrap());
+        self.change.send_modify(|count| *count += 1);
+    }
+
+    fn take(&self, request: Request) {
+        match request {
+            Request::Dispatch { dispatch, work, reply } => {
+                self.note(|seen| {
+                    seen.works.push(work.clone());
+                    seen.dispatches.push((*dispatch).clone());
+                });
+                tokio::spawn(self.clone().act(*dispatch, work, reply));
+            }
+            Request::Cancel(attempt, _) => self.note(|seen| seen.cancelled.push(attempt)),
+            Request::Ask { attempt, incarnation, reply } => {
+                let kept = self.seen.lock().unwrap().ended.get(&attempt).cloned();
+                let started = self.seen.lock().unwrap().started.contains(&attempt);
+                let standing = match &kept {
+                    _ if incarnation != self.incarnation => Standing::Gone,
+                    Some(_) => Standing::Ended(Outcome::Finished),
+                    None if started => Standing::Running,
+                    None => Standing::Forbidden,
+                };
+                tokio::spawn(async move { reply.send(standing, kept).await });
+            }
+        }
+    }
+
+    async fn act(self, dispatch: Dispatch, work: Work, mut reply: Reply) {
+        let chunks: Vec<Bytes> = match &self.script {
+            Script::Refuse(refusal) => {
+                reply.send(ToEntry::Refused(*refusal)).await.ok();
+                return;
+            }
+            Script::Echo(prefix) => {
+                let mut whole = prefix.as_bytes().to_vec();
+                whole.extend_from_slice(&work.body);
+                vec![whole.into()]
+            }
+            Script::Chunks(chunks) | Script::Break(chunks) | Script::Hold(chunks) => {
+                chunks.iter().map(|chunk| Bytes::from_static(chunk.as_bytes())).collect()
+            }
+            Script::Silent | Script::Fail(_) => Vec::new(),
+        };
+        self.note(|seen| seen.started.push(dispatch.attempt));
+        reply.send(ToEntry::Accepted).await.ok();
+        for (index, data) in (0..).zip(&chunks).skip(dispatch.resume as usize) {
+            reply.send(ToEntry::Chunk { index, data: data.clone() }).await.ok();
+        }
+        match self.script {
+            Script::Break(_) => {
+                reply.peer().close();
+                return;
+            }
+            Script::Silent => return std::future::pending().await,
+            Script::Hold(_) => {
+                self.release.clone().wait_for(|released| *released).await.ok();
+            }
+            _ => {}
+        }
+        if dispatch.effect == Effect::Once {
+            let whole = Bytes::from(chunks.concat());
+            self.note(|seen| {
+                seen.ended.insert(dispatch.attempt, whole);
+            });
+        }
+        let outcome = match self.script {
+            Script::Fail(failure) => Outcome::Failed(failure),
+            _ => Outcome::Finished,
+        };
+        reply.send(ToEntry::Done(outcome)).await.ok();
+    }
+}
+
+/// A stage of a test pipeline: its name, effect, whether it is a model engine, and its servers.
+pub(crate) struct StageSpec<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) effect: Effect,
+    pub(crate) kind: PoolKind,
+    pub(crate) servers: Vec<(ServerId, SocketAddr)>,
+}
+
+pub(crate) fn stage<'a>(name: &'a str, sides: &[&ScriptedSide]) -> StageSpec<'a> {
+    let servers = sides.iter().map(|side| (side.id.clone(), side.address)).collect();
+    StageSpec { name, effect: Effect::Idempotent, kind: PoolKind::Service, servers }
+}
+
+impl StageSpec<'_> {
+    pub(crate) fn once(self) -> Self {
+        Self { effect: Effect::Once, ..self }
+    }
+
+    pub(crate) fn engine(self) -> Self {
+        Self { kind: PoolKind::Engine, ..self }
+    }
+}
+
+/// Pipelines that do not share pools; workspace `kollam` has a limit of 64 and `small` one of 1.
+pub(crate) fn bundle(pipelines: &[(&str, Vec<StageSpec<'_>>)]) -> Bundle {
+    let mut bundle = Bundle {
+        version: Version(1),
+        pools: BTreeMap::new(),
+        pipelines: BTreeMap::new(),
+        workspaces: BTreeMap::from([
+            ("kollam".into(), Workspace { share: 1, limit: 64 }),
+            ("small".into(), Workspace { share: 1, limit: 1 }),
+        ]),
+        operators: BTreeMap::new(),
+    };
+    for (name, specs) in pipelines {
+        let mut stages = Vec::new();
+        for spec in specs {
+            let pool = PoolId::from(format!("{name}-{}", spec.name).as_str());
+            let server = |(id, side): &(ServerId, SocketAddr)| BackendServer {
+                id: id.clone(),
+                zone: "zone-a".into(),
+                side: *side,
+                slots: 8,
+            };
+            let servers = spec.servers.iter().map(server).collect();
+            let described = Pool { kind: spec.kind, servers, resume: false, extra: 100 };
+            bundle.pools.insert(pool.clone(), described);
+            stages.push(Stage {
+                name: spec.name.to_owned(),
+                pool,
+                effect: spec.effect,
+                path: format!("/{}", spec.name),
+                expected: Span::from_millis(10),
+            });
+        }
+        let pipeline = Pipeline { deadline: Span::from_secs(30), stages };
+        bundle.pipelines.insert(PipelineId::from(*name), pipeline);
+    }
+    bundle
+}
+
+/// A running entry and a client of it.
+pub(crate) struct Bed {
+    pub(crate) daemon: EntryDaemon,
+    pub(crate) url: String,
+    pub(crate) client: reqwest::Client,
+}
+
+pub(crate) fn claims(store: &Store) -> ClaimWriter {
+    let client = Client::new(Settings::new(&store.url()), Rng::seed_from_u64(7)).unwrap();
+    ClaimWriter::spawn(client, ClaimSettings::default())
+}
+
+pub(crate) fn options(keys: Keys, bundle: Bundle) -> EntryOptions {
+    EntryOptions {
+        instance: "entry-1".into(),
+        zone: "zone-a".into(),
+        core: Default::default(),
+        listen: loopback(),
+        limits: Limits { stages: true, ..Limits::default() },
+        directory: Directory::new(BTreeMap::new(), true),
+        wire_address: loopback(),
+        keys,
+        wire: damaskweir_wire::Limits::default(),
+        bundle: Arc::new(bundle),
+        claims: None,
+        drain_grace: Duration::ZERO,
+        drain_limit: HANG,
+    }
+}
+
+impl Bed {
+    /// Starts an entry without waiting for its sides.
+    pub(crate) async fn start(options: EntryOptions) -> Self {
+        let daemon = within(EntryDaemon::start(options, quiet_logger())).await.unwrap();
+        let url = format!("http://{}", daemon.address());
+        let client = reqwest::Client::builder().no_proxy().timeout(HANG).build().unwrap();
+        Self { daemon, url, client }
+    }
+
+    /// Starts an entry and waits until it has a side of each pool.
+    pub(crate) async fn ready(options: EntryOptions) -> Self {
+        let bed = Self::start(options).await;
+        within(async {
+            while !bed.daemon.is_ready() {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+        bed
+    }
+
+    pub(crate) fn post(&self, pipeline: &str, body: &str) -> reqwest::RequestBuilder {
+        let request = self.client.post(format!("{}/v1/pipelines/{pipeline}", self.url));
+        request.header("x-workspace", "kollam").body(body.to_owned())
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> (u16, String) {
+        let response = self.client.get(format!("{}{path}", self.url)).send().await.unwrap();
+        (response.status().as_u16(), response.text().await.unwrap())
+    }
+}
+
+pub(crate) async fn error_of(request: reqwest::RequestBuilder) -> (u16, ErrorBody) {
+    let response = request.send().await.unwrap();
+    let status = response.status().as_u16();
+    let text = response.text().await.unwrap();
+    let body = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
+    (status, body)
+}
--- /dev/null
+++ b/crates/damaskweir/tests/entry.rs
@@ -0,0 +1,456 @@
+//! The entry daemon in front of scripted sides.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod common;
+
+use common::*;
+use damaskweir_callers::{ErrorCode, Execution};
+use damaskweir_core::prelude::*;
+use damaskweir_standins::store::{Outage, Store};
+use rstest::rstest;
+use serde_json::Value;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+/// Guards against a stage that gets another input than the output of the stage before.
+#[rstest]
+#[tokio::test]
+async fn stages_pass_their_output_on() {
+    let authority = Authority::new();
+    let encode = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo("1"));
+    let rerank = ScriptedSide::start(&authority.keys(), "rank-1", Script::Echo("2"));
+    let stages = vec![stage("encode", &[&encode]), stage("rerank", &[&rerank])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let response = bed.post("draft", r#"{"a":1}"#).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    let answer: Value = serde_json::from_str(&response.text().await.unwrap()).unwrap();
+    assert_eq!(answer["output"], r#"21{"a":1}"#);
+    assert_eq!(answer["stages"][0]["server"], "enc-1");
+    assert_eq!(answer["stages"][1]["stage"], "rerank");
+    assert_eq!(rerank.works()[0].path, "/rerank");
+    assert_eq!(&rerank.works()[0].body[..], br#"1{"a":1}"#);
+}
+
+/// Guards against chunks that are lost, repeated or reordered between side and caller.
+#[rstest]
+#[tokio::test]
+async fn chunks_stay_in_order() {
+    let authority = Authority::new();
+    let texts: Vec<&'static str> = vec!["a ", "b ", "c ", "d ", "e"];
+    let side = ScriptedSide::start(&authority.keys(), "gen-1", Script::Chunks(texts.clone()));
+    let stages = vec![stage("generate", &[&side]).engine()];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let response = bed.post("draft", r#"{"stream":true}"#).send().await.unwrap();
+    let text = response.text().await.unwrap();
+    let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
+    let got: Vec<Value> = data.map(|line| serde_json::from_str(line.trim()).unwrap()).collect();
+    let chunks: Vec<_> = got.iter().filter_map(|item| item["text"].as_str()).collect();
+    assert_eq!(chunks, texts);
+    assert_eq!(got.last().unwrap()["chunks"], 5);
+}
+
+/// Guards against a stream that goes on with another generation after its side broke.
+#[rstest]
+#[tokio::test]
+async fn broken_stream_ends_with_an_error() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "gen-1", Script::Break(vec!["a ", "b "]));
+    let stages = vec![stage("generate", &[&side]).engine()];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let response = bed.post("draft", r#"{"stream":true}"#).send().await.unwrap();
+    let text = response.text().await.unwrap();
+    if text.starts_with('{') {
+        // The connection may break before the entry has read a chunk; then each attempt fails.
+        assert!(text.contains(r#""code":"stage_failed""#), "{text}");
+        return;
+    }
+    let last = text.trim_end().rsplit("\n\n").next().unwrap();
+    assert!(last.contains(r#""code":"stream_broken""#), "{text}");
+    assert_eq!(text.matches(r#""a ""#).count(), 1, "{text}");
+}
+
+/// Guards against refusals at admission with a wrong code, status or execution.
+#[rstest]
+#[case::unknown_pipeline("nope", "kollam", ErrorCode::UnknownPipeline, 404)]
+#[case::unknown_workspace("draft", "nobody", ErrorCode::UnknownWorkspace, 403)]
+#[case::key_required("order", "kollam", ErrorCode::KeyRequired, 400)]
+#[tokio::test]
+async fn admission_codes(
+    #[case] pipeline: &str,
+    #[case] workspace: &str,
+    #[case] code: ErrorCode,
+    #[case] status: u16,
+) {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "any-1", Script::Echo(""));
+    let order = ScriptedSide::start(&authority.keys(), "order-1", Script::Echo(""));
+    let pipelines = [
+        ("draft", vec![stage("encode", &[&side])]),
+        ("order", vec![stage("print", &[&order]).once()]),
+    ];
+    let bed = Bed::ready(options(authority.keys(), bundle(&pipelines))).await;
+    let request = bed.client.post(format!("{}/v1/pipelines/{pipeline}", bed.url));
+    let (got, error) = error_of(request.header("x-workspace", workspace).body("{}")).await;
+    assert_eq!((got, error.code, error.execution), (status, code, Execution::NotRun));
+    assert!(side.dispatches().is_empty() && order.dispatches().is_empty());
+}
+
+/// Guards against a workspace that uses more than its limit.
+#[rstest]
+#[tokio::test]
+async fn workspace_limit() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Hold(vec!["{}"]));
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let url = format!("{}/v1/pipelines/draft", bed.url);
+    let first = bed.client.post(&url).header("x-workspace", "small").body("{}");
+    let second = bed.client.post(&url).header("x-workspace", "small").body("{}");
+    let first = tokio::spawn(first.send());
+    side.wait_for_attempts(1).await;
+    let (status, error) = error_of(second).await;
+    assert_eq!((status, error.code), (429, ErrorCode::WorkspaceLimit));
+    assert!(error.retry_after_ms.is_some());
+    side.release();
+    assert_eq!(within(first).await.unwrap().unwrap().status(), 200);
+}
+
+/// Guards against work that is admitted although its deadline is shorter than its stages take.
+#[rstest]
+#[tokio::test]
+async fn overloaded() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo(""));
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let (status, error) = error_of(bed.post("draft", "{}").header("x-deadline-ms", "1")).await;
+    assert_eq!((status, error.code), (503, ErrorCode::Overloaded));
+    assert_eq!(error.execution, Execution::NotRun);
+    assert_eq!(error.retry_after_ms, Some(9));
+    assert!(side.dispatches().is_empty());
+}
+
+/// Guards against a dead peer behind an open UDP port that holds up the entry or other pools.
+#[rstest]
+#[tokio::test]
+async fn dead_tls_peer() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo(""));
+    let dead = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let gone = StageSpec {
+        servers: vec![("dead-1".into(), dead.local_addr().unwrap())],
+        ..stage("rerank", &[])
+    };
+    let pipelines = [("live", vec![stage("encode", &[&side])]), ("dead", vec![gone])];
+    let bed = Bed::start(options(authority.keys(), bundle(&pipelines))).await;
+    within(async { while bed.post("live", "{}").send().await.unwrap().status() != 200 {} }).await;
+    let (status, error) = error_of(bed.post("dead", "{}")).await;
+    assert_eq!((status, error.code), (503, ErrorCode::Unavailable));
+    assert_eq!(error.execution, Execution::NotRun);
+    assert!(error.retry_after_ms.is_some());
+    let (status, text) = bed.get("/ready").await;
+    assert_eq!(status, 503);
+    assert!(text.contains("no side of pool dead-rerank is connected"), "{text}");
+}
+
+/// Guards against a side with a certificate of another authority being given work.
+#[rstest]
+#[tokio::test]
+async fn foreign_certificate() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&Authority::new().keys(), "enc-1", Script::Echo(""));
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::start(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    within(async {
+        while !bed.get("/metrics").await.1.contains(r#"kind="certificate""#) {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert_eq!(error_of(bed.post("draft", "{}")).await.1.code, ErrorCode::Unavailable);
+    assert!(side.dispatches().is_empty());
+}
+
+/// Guards against "not run" for work that a side had taken, and against work that goes on after its
+/// deadline.
+#[rstest]
+#[tokio::test]
+async fn deadline_exceeded() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Silent);
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let (status, error) = error_of(bed.post("draft", "{}").header("x-deadline-ms", "50")).await;
+    assert_eq!((status, error.code), (504, ErrorCode::DeadlineExceeded));
+    assert_eq!(error.execution, Execution::Unknown);
+    assert_eq!(error.stage.as_deref(), Some("encode"));
+    side.wait_for_cancels(1).await;
+}
+
+/// Guards against a failed stage that is not told apart from one that did not run.
+#[rstest]
+#[case::failed(Script::Fail(Failure::Backend), 502, ErrorCode::StageFailed, Execution::Ran)]
+#[case::refused(Script::Refuse(Refusal::Down), 503, ErrorCode::Unavailable, Execution::NotRun)]
+#[tokio::test]
+async fn failed_stage(
+    #[case] script: Script,
+    #[case] status: u16,
+    #[case] code: ErrorCode,
+    #[case] execution: Execution,
+) {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", script);
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let request = bed.post("draft", "{}").header("x-deadline-ms", "500");
+    let (got, error) = error_of(request).await;
+    assert_eq!((got, error.code, error.execution), (status, code, execution));
+}
+
+/// Guards against work that goes on for a caller who went away.
+#[rstest]
+#[tokio::test]
+async fn caller_goes_away() {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Silent);
+    let stages = vec![stage("encode", &[&side])];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let request = tokio::spawn(bed.post("draft", "{}").send());
+    side.wait_for_attempts(1).await;
+    request.abort();
+    side.wait_for_cancels(1).await;
+}
+
+/// Guards against a drain that cuts off a request in flight, takes new ones or stays ready.
+#[rstest]
+#[tokio::test]
+async fn drain(#[values("{}", r#"{"stream":true}"#)] body: &str) {
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "gen-1", Script::Hold(vec!["a ", "b"]));
+    let stages = vec![stage("generate", &[&side]).engine()];
+    let bed = Bed::ready(options(authority.keys(), bundle(&[("draft", stages)]))).await;
+    let in_flight = tokio::spawn(bed.post("draft", body).send());
+    side.wait_for_attempts(1).await;
+    let Bed { daemon, url, client } = bed;
+    let draining = tokio::spawn(daemon.drain());
+    let url = &url;
+    within(async {
+        while client.get(format!("{url}/ready")).send().await.unwrap().status() != 503 {}
+    })
+    .await;
+    let request = client.post(format!("{url}/v1/pipelines/draft"));
+    let (status, error) = error_of(request.header("x-workspace", "kollam").body("{}")).await;
+    assert_eq!((status, error.code), (503, ErrorCode::Draining));
+    assert_eq!(error.execution, Execution::NotRun);
+    assert!(!draining.is_finished());
+    side.release();
+    let response = within(in_flight).await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+    let text = response.text().await.unwrap();
+    assert!(text.contains("a b") || text.contains(r#""chunks":2"#), "{text}");
+    within(draining).await.unwrap().unwrap();
+    assert!(client.get(format!("{url}/health")).send().await.is_err());
+}
+
+/// Guards against a non-idempotent call that runs twice, against a repeat that gets another answer,
+/// and against a key that is taken with another body.
+#[rstest]
+#[tokio::test]
+async fn key_reuse_through_two_entries() {
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let side = ScriptedSide::start(&authority.keys(), "order-1", Script::Chunks(vec!["{\"n\":1}"]));
+    let stages = || vec![stage("print", &[&side]).once()];
+    let mut beds = Vec::new();
+    for _ in 0..2 {
+        let mut options = options(authority.keys(), bundle(&[("order", stages())]));
+        options.claims = Some(claims(&store));
+        beds.push(Bed::ready(options).await);
+    }
+    let send = |bed: &Bed, body: &str| bed.post("order", body).header("idempotency-key", "k-1");
+    // An entry can claim only after a report has told the side's incarnation.
+    let first = send(&beds[0], r#"{"copies":2}"#).send().await.unwrap().text().await.unwrap();
+    let repeat = send(&beds[1], r#"{"copies":2}"#).send().await.unwrap().text().await.unwrap();
+    for text in [&first, &repeat] {
+        let answer: Value = serde_json::from_str(text).unwrap();
+        assert_eq!(answer["output"]["n"], 1, "{text}");
+    }
+    let (status, error) = error_of(send(&beds[1], r#"{"copies":3}"#)).await;
+    assert_eq!((status, error.code), (409, ErrorCode::KeyReused));
+    let stream = send(&beds[1], r#"{"copies":2}"#).header("accept", "text/event-stream");
+    let text = stream.send().await.unwrap().text().await.unwrap();
+    assert!(text.contains(r#"{\"n\":1}"#) && text.contains(r#""chunks":1"#), "{text}");
+    assert_eq!(side.started(), 1);
+}
+
+/// Guards against two callers with one key of whom one gets no answer, when their repeats overlap
+/// with the first run.
+#[rstest]
+#[tokio::test]
+async fn repeats_while_the_call_runs() {
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let side = ScriptedSide::start(&authority.keys(), "order-1", Script::Hold(vec!["{\"n\":1}"]));
+    let mut beds = Vec::new();
+    for _ in 0..2 {
+        let stages = vec![stage("print", &[&side]).once()];
+        let mut options = options(authority.keys(), bundle(&[("order", stages)]));
+        options.claims = Some(claims(&store));
+        beds.push(Bed::ready(options).await);
+    }
+    let send = |bed: &Bed| {
+        let request = bed.post("order", r#"{"copies":2}"#).header("idempotency-key", "k-1");
+        tokio::spawn(async move { request.send().await.unwrap().text().await.unwrap() })
+    };
+    let first = send(&beds[0]);
+    side.wait_for_attempts(1).await;
+    let repeats = [send(&beds[0]), send(&beds[1]), send(&beds[1])];
+    side.release();
+    for answer in std::iter::once(first).chain(repeats) {
+        let text = within(answer).await.unwrap();
+        let answer: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(answer["output"]["n"], 1, "{text}");
+    }
+    assert_eq!(side.started(), 1);
+}
+
+/// Guards against a call without a claim being sent, and against idempotent work that needs the store.
+#[rstest]
+#[tokio::test]
+async fn store_down() {
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    store.set_outage(Some(Outage::Refuse));
+    let order = ScriptedSide::start(&authority.keys(), "order-1", Script::Echo(""));
+    let encode = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo(""));
+    let pipelines = [
+        ("order", vec![stage("print", &[&order]).once()]),
+        ("draft", vec![stage("encode", &[&encode])]),
+    ];
+    let mut options = options(authority.keys(), bundle(&pipelines));
+    options.claims = Some(claims(&store));
+    let bed = Bed::ready(options).await;
+    let request = bed.post("order", "{}").header("idempotency-key", "k-1");
+    let (status, error) = error_of(request).await;
+    assert_eq!((status, error.code), (503, ErrorCode::StoreDown));
+    assert_eq!(error.execution, Execution::NotRun);
+    assert!(order.dispatches().is_empty());
+    assert_eq!(bed.post("draft", "{}").send().await.unwrap().status(), 200);
+}
+
+/// Guards against a second run of a call whose side went away, and against "not run" for it.
+#[rstest]
+#[tokio::test]
+async fn outcome_unknown() {
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let side = ScriptedSide::start(&authority.keys(), "order-1", Script::Break(vec![]));
+    let other = ScriptedSide::start(&authority.keys(), "order-2", Script::Break(vec![]));
+    let stages = vec![stage("print", &[&side, &other]).once()];
+    let mut options = options(authority.keys(), bundle(&[("order", stages)]));
+    options.claims = Some(claims(&store));
+    let bed = Bed::ready(options).await;
+    let request = || {
+        let request = bed.post("order", "{}").header("idempotency-key", "k-1");
+        error_of(request.header("x-deadline-ms", "800"))
+    };
+    let (status, error) = request().await;
+    assert_eq!((status, error.code), (504, ErrorCode::OutcomeUnknown));
+    assert_eq!(error.execution, Execution::Unknown);
+    let (status, error) = request().await;
+    assert_eq!((status, error.code), (504, ErrorCode::OutcomeUnknown));
+    assert_eq!(side.started() + other.started(), 1);
+}
+
+/// Guards against metrics that are missing from docs/metrics.md, and the reverse.
+#[rstest]
+#[tokio::test]
+async fn metrics_are_documented() {
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let side = ScriptedSide::start(&authority.keys(), "gen-1", Script::Chunks(vec!["a", "b"]));
+    let order = ScriptedSide::start(&authority.keys(), "order-1", Script::Echo(""));
+    let dead = ScriptedSide::start(&Authority::new().keys(), "gen-2", Script::Silent);
+    let pipelines = [
+        ("draft", vec![stage("generate", &[&side, &dead]).engine()]),
+        ("order", vec![stage("print", &[&order]).once()]),
+    ];
+    let mut options = options(authority.keys(), bundle(&pipelines));
+    options.claims = Some(claims(&store));
+    let bed = Bed::ready(options).await;
+    bed.post("draft", r#"{"stream":true}"#).send().await.unwrap().text().await.unwrap();
+    bed.post("draft", "nonsense").send().await.unwrap();
+    bed.post("order", "{}").header("idempotency-key", "k").send().await.unwrap();
+    let text = within(async {
+        loop {
+            let (_, text) = bed.get("/metrics").await;
+            if text.contains("damaskweir_link_errors_total{") {
+                break text;
+            }
+        }
+    })
+    .await;
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/metrics.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let shown: Vec<_> = text.lines().filter_map(|line| line.strip_prefix("# HELP ")).collect();
+    let mut names: Vec<_> = shown.iter().filter_map(|line| line.split(' ').next()).collect();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let mut listed: Vec<_> = rows.filter_map(|row| row.split('`').next()).collect();
+    names.sort_unstable();
+    listed.sort_unstable();
+    assert_eq!(names, listed);
+}
+
+/// Guards against credentials, keys or bodies that reach the log.
+#[rstest]
+#[tokio::test]
+async fn logs_hold_no_secrets() {
+    #[derive(Clone, Default)]
+    struct Sink(Arc<std::sync::Mutex<Vec<u8>>>);
+    impl std::io::Write for Sink {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            self.0.lock().unwrap().extend_from_slice(bytes);
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let sink = Sink::default();
+    let drain = std::sync::Mutex::new(slog_json::Json::default(sink.clone()));
+    let log = slog::Logger::root(slog::Drain::fuse(drain), slog::o!());
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let side = ScriptedSide::start(&authority.keys(), "order-1", Script::Echo(""));
+    let stages = vec![stage("print", &[&side]).once()];
+    let mut options = options(authority.keys(), bundle(&[("order", stages)]));
+    options.claims = Some(claims(&store));
+    let daemon = damaskweir::entry::EntryDaemon::start(options, log).await.unwrap();
+    while !daemon.is_ready() {
+        tokio::task::yield_now().await;
+    }
+    let url = format!("http://{}/v1/pipelines/order", daemon.address());
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    for bearer in [None, Some("hunter2-credential")] {
+        let request = client.post(&url).header("idempotency-key", "secret-key-9");
+        let request = request.body(r#"{"note":"private-text"}"#);
+        let request = match bearer {
+            Some(bearer) => request.bearer_auth(bearer),
+            None => request.header("x-workspace", "kollam"),
+        };
+        request.send().await.unwrap().text().await.unwrap();
+    }
+    within(daemon.drain()).await.unwrap();
+    let log = String::from_utf8(sink.0.lock().unwrap().clone()).unwrap();
+    assert!(log.contains("request answered") && log.contains("request refused"), "{log}");
+    for line in log.lines().filter(|line| line.contains("request answered")) {
+        let line: Value = serde_json::from_str(line).unwrap();
+        assert_eq!(line["workspace"], "kollam");
+        assert_eq!(line["stage"], "print");
+        assert!(line["request"].is_string());
+    }
+    for secret in ["hunter2", "secret-key-9", "private-text", "PRIVATE KEY"] {
+        assert!(!log.contains(secret), "{secret} is in the log");
+    }
+}
