--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -1,1 +1,41 @@
-//! Bundle file: parse, check, sections, signatures.
+//! The bundle: everything that operators describe, approve and roll out.
+//!
+//! One INI file ([`parse`], [`print`]) is checked as a whole, split into sections that are addressed
+//! by their SHA-256 ([`Content`]), and bound to a version by a signed [`Manifest`]. A [`Node`] takes
+//! manifests and sections from any source and puts a bundle into force only when it is whole.
+//!
+//! ```
+//! let text = "
+//! [operator asha]
+//! key = d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a
+//!
+//! [workspace kollam]
+//! share = 0
+//! ";
+//! let findings = damaskweir_bundle::parse("bundle.ini", text).unwrap_err();
+//! assert_eq!(findings.len(), 2);
+//! assert_eq!(
+//!     findings[0].to_string(),
+//!     "bundle.ini: [workspace kollam] share: \"0\" is not accepted; accepted: 1 to 1000"
+//! );
+//! ```
+
+mod change;
+mod check;
+mod file;
+mod key;
+mod manifest;
+mod node;
+mod patch;
+mod section;
+
+pub use change::{Change, diff};
+pub use file::{Finding, Problem, parse, print};
+pub use key::{KeyError, PublicKey, SecretKey};
+pub use manifest::{Action, Handover, Manifest, ManifestError, Record, Trust};
+pub use node::{Held, Node, NodeError, NodeStep, Shown};
+pub use patch::Patch;
+pub use section::{Content, ContentError, Index, SECTION_COUNT, SectionName, digest};
+
+/// Largest section, which is the largest value that the store keeps.
+pub const SECTION_MAX_BYTES: usize = 1_000_000;
--- /dev/null
+++ b/crates/bundle/src/section.rs
@@ -0,0 +1,211 @@
+//! Sections of a bundle and their digests.
+
+use bytes::Bytes;
+use damaskweir_core::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sha2::{Digest as _, Sha256};
+use std::collections::BTreeMap;
+use std::fmt;
+use thiserror::Error;
+
+/// Buckets that workspaces are hashed into.
+const BUCKETS: usize = 64;
+/// Sections of a bundle.
+pub const SECTION_COUNT: usize = 3 + BUCKETS;
+/// Format of the sections.
+const FORMAT: u8 = 1;
+
+/// SHA-256 of some bytes.
+pub fn digest(bytes: &[u8]) -> Digest {
+    Digest(Sha256::digest(bytes).into())
+}
+
+/// Name of a section.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SectionName {
+    /// Pipelines and their stages.
+    Pipelines,
+    /// Pools and their servers.
+    Pools,
+    /// Keys of the operators.
+    Operators,
+    /// The workspaces of one hash bucket.
+    Workspaces(u8),
+}
+
+impl SectionName {
+    fn at(slot: usize) -> Self {
+        match slot {
+            0 => Self::Pipelines,
+            1 => Self::Pools,
+            2 => Self::Operators,
+            _ => Self::Workspaces((slot - 3) as u8),
+        }
+    }
+}
+
+impl fmt::Display for SectionName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pipelines => f.write_str("pipelines"),
+            Self::Pools => f.write_str("pools"),
+            Self::Operators => f.write_str("operators"),
+            Self::Workspaces(bucket) => write!(f, "workspaces {bucket}"),
+        }
+    }
+}
+
+/// Why sections don't make a bundle.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ContentError {
+    /// A section can't be read.
+    #[error("section {0} can't be read")]
+    Section(String),
+    /// A section is larger than the store keeps.
+    #[error("section {0} takes {1} bytes; accepted: at most {max}", max = crate::SECTION_MAX_BYTES)]
+    Size(String, usize),
+    /// The list of digests has the wrong length.
+    #[error("index of sections takes {0} bytes; accepted: {bytes}", bytes = SECTION_COUNT * 32)]
+    Index(usize),
+}
+
+/// Digests of all sections, in a fixed order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Index(pub(crate) Vec<Digest>);
+
+impl Index {
+    /// Reads an index.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ContentError> {
+        if bytes.len() != SECTION_COUNT * 32 {
+            return Err(ContentError::Index(bytes.len()));
+        }
+        let digests = bytes.chunks_exact(32).map(|chunk| {
+            let mut digest = [0; 32];
+            digest.copy_from_slice(chunk);
+            Digest(digest)
+        });
+        Ok(Self(digests.collect()))
+    }
+
+    fn encode(&self) -> Bytes {
+        self.0.iter().flat_map(|digest| digest.0).collect()
+    }
+
+    /// Digest of each section.
+    pub fn digests(&self) -> impl Iterator<Item = (SectionName, Digest)> + '_ {
+        self.0.iter().enumerate().map(|(slot, digest)| (SectionName::at(slot), *digest))
+    }
+}
+
+/// A bundle as sections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Content {
+    /// Digests of the sections.
+    pub index: Index,
+    /// The encoded index, which is addressed by its digest like a section.
+    pub index_bytes: Bytes,
+    /// Sections by digest. Equal sections stand here once.
+    pub sections: BTreeMap<Digest, Bytes>,
+}
+
+impl Content {
+    /// Splits a bundle.
+    pub fn split(bundle: &Bundle) -> Result<Self, ContentError> {
+        let mut digests = Vec::new();
+        let mut sections = BTreeMap::new();
+        for (slot, part) in encode_parts(bundle).into_iter().enumerate() {
+            if part.len() > crate::SECTION_MAX_BYTES {
+                return Err(ContentError::Size(SectionName::at(slot).to_string(), part.len()));
+            }
+            let address = digest(&part);
+            digests.push(address);
+            sections.insert(address, part);
+        }
+        let index = Index(digests);
+        let index_bytes = index.encode();
+        Ok(Self { index, index_bytes, sections })
+    }
+
+    /// Puts sections together. They must be present and match their digests, which the caller checks.
+    pub fn join(
+        version: Version,
+        index: &Index,
+        section: impl Fn(&Digest) -> Option<Bytes>,
+    ) -> Result<Bundle, ContentError> {
+        let read = |slot: usize| {
+            let name = SectionName::at(slot).to_string();
+            index.0.get(slot).and_then(&section).ok_or(ContentError::Section(name))
+        };
+        let mut workspaces = BTreeMap::new();
+        for slot in 3..SECTION_COUNT {
+            let part: BTreeMap<WorkspaceId, Workspace> = decode_section(slot, &read(slot)?)?;
+            workspaces.extend(part);
+        }
+        Ok(Bundle {
+            version,
+            pipelines: decode_section(0, &read(0)?)?,
+            pools: decode_section(1, &read(1)?)?,
+            operators: decode_section(2, &read(2)?)?,
+            workspaces,
+        })
+    }
+
+    /// Digest of the index, which stands for the whole content.
+    pub fn digest(&self) -> Digest {
+        digest(&self.index_bytes)
+    }
+
+    /// Bytes of index and sections.
+    pub fn bytes(&self) -> usize {
+        self.index_bytes.len() + self.sections.values().map(Bytes::len).sum::<usize>()
+    }
+}
+
+fn bucket(workspace: &WorkspaceId) -> usize {
+    usize::from(digest(workspace.as_str().as_bytes()).0[0]) % BUCKETS
+}
+
+fn buckets(
+    workspaces: &BTreeMap<WorkspaceId, Workspace>,
+) -> Vec<BTreeMap<&WorkspaceId, &Workspace>> {
+    let mut buckets = vec![BTreeMap::new(); BUCKETS];
+    for (id, workspace) in workspaces {
+        buckets[bucket(id)].insert(id, workspace);
+    }
+    buckets
+}
+
+fn encode_parts(bundle: &Bundle) -> Vec<Bytes> {
+    let mut parts = vec![
+        encode_section(&bundle.pipelines),
+        encode_section(&bundle.pools),
+        encode_section(&bundle.operators),
+    ];
+    parts.extend(buckets(&bundle.workspaces).iter().map(encode_section));
+    parts
+}
+
+/// Sections that are larger than the store keeps.
+pub(crate) fn oversize(bundle: &Bundle) -> Vec<ContentError> {
+    let parts = encode_parts(bundle).into_iter().enumerate();
+    parts
+        .filter(|(_, part)| part.len() > crate::SECTION_MAX_BYTES)
+        .map(|(slot, part)| ContentError::Size(SectionName::at(slot).to_string(), part.len()))
+        .collect()
+}
+
+fn encode_section(part: &impl Serialize) -> Bytes {
+    postcard::to_extend(part, vec![FORMAT]).unwrap_or_default().into()
+}
+
+fn decode_section<T: DeserializeOwned>(slot: usize, bytes: &[u8]) -> Result<T, ContentError> {
+    let error = || ContentError::Section(SectionName::at(slot).to_string());
+    match bytes.split_first() {
+        Some((&FORMAT, rest)) => match postcard::take_from_bytes(rest) {
+            Ok((part, [])) => Ok(part),
+            _ => Err(error()),
+        },
+        _ => Err(error()),
+    }
+}
