Add operators' commands: check, diff, approve, rollback, status, history and key

Operators need an approval that never overwrites what they have not seen, tells truly what happened when the store fails, and leaves a trail.

Approval writes the missing sections, then accepts with one transaction that compares the manifest's revision. Exit codes tell 'not accepted' (1, 3, 4, 5) from 'unknown' (6). A rollback is a new version and keeps the present operators' keys, since a key that was taken away must not come back. History checks signatures, the chain of digests and the manifest in force. Status shows versions that entries write under a lease, at most once a minute each.

--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -25,6 +25,8 @@
 Commands:
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
+  bundle COMMAND         check, compare, approve and roll back bundles; see who has which
+  key new FILE           make an operator's key
 
 Options of every command:
   --help                 print help
@@ -35,6 +37,7 @@
   1  the command could not do its work; the reason is on standard error
   2  the command line can't be read
   3  a settings or bundle file has faults; all of them are on standard error
+The codes of 'bundle' are in docs/operators/bundles.md.
 ";
 
 const ENTRY_HELP: &str = "\
@@ -77,6 +80,9 @@
 
 /// Runs the command that the arguments name.
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
+    if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
+        return operate(arguments);
+    }
     match dispatch(Arguments::from_vec(arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -86,6 +92,19 @@
     }
 }
 
+/// Operators' commands, which have exit codes of their own.
+fn operate(arguments: Vec<OsString>) -> ExitCode {
+    let mut output = std::io::stdout();
+    let command = async { Ok(damaskweir_operators::run(arguments, &mut output).await) };
+    match block_on(command) {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(FAILURE)
+        }
+    }
+}
+
 fn dispatch(mut arguments: Arguments) -> Result<(), CommandError> {
     let command = arguments.subcommand()?;
     if arguments.contains("--version") {
--- /dev/null
+++ b/crates/operators/src/command.rs
@@ -0,0 +1,350 @@
+//! Command lines of operators.
+
+use crate::approve::{Accepted, ApproveError, Request, approve, rollback};
+use crate::history::history;
+use crate::source::{SourceError, current, load_content};
+use crate::status::status;
+use damaskweir_bundle::{SecretKey, diff, parse};
+use damaskweir_core::prelude::*;
+use damaskweir_store::{Client, Settings, StoreError};
+use pico_args::Arguments;
+use rand_core::SeedableRng;
+use std::ffi::OsString;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+
+/// Time for which an answer of the store to an approval is sought.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// Time that one call of the store may take.
+const CALL_TIMEOUT: Span = Span::from_secs(2);
+/// Records that `history` shows by default.
+const HISTORY_LAST: u64 = 20;
+
+const USAGE: &str = "usage:
+  damaskweir bundle check FILE
+  damaskweir bundle diff FILE FILE
+  damaskweir bundle diff FILE --store URL
+  damaskweir bundle approve FILE --seen VERSION --reason TEXT --key KEYFILE --store URL
+  damaskweir bundle rollback VERSION --seen VERSION --reason TEXT --key KEYFILE --store URL
+  damaskweir bundle status --store URL
+  damaskweir bundle history [--last N | --all] --store URL
+  damaskweir key new KEYFILE
+--store may be given more than once; --seen 0 stands for no bundle at all";
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done. For an approval or rollback: accepted.
+    Done = 0,
+    /// Refused, because of a file that can't be read, the key or the reason. Nothing was accepted.
+    Refused = 1,
+    /// The command line is not right. Nothing was done.
+    Usage = 2,
+    /// The bundle file has faults; all of them are printed. Nothing was accepted.
+    Faults = 3,
+    /// Another operator's approval came first. This one was not accepted.
+    Lost = 4,
+    /// The store can't be reached or read. Nothing was accepted.
+    Store = 5,
+    /// The store did not say whether the approval was accepted. Ask `bundle status`.
+    Unknown = 6,
+    /// The audit trail is damaged.
+    Damaged = 7,
+}
+
+impl From<Exit> for std::process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+#[derive(Debug, Error)]
+enum CommandError {
+    #[error("{0}\n{USAGE}")]
+    Usage(String),
+    #[error("{0}")]
+    Refused(String),
+    #[error("{0}: {1} faults")]
+    Faults(String, usize),
+    #[error("{0}")]
+    Approve(#[from] ApproveError),
+    #[error("{0}")]
+    Source(#[from] SourceError),
+    #[error("{0}")]
+    Output(#[from] io::Error),
+}
+
+impl From<pico_args::Error> for CommandError {
+    fn from(error: pico_args::Error) -> Self {
+        Self::Usage(error.to_string())
+    }
+}
+
+impl From<StoreError> for CommandError {
+    fn from(error: StoreError) -> Self {
+        Self::Source(error.into())
+    }
+}
+
+impl CommandError {
+    fn exit(&self) -> Exit {
+        match self {
+            Self::Usage(_) => Exit::Usage,
+            Self::Refused(_) | Self::Output(_) => Exit::Refused,
+            Self::Faults(..) => Exit::Faults,
+            Self::Approve(error) => match error {
+                ApproveError::Lost { .. } => Exit::Lost,
+                ApproveError::Unknown { .. } => Exit::Unknown,
+                ApproveError::Operator(_) | ApproveError::Manifest(_) => Exit::Refused,
+                ApproveError::Source(error) => source_exit(error),
+            },
+            Self::Source(error) => source_exit(error),
+        }
+    }
+}
+
+fn source_exit(error: &SourceError) -> Exit {
+    match error {
+        SourceError::Version(_) | SourceError::Content(_) => Exit::Refused,
+        SourceError::Store(_) | SourceError::Manifest(_) | SourceError::Section(_) => Exit::Store,
+    }
+}
+
+/// Runs `bundle ...` or `key ...`. Results and errors go to `output`.
+pub async fn run(arguments: Vec<OsString>, output: &mut (dyn Write + Send)) -> Exit {
+    match dispatch(Arguments::from_vec(arguments), output).await {
+        Ok(exit) => exit,
+        Err(error) => {
+            // Without an output there is nobody to tell; the exit code still says it.
+            let _ = writeln!(output, "{error}");
+            error.exit()
+        }
+    }
+}
+
+async fn dispatch(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let group = arguments.subcommand()?.unwrap_or_default();
+    let command = arguments.subcommand()?.unwrap_or_default();
+    match (group.as_str(), command.as_str()) {
+        ("bundle", "check") => check(arguments, output),
+        ("bundle", "diff") => compare(arguments, output).await,
+        ("bundle", "approve") => run_approve(arguments, output).await,
+        ("bundle", "rollback") => run_rollback(arguments, output).await,
+        ("bundle", "status") => run_status(arguments, output).await,
+        ("bundle", "history") => run_history(arguments, output).await,
+        ("key", "new") => new_key(arguments, output),
+        _ => Err(CommandError::Usage(format!("unknown command {group:?} {command:?}"))),
+    }
+}
+
+fn path_argument(arguments: &mut Arguments) -> Result<PathBuf, CommandError> {
+    Ok(arguments.free_from_os_str(|text| Ok::<_, String>(PathBuf::from(text)))?)
+}
+
+fn finish(arguments: Arguments) -> Result<(), CommandError> {
+    match arguments.finish().as_slice() {
+        [] => Ok(()),
+        [first, ..] => Err(CommandError::Usage(format!("unknown argument {first:?}"))),
+    }
+}
+
+fn read_bundle(path: &Path, output: &mut dyn Write) -> Result<Bundle, CommandError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| CommandError::Refused(format!("{name}: {error}")))?;
+    parse(&name, &text).or_else(|findings| {
+        for finding in &findings {
+            writeln!(output, "{finding}")?;
+        }
+        Err(CommandError::Faults(name.clone(), findings.len()))
+    })
+}
+
+fn check(mut arguments: Arguments, output: &mut dyn Write) -> Result<Exit, CommandError> {
+    let path = path_argument(&mut arguments)?;
+    finish(arguments)?;
+    let bundle = read_bundle(&path, output)?;
+    let servers: usize = bundle.pools.values().map(|pool| pool.servers.len()).sum();
+    writeln!(
+        output,
+        "{}: no faults; {} pipelines, {} pools, {servers} servers, {} workspaces, {} operators",
+        path.display(),
+        bundle.pipelines.len(),
+        bundle.pools.len(),
+        bundle.workspaces.len(),
+        bundle.operators.len()
+    )?;
+    Ok(Exit::Done)
+}
+
+async fn compare(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let client = optional_store(&mut arguments)?;
+    let after = path_argument(&mut arguments)?;
+    let (before, after) = match client {
+        Some(client) => {
+            finish(arguments)?;
+            let after = read_bundle(&after, output)?;
+            let Some(current) = current(&client).await? else {
+                writeln!(output, "no bundle was ever accepted; approve this one with --seen 0")?;
+                return Ok(Exit::Done);
+            };
+            let (_, before) = load_content(&client, &current.record).await?;
+            let version = before.version;
+            writeln!(output, "against version {version}; approve with --seen {version}")?;
+            (Bundle::clone(&before), after)
+        }
+        None => {
+            let second = path_argument(&mut arguments)?;
+            finish(arguments)?;
+            let before = read_bundle(&after, output)?;
+            (before, read_bundle(&second, output)?)
+        }
+    };
+    let changes = diff(&before, &after);
+    for change in &changes {
+        writeln!(output, "{change}")?;
+    }
+    writeln!(output, "{} changes", changes.len())?;
+    Ok(Exit::Done)
+}
+
+struct Signing {
+    client: Client,
+    key: SecretKey,
+    seen: Version,
+    reason: String,
+}
+
+impl Signing {
+    fn read(arguments: &mut Arguments) -> Result<Self, CommandError> {
+        let client = store(arguments)?;
+        let path: String = arguments.value_from_str("--key")?;
+        let seen: u64 = arguments.value_from_str("--seen")?;
+        let reason: String = arguments.value_from_str("--reason")?;
+        // Neither the content of the file nor a part of it may reach an error text.
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| CommandError::Refused(format!("{path}: {error}")))?;
+        let key = SecretKey::from_file(&text)
+            .map_err(|error| CommandError::Refused(format!("{path}: {error}")))?;
+        Ok(Self { client, key, seen: Version(seen), reason })
+    }
+
+    fn request(&self) -> Request<'_> {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs());
+        Request { key: &self.key, seen: self.seen, reason: &self.reason, at, patience: PATIENCE }
+    }
+}
+
+async fn run_approve(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let signing = Signing::read(&mut arguments)?;
+    let path = path_argument(&mut arguments)?;
+    finish(arguments)?;
+    let bundle = read_bundle(&path, output)?;
+    let accepted = approve(&signing.client, &signing.request(), &bundle).await?;
+    report(&accepted, output)
+}
+
+async fn run_rollback(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let signing = Signing::read(&mut arguments)?;
+    let to: u64 = arguments.free_from_str()?;
+    finish(arguments)?;
+    let accepted = rollback(&signing.client, &signing.request(), Version(to)).await?;
+    report(&accepted, output)
+}
+
+fn report(accepted: &Accepted, output: &mut dyn Write) -> Result<Exit, CommandError> {
+    let Accepted { version, record, author, unchanged, replaced } = accepted;
+    if *unchanged {
+        writeln!(
+            output,
+            "version {version} by {author} has this content already; record {record}"
+        )?;
+    } else {
+        writeln!(output, "accepted: version {version} by {author}; record {record}")?;
+    }
+    if let Some(later) = replaced {
+        writeln!(output, "version {later} was accepted since")?;
+    }
+    Ok(Exit::Done)
+}
+
+async fn run_status(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let client = store(&mut arguments)?;
+    finish(arguments)?;
+    write!(output, "{}", status(&client).await?)?;
+    Ok(Exit::Done)
+}
+
+async fn run_history(
+    mut arguments: Arguments,
+    output: &mut (dyn Write + Send),
+) -> Result<Exit, CommandError> {
+    let client = store(&mut arguments)?;
+    let all = arguments.contains("--all");
+    let last: Option<u64> = arguments.opt_value_from_str("--last")?;
+    finish(arguments)?;
+    if all && last.is_some() {
+        return Err(CommandError::Usage("--all and --last exclude each other".to_owned()));
+    }
+    let last = if all { None } else { Some(last.unwrap_or(HISTORY_LAST)) };
+    let history = history(&client, last).await?;
+    for entry in &history.entries {
+        writeln!(output, "{entry}")?;
+    }
+    for flaw in &history.flaws {
+        writeln!(output, "DAMAGED: {flaw}")?;
+    }
+    Ok(if history.flaws.is_empty() { Exit::Done } else { Exit::Damaged })
+}
+
+fn new_key(mut arguments: Arguments, output: &mut dyn Write) -> Result<Exit, CommandError> {
+    let path = path_argument(&mut arguments)?;
+    finish(arguments)?;
+    let refused = |text: String| CommandError::Refused(format!("{}: {text}", path.display()));
+    let key = SecretKey::generate().map_err(|error| refused(error.to_string()))?;
+    let mut options = std::fs::OpenOptions::new();
+    // An existing key is never overwritten.
+    options.write(true).create_new(true);
+    #[cfg(unix)]
+    std::os::unix::fs::OpenOptionsExt::mode(&mut options, 0o600);
+    let mut file = options.open(&path).map_err(|error| refused(error.to_string()))?;
+    file.write_all(key.to_file().as_bytes()).map_err(|error| refused(error.to_string()))?;
+    writeln!(output, "{}: new key; its public key is", path.display())?;
+    writeln!(output, "key = {}", key.public())?;
+    Ok(Exit::Done)
+}
+
+fn store(arguments: &mut Arguments) -> Result<Client, CommandError> {
+    optional_store(arguments)?
+        .ok_or_else(|| CommandError::Usage("the --store option must be set".to_owned()))
+}
+
+fn optional_store(arguments: &mut Arguments) -> Result<Option<Client>, CommandError> {
+    let endpoints: Vec<String> = arguments.values_from_str("--store")?;
+    let Some(first) = endpoints.first() else { return Ok(None) };
+    let mut settings = Settings::new(first);
+    settings.endpoints =
+        endpoints.iter().map(|endpoint| endpoint.trim_end_matches('/').to_owned()).collect();
+    settings.timeout = CALL_TIMEOUT;
+    let mut seed = [0; 32];
+    getrandom::fill(&mut seed).map_err(|error| CommandError::Refused(error.to_string()))?;
+    Ok(Some(Client::new(settings, Rng::from_seed(seed))?))
+}
--- /dev/null
+++ b/crates/operators/src/history.rs
@@ -0,0 +1,153 @@
+//! The audit trail: one record for each version, bound to the one before by digest.
+
+use crate::layout::audit_key;
+use crate::source::{SourceError, current};
+use damaskweir_bundle::{Action, Record};
+use damaskweir_core::prelude::*;
+use damaskweir_store::Client;
+use std::fmt;
+
+/// Records that are read in one call.
+const PAGE: usize = 64;
+
+/// One record of the trail.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The record.
+    pub record: Record,
+}
+
+/// Something wrong with the trail.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// A record is not there.
+    Missing(Version),
+    /// A record can't be read or its signature does not fit.
+    Invalid(Version, String),
+    /// A record does not name the one before by its digest.
+    Broken(Version),
+    /// The manifest in force differs from the record of its version.
+    Force(Version),
+}
+
+/// Part of the trail.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct History {
+    /// Records, oldest first.
+    pub entries: Vec<Entry>,
+    /// What is wrong with them; empty when each follows from the one before.
+    pub flaws: Vec<Flaw>,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let manifest = self.record.manifest();
+        let action = match manifest.action {
+            Action::Approve => "approve".to_owned(),
+            Action::Rollback(version) => format!("rollback to {version}"),
+        };
+        write!(
+            f,
+            "version {} from {} at {} by {}: {action}; content {}; record {}; reason: {}",
+            manifest.version,
+            manifest.from,
+            Utc(manifest.at),
+            manifest.author,
+            manifest.content,
+            self.record.digest(),
+            manifest.reason.escape_debug(),
+        )
+    }
+}
+
+impl fmt::Display for Flaw {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(version) => write!(f, "the record of version {version} is missing"),
+            Self::Invalid(version, text) => {
+                write!(f, "the record of version {version} is not valid: {text}")
+            }
+            Self::Broken(version) => {
+                write!(f, "the record of version {version} does not follow from the one before")
+            }
+            Self::Force(version) => {
+                write!(f, "the manifest in force is not the one recorded for version {version}")
+            }
+        }
+    }
+}
+
+/// Seconds since 1970 as date and time in UTC.
+struct Utc(u64);
+
+impl fmt::Display for Utc {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (days, seconds) = (self.0 / 86_400, self.0 % 86_400);
+        // Civil date from days, with years that begin in March so that leap days come last.
+        let days = days + 719_468;
+        let (era, day) = (days / 146_097, days % 146_097);
+        let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+        let day = day - (365 * year + year / 4 - year / 100);
+        let month = (5 * day + 2) / 153;
+        let day = day - (153 * month + 2) / 5 + 1;
+        let month = if month < 10 { month + 3 } else { month - 9 };
+        let year = era * 400 + year + u64::from(month <= 2);
+        let (hour, minute) = (seconds / 3_600, seconds / 60 % 60);
+        write!(f, "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{:02}Z", seconds % 60)
+    }
+}
+
+/// Reads the last records of the trail, or all of them, and checks that each follows from the one
+/// before and the last one is in force.
+pub async fn history(client: &Client, last: Option<u64>) -> Result<History, SourceError> {
+    let Some(current) = current(client).await? else { return Ok(History::default()) };
+    let newest = current.record.manifest().version.0;
+    let oldest = last.map_or(1, |last| newest.saturating_sub(last.max(1) - 1).max(1));
+    // The record before the first one shown proves that nothing was cut off between them.
+    let start = oldest.saturating_sub(1).max(1);
+    let versions: Vec<Version> = (start..=newest).map(Version).collect();
+    let mut history = History::default();
+    let mut before: Option<Record> = None;
+    for page in versions.chunks(PAGE) {
+        let keys: Vec<String> = page.iter().map(|version| audit_key(*version)).collect();
+        let found = client.get_many(&keys).await?;
+        for (version, stored) in page.iter().zip(found) {
+            let record = stored.map(|stored| Record::decode(&stored.value.into()));
+            let record = match record {
+                None => {
+                    history.flaws.push(Flaw::Missing(*version));
+                    before = None;
+                    continue;
+                }
+                Some(Err(error)) => {
+                    history.flaws.push(Flaw::Invalid(*version, error.to_string()));
+                    before = None;
+                    continue;
+                }
+                Some(Ok(record)) => record,
+            };
+            if !follows(&record, *version, before.as_ref(), start) {
+                history.flaws.push(Flaw::Broken(*version));
+            }
+            before = Some(record.clone());
+            if version.0 >= oldest {
+                history.entries.push(Entry { record });
+            }
+        }
+    }
+    if before.is_some_and(|last| last.digest() != current.record.digest()) {
+        history.flaws.push(Flaw::Force(Version(newest)));
+    }
+    Ok(history)
+}
+
+fn follows(record: &Record, version: Version, before: Option<&Record>, start: u64) -> bool {
+    let manifest = record.manifest();
+    let chained = match before {
+        Some(before) => manifest.previous == before.digest(),
+        None if version.0 == 1 => manifest.previous == Digest([0; 32]),
+        // The first record that was read, or one after a flaw that is reported already.
+        None => version.0 >= start,
+    };
+    chained && manifest.version == version && manifest.from.0 + 1 == version.0
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,1 +1,27 @@
-//! Commands of operators and the audit trail.
+//! Operators' commands: check, compare, approve and roll back bundles, and see what is in force.
+//!
+//! ```
+//! use damaskweir_operators::{Exit, run};
+//!
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let mut output = Vec::new();
+//! let arguments = ["bundle", "check"].map(Into::into).to_vec();
+//! assert_eq!(run(arguments, &mut output).await, Exit::Usage);
+//! # });
+//! ```
+
+mod approve;
+mod command;
+mod history;
+mod layout;
+mod report;
+mod source;
+mod status;
+
+pub use approve::{Accepted, ApproveError, Request, approve, rollback};
+pub use command::{Exit, run};
+pub use history::{Entry, Flaw, History, history};
+pub use layout::{MANIFEST_KEY, SECTION_PREFIX, STATUS_PREFIX, WATCH_END, audit_key, section_key};
+pub use report::{ReportAction, Reporter, STATUS_LEASE, SideVersion, StatusRecord};
+pub use source::{Current, SourceError, current, load_content, load_record, load_sections};
+pub use status::{Standing, Status, status};
--- /dev/null
+++ b/crates/operators/src/source.rs
@@ -0,0 +1,86 @@
+//! Reads bundles from the store.
+
+use crate::layout::{MANIFEST_KEY, audit_key, section_key};
+use bytes::Bytes;
+use damaskweir_bundle::{Content, ContentError, Index, ManifestError, Record, digest};
+use damaskweir_core::prelude::*;
+use damaskweir_store::{Client, StoreError, Stored};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Why something can't be read from the store.
+#[derive(Clone, Debug, Error)]
+pub enum SourceError {
+    /// The store failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A record is not valid.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+    /// Sections don't make a bundle.
+    #[error(transparent)]
+    Content(#[from] ContentError),
+    /// A section is not there, or does not match its digest.
+    #[error("the store lacks section {0}, or holds it damaged")]
+    Section(Digest),
+    /// There is no such version.
+    #[error("there is no version {0}")]
+    Version(Version),
+}
+
+/// The record in force, as the store holds it.
+#[derive(Clone, Debug)]
+pub struct Current {
+    /// The record.
+    pub record: Record,
+    /// Revision of its key.
+    pub revision: u64,
+}
+
+/// Reads the record in force. `None`: nothing was ever approved.
+pub async fn current(client: &Client) -> Result<Option<Current>, SourceError> {
+    let Some(stored) = client.get(MANIFEST_KEY).await? else { return Ok(None) };
+    let record = Record::decode(&stored.value.into())?;
+    Ok(Some(Current { record, revision: stored.revision }))
+}
+
+/// Reads the record of a version.
+pub async fn load_record(client: &Client, version: Version) -> Result<Record, SourceError> {
+    let stored = client.get(&audit_key(version)).await?;
+    let stored = stored.ok_or(SourceError::Version(version))?;
+    Ok(Record::decode(&stored.value.into())?)
+}
+
+/// Reads sections or indexes, and checks them against their digests.
+pub async fn load_sections(
+    client: &Client,
+    digests: &[Digest],
+) -> Result<BTreeMap<Digest, Bytes>, SourceError> {
+    let keys: Vec<String> = digests.iter().map(section_key).collect();
+    let found = client.get_many(&keys).await?;
+    digests.iter().zip(found).map(|(wanted, found)| checked(*wanted, found)).collect()
+}
+
+fn checked(wanted: Digest, found: Option<Stored>) -> Result<(Digest, Bytes), SourceError> {
+    let bytes = Bytes::from(found.ok_or(SourceError::Section(wanted))?.value);
+    if digest(&bytes) == wanted { Ok((wanted, bytes)) } else { Err(SourceError::Section(wanted)) }
+}
+
+/// Reads the content of a record and puts its bundle together.
+pub async fn load_content(
+    client: &Client,
+    record: &Record,
+) -> Result<(Content, Arc<Bundle>), SourceError> {
+    let manifest = record.manifest();
+    let mut found = load_sections(client, &[manifest.content]).await?;
+    let index_bytes =
+        found.remove(&manifest.content).ok_or(SourceError::Section(manifest.content))?;
+    let index = Index::decode(&index_bytes)?;
+    let mut digests: Vec<Digest> = index.digests().map(|(_, digest)| digest).collect();
+    digests.sort();
+    digests.dedup();
+    let sections = load_sections(client, &digests).await?;
+    let bundle = Content::join(manifest.version, &index, |address| sections.get(address).cloned())?;
+    Ok((Content { index, index_bytes, sections }, Arc::new(bundle)))
+}
--- /dev/null
+++ b/crates/operators/src/status.rs
@@ -0,0 +1,112 @@
+//! What each entry and side has in force.
+
+use crate::layout::STATUS_PREFIX;
+use crate::report::StatusRecord;
+use crate::source::{Current, SourceError, current, load_content};
+use damaskweir_core::prelude::*;
+use damaskweir_store::Client;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What one process has in force, as far as the store knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// The accepted version.
+    Current,
+    /// An older version.
+    Behind(Version),
+    /// No live entry reports it.
+    Unreported,
+}
+
+/// What is in force where.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    /// The accepted record.
+    pub current: Option<Current>,
+    /// Entries by name. Those that are gone are not listed, since their record's lease has ended.
+    pub entries: BTreeMap<String, Standing>,
+    /// Sides of the accepted bundle's servers by server.
+    pub sides: BTreeMap<String, Standing>,
+    /// Records that can't be read.
+    pub unreadable: Vec<String>,
+}
+
+impl Status {
+    /// Entries and sides that don't have the accepted version.
+    pub fn lagging(&self) -> usize {
+        let all = self.entries.values().chain(self.sides.values());
+        all.filter(|standing| **standing != Standing::Current).count()
+    }
+}
+
+/// Reads what is in force where.
+pub async fn status(client: &Client) -> Result<Status, SourceError> {
+    let Some(current) = current(client).await? else { return Ok(Status::default()) };
+    let version = current.record.manifest().version;
+    let (_, bundle) = load_content(client, &current.record).await?;
+    let mut status = Status { current: Some(current), ..Status::default() };
+    let mut reported: BTreeMap<String, u64> = BTreeMap::new();
+    for stored in client.list(STATUS_PREFIX).await? {
+        let Ok(record) = serde_json::from_slice::<StatusRecord>(&stored.value) else {
+            status.unreadable.push(stored.key);
+            continue;
+        };
+        status.entries.insert(record.entry, judge(version, record.version));
+        for side in record.sides {
+            // Several entries report a side; the highest version that one of them saw counts.
+            let known = reported.entry(side.0).or_default();
+            *known = side.1.max(*known);
+        }
+    }
+    let servers = bundle.pools.values().flat_map(|pool| &pool.servers);
+    for server in servers {
+        let seen = reported.get(server.id.as_str());
+        let standing = seen.map_or(Standing::Unreported, |seen| judge(version, *seen));
+        status.sides.insert(server.id.to_string(), standing);
+    }
+    Ok(status)
+}
+
+fn judge(accepted: Version, reported: u64) -> Standing {
+    if reported >= accepted.0 { Standing::Current } else { Standing::Behind(Version(reported)) }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(current) = &self.current else {
+            return writeln!(f, "no bundle was ever accepted");
+        };
+        let manifest = current.record.manifest();
+        writeln!(
+            f,
+            "accepted: version {} by {}; record {}",
+            manifest.version,
+            manifest.author,
+            current.record.digest()
+        )?;
+        write_group(f, "entries", &self.entries)?;
+        write_group(f, "sides", &self.sides)?;
+        for key in &self.unreadable {
+            writeln!(f, "unreadable: {key}")?;
+        }
+        Ok(())
+    }
+}
+
+fn write_group(
+    f: &mut fmt::Formatter<'_>,
+    name: &str,
+    group: &BTreeMap<String, Standing>,
+) -> fmt::Result {
+    let current = group.values().filter(|standing| **standing == Standing::Current).count();
+    writeln!(f, "{name}: {current} of {} have it in force", group.len())?;
+    for (id, standing) in group {
+        match standing {
+            Standing::Current => {}
+            Standing::Behind(version) => writeln!(f, "  {id}: version {version}")?,
+            Standing::Unreported => writeln!(f, "  {id}: not reported by any entry")?,
+        }
+    }
+    Ok(())
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,7 +1,7 @@
 use crate::error::{Effect, StoreError};
 use crate::gateway::{
-    Grant, LeaseAnswer, PutAnswer, Range, RangeAnswer, Stored, Streamed, Txn, TxnAnswer,
-    TxnAnswerJson, put_body, txn_body,
+    Grant, LeaseAnswer, Op, OpAnswer, PutAnswer, Range, RangeAnswer, Stored, Streamed, Txn,
+    TxnAnswer, TxnAnswerJson, put_body, txn_body,
 };
 use crate::share::Bucket;
 use damaskweir_core::Rng;
@@ -20,6 +20,8 @@
 const BACKOFF_BASE: Span = Span::from_millis(20);
 /// Longest delay before a call is repeated.
 const BACKOFF_CAP: Span = Span::from_secs(2);
+/// Keys in one read of several. Values may have 1 MB, but most sections are small.
+const READ_PAGE: usize = 64;
 /// The part of an error text that is kept; gateways and balancers may answer with whole pages.
 const ERROR_TEXT_CHARS: usize = 200;
 
@@ -128,6 +130,21 @@
         answer.kvs.into_iter().map(Stored::try_from).collect()
     }
 
+    /// Reads several keys, a page in each call. Each page is read at one revision.
+    pub async fn get_many(&self, keys: &[String]) -> Result<Vec<Option<Stored>>, StoreError> {
+        let mut found = Vec::with_capacity(keys.len());
+        for page in keys.chunks(READ_PAGE) {
+            let success = page.iter().cloned().map(Op::Get).collect();
+            let txn = Txn { success, ..Txn::default() };
+            let answer: TxnAnswerJson = self.repeat(Kind::Read, "kv/txn", &txn_body(&txn)).await?;
+            found.extend(answer.checked(&txn)?.answers.into_iter().map(|answer| match answer {
+                OpAnswer::Got(found) => found,
+                OpAnswer::Changed => None,
+            }));
+        }
+        Ok(found)
+    }
+
     /// Writes one key whatever it holds, and returns the new revision.
     pub async fn put(&self, key: &str, value: &[u8], lease: u64) -> Result<u64, StoreError> {
         let body = put_body(key, value, lease);
