--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -3,11 +3,13 @@
 use crate::entry::{EntryDaemon, EntryError, EntryOptions};
 use crate::logs::new_logger;
 use crate::settings::{EntryFile, SettingsError};
+use damaskweir_core::prelude::*;
 use pico_args::Arguments;
 use std::ffi::OsString;
 use std::future::Future;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The command could not do its work.
@@ -56,6 +58,8 @@
     #[error(transparent)]
     Entry(#[from] EntryError),
     #[error("{0}")]
+    Bundle(String),
+    #[error("{0}")]
     Failure(String),
 }
 
@@ -69,7 +73,7 @@
     fn exit_code(&self) -> u8 {
         match self {
             Self::Usage(_) => USAGE,
-            Self::Settings(_) => SETTINGS,
+            Self::Settings(_) | Self::Bundle(_) => SETTINGS,
             Self::Entry(_) | Self::Failure(_) => FAILURE,
         }
     }
@@ -151,8 +155,15 @@
     })
 }
 
-fn read_bundle(
-    _: &std::path::Path,
-) -> Result<std::sync::Arc<damaskweir_core::prelude::Bundle>, CommandError> {
-    Err(CommandError::Failure("bundle files can't be read by this build".to_owned()))
+fn read_bundle(path: &Path) -> Result<Arc<Bundle>, CommandError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| CommandError::Failure(format!("{}: {error}", path.display())))?;
+    let parsed = damaskweir_bundle::parse(&path.display().to_string(), &text);
+    let mut bundle = parsed.map_err(|findings| {
+        let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
+        CommandError::Bundle(lines.join("\n"))
+    })?;
+    // A file has no version; anything that an operator approves is higher.
+    bundle.version = Version(1);
+    Ok(Arc::new(bundle))
 }
--- a/crates/damaskweir/src/settings.rs
+++ b/crates/damaskweir/src/settings.rs
@@ -260,6 +260,17 @@
             known: BTreeMap::new(),
             problems: Vec::new(),
         };
+        // The parser would join such lines to their neighbours.
+        let strays = text.lines().zip(1..).filter(|(line, _)| is_stray(line.trim()));
+        let strays: Vec<_> = strays.map(|(_, number)| number).collect();
+        if !strays.is_empty() {
+            for number in strays {
+                let text = format!("line {number}: expected [section], key = value or a comment");
+                let file = reader.file.clone();
+                reader.problems.push(Problem { file, section: None, key: None, text });
+            }
+            return Err(SettingsError(reader.problems));
+        }
         let ini = match Ini::load_from_str_opt(text, option) {
             Ok(ini) => ini,
             Err(error) => {
@@ -364,6 +375,21 @@
         parsed.or(default)
     }
 
+    /// Reads a URL or a list of them. A faulty one is not shown: it may hold a password.
+    fn read_url<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        accepted: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let parsed = parse(&self.value(section, key)?);
+        if parsed.is_none() {
+            self.problem(section, key, format!("not accepted; expected {accepted}"));
+        }
+        parsed
+    }
+
     fn number(
         &mut self,
         section: &'static str,
@@ -457,18 +483,28 @@
     }
 
     pub(crate) fn url(&mut self, section: &'static str, key: &'static str) -> String {
-        self.read(section, key, URL, None, parse_url).unwrap_or_default()
+        if self.sections.get(section).is_none_or(|keys| !keys.contains_key(key)) {
+            self.problem(section, key, format!("required; expected {URL}"));
+        }
+        self.read_url(section, key, URL, parse_url).unwrap_or_default()
     }
 
     fn urls(&mut self, section: &'static str, key: &'static str) -> Vec<String> {
-        let accepted = "URLs such as http://127.0.0.1:2379, separated by commas";
+        let accepted =
+            "URLs without user and password, such as http://127.0.0.1:2379, separated by commas";
         let parse = |value: &str| value.split(',').map(|url| parse_url(url.trim())).collect();
-        self.read(section, key, accepted, Some(Vec::new()), parse).unwrap_or_default()
+        self.read_url(section, key, accepted, parse).unwrap_or_default()
     }
 }
 
+fn is_stray(line: &str) -> bool {
+    let section = line.starts_with('[') && line.ends_with(']');
+    let pair = !line.starts_with('[') && line.contains('=');
+    !(line.is_empty() || line.starts_with([';', '#']) || section || pair)
+}
+
 const NAME: &str = "1 to 64 letters, digits, '-', '_' and '.'";
-const URL: &str = "a URL such as http://127.0.0.1:9000";
+const URL: &str = "a URL without user and password, such as http://127.0.0.1:9000";
 
 fn parse_name(value: &str) -> Option<String> {
     let valid = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
