Add demo, load and the side's settings

The demo runs a whole deployment in one process over the real protocols and checks each answer; load sends bounded open-loop requests to loopback and counts latency from the intended send time.

--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -1,15 +1,20 @@
 //! The command line.
 
+use crate::demo::{Demo, DemoError, DemoOptions};
 use crate::entry::{EntryDaemon, EntryError, EntryOptions};
-use crate::logs::new_logger;
-use crate::settings::{EntryFile, SettingsError};
+use crate::load::{LoadError, LoadOptions, run_load};
+use crate::logs::{LogForm, LogSettings, new_logger, quiet_logger};
+use crate::settings::{EntryFile, SettingsError, SideFile};
+use crate::side::{SideDaemon, SideError};
 use damaskweir_core::prelude::*;
 use pico_args::Arguments;
+use slog::Level;
 use std::ffi::OsString;
 use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The command could not do its work.
@@ -27,6 +32,8 @@
 Commands:
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
+  demo [--serve]         run a whole deployment with stand-ins in this process
+  load --target URL      send bounded load to a loopback address
 
 Options of every command:
   --help                 print help
@@ -48,6 +55,46 @@
 The settings are described in docs/settings.md. Exit codes: damaskweir --help.
 ";
 
+const SIDE_HELP: &str = "\
+Usage: damaskweir side --config FILE
+
+Runs the side process next to one backend server until SIGTERM or SIGINT. Then new attempts are refused,
+those that run finish, and the process exits.
+
+The settings are described in docs/settings.md. Exit codes: damaskweir --help.
+";
+
+const DEMO_HELP: &str = "\
+Usage: damaskweir demo [OPTIONS]
+
+Starts stand-ins of a store, engines and services, a side next to each backend server and two entries on
+loopback ports that the system picks, sends requests through them, prints each answer, the stage timings
+and the servers, and checks the answers. Exits with 1 and the reason when anything is wrong.
+
+Options:
+  --serve                keep everything up and print curl lines to try
+  --engines N            model engines, 1 to 32 (default 3)
+  --token-us N           time of a token at an engine in microseconds (default 2000)
+  --verbose              write log lines to standard error
+";
+
+const LOAD_HELP: &str = "\
+Usage: damaskweir load --target URL [OPTIONS]
+
+Sends POST requests at a fixed rate to an IP address of the loopback interface, whether or not answers
+come back, and counts latency from the intended send time. Exits with 1 unless each request got a
+complete answer with status 200.
+
+Options:
+  --rate N               requests per second, 1 to 20000 (default 100)
+  --seconds N            length of the run, 1 to 600 (default 10)
+  --warmup N             seconds before that do not count, 0 to 600 (default 1)
+  --flight N             requests in flight, 1 to 4096 (default 512); more are not sent but counted
+  --body JSON            body (default {\"prompt\": \"load\", \"max_tokens\": 1})
+  --workspace NAME       workspace of the caller (default kollam)
+  --format text|json     form of the report (default text)
+";
+
 /// Why a command ended.
 #[derive(Debug, thiserror::Error)]
 enum CommandError {
@@ -57,6 +104,12 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Entry(#[from] EntryError),
+    #[error(transparent)]
+    Side(#[from] SideError),
+    #[error("demo: {0}")]
+    Demo(#[from] DemoError),
+    #[error(transparent)]
+    Load(#[from] LoadError),
     #[error("{0}")]
     Bundle(String),
     #[error("{0}")]
@@ -72,9 +125,11 @@
 impl CommandError {
     fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) => USAGE,
+            Self::Usage(_) | Self::Load(LoadError::Target | LoadError::Range(..)) => USAGE,
             Self::Settings(_) | Self::Bundle(_) => SETTINGS,
-            Self::Entry(_) | Self::Failure(_) => FAILURE,
+            Self::Entry(_) | Self::Side(_) | Self::Demo(_) | Self::Load(_) | Self::Failure(_) => {
+                FAILURE
+            }
         }
     }
 }
@@ -100,6 +155,12 @@
     match command.as_deref() {
         Some("entry") if help => print(ENTRY_HELP),
         Some("entry") => entry(arguments),
+        Some("side") if help => print(SIDE_HELP),
+        Some("side") => side(arguments),
+        Some("demo") if help => print(DEMO_HELP),
+        Some("demo") => demo(arguments),
+        Some("load") if help => print(LOAD_HELP),
+        Some("load") => load(arguments),
         None if help => print(HELP),
         Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
         None => Err(CommandError::Usage("a command is required".to_owned())),
@@ -155,6 +216,85 @@
     })
 }
 
+fn side(mut arguments: Arguments) -> Result<(), CommandError> {
+    let path = config(&mut arguments)?;
+    finish(arguments)?;
+    let file = SideFile::read(&path)?;
+    let log = new_logger(file.logs, file.server.as_str());
+    block_on(async {
+        let daemon = SideDaemon::start(file.options().map_err(SideError::from)?, log).await?;
+        wait_for_stop().await?;
+        daemon.drain().await;
+        Ok(())
+    })
+}
+
+fn demo(mut arguments: Arguments) -> Result<(), CommandError> {
+    let defaults = DemoOptions::default();
+    let serve = arguments.contains("--serve");
+    let verbose = arguments.contains("--verbose");
+    let engines = arguments.opt_value_from_str("--engines")?.unwrap_or(defaults.engines);
+    let token = arguments.opt_value_from_str("--token-us")?.map(Duration::from_micros);
+    finish(arguments)?;
+    if !(1..=32).contains(&engines) {
+        return Err(CommandError::Usage("--engines must be from 1 to 32".to_owned()));
+    }
+    let options = DemoOptions { engines, token: token.unwrap_or(defaults.token), ..defaults };
+    let log = if verbose {
+        new_logger(LogSettings { form: LogForm::Terminal, level: Level::Info }, "demo")
+    } else {
+        quiet_logger()
+    };
+    block_on(async {
+        let mut out = std::io::stdout();
+        let demo = Demo::start(options, &log).await?;
+        demo.run(&mut out).await?;
+        if serve {
+            demo.print_help(&mut out)?;
+            wait_for_stop().await?;
+        }
+        demo.stop().await?;
+        println!("demo: all answers are right");
+        Ok(())
+    })
+}
+
+fn load(mut arguments: Arguments) -> Result<(), CommandError> {
+    let target = arguments.value_from_fn("--target", reqwest::Url::parse)?;
+    let body = r#"{"prompt": "load", "max_tokens": 1}"#.to_owned();
+    let options = LoadOptions {
+        target,
+        rate: arguments.opt_value_from_str("--rate")?.unwrap_or(100),
+        seconds: arguments.opt_value_from_str("--seconds")?.unwrap_or(10),
+        warmup: arguments.opt_value_from_str("--warmup")?.unwrap_or(1),
+        flight: arguments.opt_value_from_str("--flight")?.unwrap_or(512),
+        body: arguments.opt_value_from_str("--body")?.unwrap_or(body),
+        workspace: arguments
+            .opt_value_from_str("--workspace")?
+            .unwrap_or_else(|| "kollam".to_owned()),
+    };
+    let format: String =
+        arguments.opt_value_from_str("--format")?.unwrap_or_else(|| "text".to_owned());
+    finish(arguments)?;
+    let json = match format.as_str() {
+        "text" => false,
+        "json" => true,
+        _ => return Err(CommandError::Usage("--format must be text or json".to_owned())),
+    };
+    let report = block_on(async { Ok(run_load(&options).await?) })?;
+    if json {
+        let text = serde_json::to_string(&report);
+        println!("{}", text.map_err(|error| CommandError::Failure(error.to_string()))?);
+    } else {
+        print!("{report}");
+    }
+    if report.is_clean() {
+        Ok(())
+    } else {
+        Err(CommandError::Failure("not each request got an answer with status 200".to_owned()))
+    }
+}
+
 fn read_bundle(path: &Path) -> Result<Arc<Bundle>, CommandError> {
     let text = std::fs::read_to_string(path)
         .map_err(|error| CommandError::Failure(format!("{}: {error}", path.display())))?;
--- /dev/null
+++ b/crates/damaskweir/src/demo.rs
@@ -0,0 +1,488 @@
+//! A whole deployment inside one process: stand-ins of the external peers, a side next to each
+//! backend server and two entries, all over their real protocols on loopback ports.
+
+use crate::entry::{EntryDaemon, EntryError, EntryOptions, seeded_rng};
+use crate::side::{Backend, SideDaemon, SideError, SideOptions};
+use damaskweir_callers::{Directory, Limits};
+use damaskweir_core::entry::EntrySettings;
+use damaskweir_core::prelude::*;
+use damaskweir_engines::EngineSettings;
+use damaskweir_services::ServiceSettings;
+use damaskweir_standins::engine::{self, Engine};
+use damaskweir_standins::service::Service;
+use damaskweir_standins::store::Store;
+use damaskweir_store::{ClaimSettings, ClaimWriter, Client, Settings, StoreError};
+use damaskweir_wire::{Keys, WireError};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
+use serde_json::{Value, json};
+use slog::Logger;
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time that the deployment may take to connect.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// Time of one request.
+const REQUEST_LIMIT: Duration = Duration::from_secs(30);
+/// Tokens of an answer, which is the stand-in's default: the engine gets the last service's answer as
+/// its prompt, without the caller's `max_tokens`.
+const TOKENS: u32 = 16;
+/// Stages of the pipeline `draft` before the engine.
+const SERVICES: [&str; 3] = ["encode", "retrieve", "rerank"];
+
+/// Sizes and behaviour of the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DemoOptions {
+    /// Entries.
+    pub entries: u16,
+    /// Model engines.
+    pub engines: u16,
+    /// Servers of each pool of plain services.
+    pub services: u16,
+    /// Answers that a backend server gives at once.
+    pub slots: u32,
+    /// Time that an engine takes for a token.
+    pub token: Duration,
+    /// Time that a service takes for a call.
+    pub call: Duration,
+}
+
+impl Default for DemoOptions {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 3,
+            services: 2,
+            slots: 8,
+            token: Duration::from_millis(2),
+            call: Duration::from_millis(3),
+        }
+    }
+}
+
+/// Why the demo failed.
+#[derive(Debug, thiserror::Error)]
+pub enum DemoError {
+    /// A stand-in can't start.
+    #[error("a stand-in can't start: {0}")]
+    StandIn(#[source] io::Error),
+    /// Certificates can't be made.
+    #[error("certificates can't be made: {0}")]
+    Certificate(#[from] rcgen::Error),
+    /// Certificates can't be used.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// A side can't start.
+    #[error(transparent)]
+    Side(#[from] SideError),
+    /// An entry can't start.
+    #[error(transparent)]
+    Entry(#[from] EntryError),
+    /// The store's client can't start.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A request could not be sent or its answer not be read.
+    #[error("request failed: {0}")]
+    Request(#[from] reqwest::Error),
+    /// The output could not be written.
+    #[error("output can't be written: {0}")]
+    Output(#[source] io::Error),
+    /// Something was wrong.
+    #[error("{0}")]
+    Wrong(String),
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Demo {
+    entries: Vec<EntryDaemon>,
+    sides: Vec<SideDaemon>,
+    engines: Vec<Engine>,
+    services: BTreeMap<&'static str, Vec<Service>>,
+    store: Store,
+    client: reqwest::Client,
+}
+
+impl Demo {
+    /// Starts everything and waits until each entry is ready.
+    pub async fn start(options: DemoOptions, log: &Logger) -> Result<Self, DemoError> {
+        let store = Store::start().await.map_err(DemoError::StandIn)?;
+        let authority = Authority::new()?;
+        let mut demo = Self {
+            entries: Vec::new(),
+            sides: Vec::new(),
+            engines: Vec::new(),
+            services: BTreeMap::new(),
+            store,
+            client: reqwest::Client::builder().no_proxy().timeout(REQUEST_LIMIT).build()?,
+        };
+        let mut bundle = empty_bundle();
+        for (name, pool) in SERVICES.into_iter().chain(["print"]).zip(POOLS) {
+            let servers = demo.start_services(name, pool, &options, &authority, log).await?;
+            add_pool(&mut bundle, pool, PoolKind::Service, servers);
+        }
+        let engines = demo.start_engines(&options, &authority, log).await?;
+        add_pool(&mut bundle, "engines", PoolKind::Engine, engines);
+        add_pipelines(&mut bundle);
+        let bundle = Arc::new(bundle);
+        for number in 1..=options.entries {
+            demo.start_entry(number, &bundle, &authority, log).await?;
+        }
+        demo.wait_until_ready().await?;
+        Ok(demo)
+    }
+
+    /// Base address of each entry.
+    pub fn urls(&self) -> Vec<String> {
+        self.entries.iter().map(|entry| format!("http://{}", entry.address())).collect()
+    }
+
+    /// Base address of each engine, to call it directly.
+    pub fn engine_urls(&self) -> Vec<String> {
+        self.engines.iter().map(Engine::url).collect()
+    }
+
+    /// Sends requests, prints what came back, and checks it.
+    pub async fn run(&self, out: &mut impl Write) -> Result<(), DemoError> {
+        let urls = self.urls();
+        let prompts =
+            ["two columns, A4, 40 labels", "stock codes of Kollam", "a long tender draft"];
+        for (i, prompt) in prompts.into_iter().enumerate() {
+            let number = i % urls.len();
+            let body = json!({ "prompt": prompt });
+            let answer = self.whole(&urls[number], "draft", &body, None).await?;
+            print_answer(out, &format!("draft through entry-{}", number + 1), &answer)?;
+            check(answer["output"] == expected(&body), "draft: another answer was expected")?;
+            check(stages_of(&answer) == STAGES, "draft: another order of stages was expected")?;
+        }
+        self.run_stream(&urls[urls.len() - 1], out).await?;
+        self.run_order(&urls, out).await?;
+        for (name, services) in &self.services {
+            for service in services {
+                let runs = service.runs();
+                let doubled = runs.doubled();
+                check(doubled.is_empty(), &format!("{name}: work ran twice: {doubled:?}"))?;
+            }
+        }
+        for engine in &self.engines {
+            let runs = engine.runs();
+            let doubled = runs.doubled();
+            check(doubled.is_empty(), &format!("engines: work ran twice: {doubled:?}"))?;
+        }
+        Ok(())
+    }
+
+    /// Prints lines to try by hand.
+    pub fn print_help(&self, out: &mut impl Write) -> Result<(), DemoError> {
+        let urls = self.urls();
+        let mut text = String::from("\nTry:\n");
+        let body = r#"{"prompt": "two columns, A4"}"#;
+        for url in &urls {
+            text += &format!(
+                "  curl -s {url}/v1/pipelines/draft -H 'x-workspace: kollam' -d '{body}'\n"
+            );
+        }
+        if let Some(url) = urls.first() {
+            text += &format!(
+                "  curl -sN {url}/v1/pipelines/draft -H 'x-workspace: kollam' \
+                 -H 'accept: text/event-stream' -d '{body}'\n  \
+                 curl -s {url}/v1/pipelines/order -H 'x-workspace: kollam' \
+                 -H 'idempotency-key: order-1' -d '{{\"copies\": 2}}'\n  curl -s {url}/metrics\n"
+            );
+        }
+        text += "Stop with Ctrl-C.\n";
+        out.write_all(text.as_bytes()).map_err(DemoError::Output)
+    }
+
+    /// Drains entries and sides.
+    pub async fn stop(self) -> Result<(), DemoError> {
+        for entry in self.entries {
+            entry.drain().await?;
+        }
+        for side in self.sides {
+            side.drain().await;
+        }
+        Ok(())
+    }
+
+    async fn run_stream(&self, url: &str, out: &mut impl Write) -> Result<(), DemoError> {
+        let body = json!({ "prompt": "shift summary", "stream": true });
+        let response = self.post(url, "draft", &body, None).send().await?;
+        let text = response.text().await?;
+        let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
+        let items: Vec<Value> =
+            data.filter_map(|line| serde_json::from_str(line.trim()).ok()).collect();
+        let chunks: Vec<_> = items.iter().filter_map(|item| item["text"].as_str()).collect();
+        let count = chunks.len();
+        writeln!(out, "draft streamed: {count} chunks: {}", chunks.concat().trim_end())
+            .map_err(DemoError::Output)?;
+        check(chunks.concat() == expected(&body), "draft streamed: another answer was expected")?;
+        check(count as u32 == TOKENS, "draft streamed: not each token was a chunk")?;
+        check(
+            items.last().is_some_and(|item| item["chunks"] == TOKENS),
+            "draft streamed: the stream did not end with 'done'",
+        )
+    }
+
+    /// One print order, sent twice under the same key through different entries.
+    async fn run_order(&self, urls: &[String], out: &mut impl Write) -> Result<(), DemoError> {
+        let body = json!({ "layout": "A4-40", "copies": 500 });
+        let (first, last) = (&urls[0], &urls[urls.len() - 1]);
+        let answer = self.whole(first, "order", &body, Some("order-1")).await?;
+        print_answer(out, "order through the first entry", &answer)?;
+        let repeat = self.whole(last, "order", &body, Some("order-1")).await?;
+        print_answer(out, "the same order through the last entry", &repeat)?;
+        check(answer["output"] == repeat["output"], "order: the repeat got another answer")?;
+        check(answer["output"]["input"] == body, "order: another answer was expected")?;
+        let runs = self.order_runs();
+        writeln!(out, "order service: the order ran {runs} time(s)").map_err(DemoError::Output)?;
+        check(runs == 1, &format!("order: it ran {runs} times by the stand-in's count"))
+    }
+
+    /// Calls that the stand-ins of the order service ran.
+    pub fn order_runs(&self) -> u32 {
+        let services = self.services.get("print").into_iter().flatten();
+        services.map(|service| service.runs().total()).sum()
+    }
+
+    fn post(
+        &self,
+        url: &str,
+        pipeline: &str,
+        body: &Value,
+        key: Option<&str>,
+    ) -> reqwest::RequestBuilder {
+        let request = self.client.post(format!("{url}/v1/pipelines/{pipeline}"));
+        let request = request.header("x-workspace", "kollam").json(body);
+        match key {
+            Some(key) => request.header("idempotency-key", key),
+            None => request,
+        }
+    }
+
+    async fn whole(
+        &self,
+        url: &str,
+        pipeline: &str,
+        body: &Value,
+        key: Option<&str>,
+    ) -> Result<Value, DemoError> {
+        let response = self.post(url, pipeline, body, key).send().await?;
+        let status = response.status();
+        let answer: Value = response.json().await?;
+        check(status.is_success(), &format!("{pipeline}: {status}: {answer}"))?;
+        Ok(answer)
+    }
+
+    async fn start_services(
+        &mut self,
+        name: &'static str,
+        pool: &str,
+        options: &DemoOptions,
+        authority: &Authority,
+        log: &Logger,
+    ) -> Result<Vec<BackendServer>, DemoError> {
+        let mut servers = Vec::new();
+        for number in 1..=options.services {
+            let service = Service::start().await.map_err(DemoError::StandIn)?;
+            service.set(|behaviour| behaviour.delay = options.call);
+            let settings = ServiceSettings { url: service.url(), ..ServiceSettings::default() };
+            let id = format!("{pool}-{number}");
+            let backend = Backend::Service(settings);
+            servers.push(self.start_side(&id, backend, options.slots, authority, log).await?);
+            self.services.entry(name).or_default().push(service);
+        }
+        Ok(servers)
+    }
+
+    async fn start_engines(
+        &mut self,
+        options: &DemoOptions,
+        authority: &Authority,
+        log: &Logger,
+    ) -> Result<Vec<BackendServer>, DemoError> {
+        let mut servers = Vec::new();
+        for number in 1..=options.engines {
+            let engine = Engine::start(options.slots).await.map_err(DemoError::StandIn)?;
+            engine.set(|behaviour| behaviour.token = options.token);
+            let settings = EngineSettings { url: engine.url(), ..EngineSettings::default() };
+            let id = format!("engines-{number}");
+            let backend = Backend::Engine(settings);
+            servers.push(self.start_side(&id, backend, options.slots, authority, log).await?);
+            self.engines.push(engine);
+        }
+        Ok(servers)
+    }
+
+    async fn start_side(
+        &mut self,
+        id: &str,
+        backend: Backend,
+        slots: u32,
+        authority: &Authority,
+        log: &Logger,
+    ) -> Result<BackendServer, DemoError> {
+        let mut options = SideOptions::new(ServerId::from(id), zone(), authority.keys()?, backend);
+        options.core.slots = slots;
+        let side = SideDaemon::start(options, log.clone()).await?;
+        side.set_version(Version(1));
+        let server =
+            BackendServer { id: ServerId::from(id), zone: zone(), side: side.address(), slots };
+        self.sides.push(side);
+        Ok(server)
+    }
+
+    async fn start_entry(
+        &mut self,
+        number: u16,
+        bundle: &Arc<Bundle>,
+        authority: &Authority,
+        log: &Logger,
+    ) -> Result<(), DemoError> {
+        let client = Client::new(Settings::new(&self.store.url()), seeded_rng()?)?;
+        let options = EntryOptions {
+            instance: InstanceId::from(format!("entry-{number}").as_str()),
+            zone: zone(),
+            core: EntrySettings::default(),
+            listen: loopback(),
+            limits: Limits { stages: true, ..Limits::default() },
+            directory: Directory::new(BTreeMap::new(), true),
+            wire_address: loopback(),
+            keys: authority.keys()?,
+            wire: damaskweir_wire::Limits::default(),
+            bundle: Arc::clone(bundle),
+            claims: Some(ClaimWriter::spawn(client, ClaimSettings::default())),
+            drain_grace: Duration::ZERO,
+            drain_limit: REQUEST_LIMIT,
+        };
+        self.entries.push(EntryDaemon::start(options, log.clone()).await?);
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), DemoError> {
+        let started = Instant::now();
+        let ready = async {
+            while !self.entries.iter().all(EntryDaemon::is_ready) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let waited = timeout(START_LIMIT, ready).await;
+        let text = format!("entries are not ready after {:?}", started.elapsed());
+        waited.map_err(|_| DemoError::Wrong(text))
+    }
+}
+
+/// Pools of the stages in `SERVICES` and of the order service.
+const POOLS: [&str; 4] = ["encoders", "retrievers", "rerankers", "orders"];
+/// Stages of the pipeline `draft`.
+const STAGES: [&str; 4] = ["encode", "retrieve", "rerank", "generate"];
+
+/// A certificate authority that lives as long as the process.
+struct Authority {
+    pem: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    fn new() -> Result<Self, DemoError> {
+        let key = KeyPair::generate()?;
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.distinguished_name.push(DnType::CommonName, "damaskweir demo");
+        let pem = params.self_signed(&key)?.pem();
+        Ok(Self { pem, issuer: Issuer::new(params, key) })
+    }
+
+    fn keys(&self) -> Result<Keys, DemoError> {
+        let key = KeyPair::generate()?;
+        let params = CertificateParams::new(vec!["damaskweir".to_owned()])?;
+        let certificate = params.signed_by(&key, &self.issuer)?.pem();
+        let key = key.serialize_pem();
+        Ok(Keys::from_pem(self.pem.as_bytes(), certificate.as_bytes(), key.as_bytes())?)
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn zone() -> AvailabilityZone {
+    AvailabilityZone::from("zone-a")
+}
+
+fn empty_bundle() -> Bundle {
+    Bundle {
+        version: Version(1),
+        pools: BTreeMap::new(),
+        pipelines: BTreeMap::new(),
+        workspaces: BTreeMap::from([(
+            WorkspaceId::from("kollam"),
+            Workspace { share: 1, limit: 1_024 },
+        )]),
+        operators: BTreeMap::new(),
+    }
+}
+
+fn add_pool(bundle: &mut Bundle, name: &str, kind: PoolKind, servers: Vec<BackendServer>) {
+    let pool = Pool { kind, servers, resume: false, extra: 100 };
+    bundle.pools.insert(PoolId::from(name), pool);
+}
+
+fn add_pipelines(bundle: &mut Bundle) {
+    let stage = |name: &str, pool: &str, effect, path: String| Stage {
+        name: name.to_owned(),
+        pool: PoolId::from(pool),
+        effect,
+        path,
+        expected: Span::from_millis(20),
+    };
+    let deadline = Span::from_secs(10);
+    let services = SERVICES.into_iter().zip(POOLS);
+    let mut stages: Vec<_> = services
+        .map(|(name, pool)| stage(name, pool, Effect::Idempotent, format!("/{name}")))
+        .collect();
+    let completions = "/v1/completions".to_owned();
+    let generate = stage("generate", "engines", Effect::Idempotent, completions);
+    let print = stage("print", "orders", Effect::Once, "/print".to_owned());
+    let mut add = |name: &str, stages| {
+        bundle.pipelines.insert(PipelineId::from(name), Pipeline { deadline, stages });
+    };
+    add("complete", vec![generate.clone()]);
+    stages.push(generate);
+    add("draft", stages);
+    add("order", vec![print]);
+}
+
+/// The answer that the stand-ins give to a body: each service wraps its input, and the engine takes
+/// the last wrapping as its prompt.
+fn expected(body: &Value) -> String {
+    let wrap = |input: Value, name: &&str| json!({ "path": format!("/{name}"), "input": input });
+    let prompt = SERVICES.iter().fold(body.clone(), wrap).to_string();
+    engine::answer(&prompt, TOKENS)
+}
+
+fn stages_of(answer: &Value) -> Vec<&str> {
+    let stages = answer["stages"].as_array().map_or(&[][..], Vec::as_slice);
+    stages.iter().filter_map(|stage| stage["stage"].as_str()).collect()
+}
+
+fn print_answer(out: &mut impl Write, title: &str, answer: &Value) -> Result<(), DemoError> {
+    let stages = answer["stages"].as_array().map_or(&[][..], Vec::as_slice);
+    let stages: Vec<_> = stages
+        .iter()
+        .map(|stage| {
+            let (name, server) = (stage["stage"].as_str(), stage["server"].as_str());
+            let ms = stage["ms"].as_f64().unwrap_or_default();
+            format!("{} {ms:.1} ms on {}", name.unwrap_or("?"), server.unwrap_or("?"))
+        })
+        .collect();
+    writeln!(out, "{title}: {}\n  {}", answer["output"], stages.join(", "))
+        .map_err(DemoError::Output)
+}
+
+fn check(right: bool, text: &str) -> Result<(), DemoError> {
+    if right { Ok(()) } else { Err(DemoError::Wrong(text.to_owned())) }
+}
--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -1,7 +1,10 @@
 //! The daemons and commands of damaskweir.
 
 pub mod command;
+pub mod demo;
 pub mod entry;
+pub mod load;
 pub mod logs;
 pub mod metrics;
 pub mod settings;
+pub mod side;
--- a/crates/damaskweir/src/settings.rs
+++ b/crates/damaskweir/src/settings.rs
@@ -1,9 +1,14 @@
 //! Settings files of the daemons: INI, checked as a whole at the start.
 
 use crate::logs::{LogForm, LogSettings};
+use crate::side::{Backend, SideOptions};
 use damaskweir_callers::{Directory, Limits};
 use damaskweir_core::entry::EntrySettings;
 use damaskweir_core::prelude::*;
+use damaskweir_core::side::SideSettings;
+use damaskweir_engines::EngineSettings;
+use damaskweir_services::ServiceSettings;
+use damaskweir_wire::{Keys, WireError};
 use ini::{Ini, ParseOption, Properties};
 use slog::Level;
 use std::collections::{BTreeMap, BTreeSet};
@@ -130,6 +135,103 @@
     }
 }
 
+/// Settings of a side.
+#[derive(Clone, Debug)]
+pub struct SideFile {
+    /// The backend server.
+    pub server: ServerId,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Connections to entries; its address is the one that the bundle names.
+    pub wire: WireSettings,
+    /// How to reach the backend server.
+    pub backend: Backend,
+    /// Settings of the core.
+    pub core: SideSettings,
+    /// Time between health checks of the backend server.
+    pub check: Duration,
+    /// Time after which a drain ends with attempts still in progress.
+    pub drain_limit: Duration,
+    /// Logs.
+    pub logs: LogSettings,
+}
+
+impl SideFile {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(path, &read_text(path)?)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let mut reader = Reader::new(path, text)?;
+        let core = SideSettings::default();
+        let retention = core.retention.0 / 1_000_000;
+        let file = Self {
+            server: ServerId::from(reader.name("side", "server").as_str()),
+            zone: AvailabilityZone::from(reader.name("side", "zone").as_str()),
+            wire: read_wire(&mut reader),
+            backend: read_backend(&mut reader),
+            core: SideSettings {
+                slots: reader.count("side", "slots", 1..=10_000, core.slots),
+                queue: reader.count("side", "queue", 1..=100_000, core.queue),
+                retention: Span::from_secs(reader.number(
+                    "side",
+                    "retention-s",
+                    60..=2_592_000,
+                    retention,
+                )),
+                ..core
+            },
+            check: reader.millis("backend", "check-ms", 50..=60_000, 500),
+            drain_limit: reader.millis("drain", "limit-ms", 100..=600_000, 90_000),
+            logs: read_logs(&mut reader),
+        };
+        reader.finish().map(|()| file)
+    }
+
+    /// Options of the daemon.
+    pub fn options(self) -> Result<SideOptions, WireError> {
+        let wire = self.wire;
+        let keys = Keys::from_files(&wire.authority, &wire.certificate, &wire.key)?;
+        let keys = keys.with_name(&wire.name);
+        Ok(SideOptions {
+            listen: wire.address,
+            wire: wire.limits,
+            core: self.core,
+            check: self.check,
+            drain_limit: self.drain_limit,
+            ..SideOptions::new(self.server, self.zone, keys, self.backend)
+        })
+    }
+}
+
+fn read_backend(reader: &mut Reader) -> Backend {
+    let engine = EngineSettings::default();
+    let service = ServiceSettings::default();
+    let kinds = [("engine", PoolKind::Engine), ("service", PoolKind::Service)];
+    let kind = reader.choice("backend", "kind", &kinds, PoolKind::Service);
+    let url = reader.url("backend", "url");
+    let connect = reader.millis("backend", "connect-timeout-ms", 10..=60_000, 500);
+    match kind {
+        PoolKind::Engine => Backend::Engine(EngineSettings {
+            url,
+            connect,
+            idle: reader.millis("backend", "idle-timeout-ms", 100..=600_000, 10_000),
+            priority: reader.flag("backend", "priority", engine.priority),
+            resume: reader.flag("backend", "resume", engine.resume),
+            ..engine
+        }),
+        PoolKind::Service => Backend::Service(ServiceSettings {
+            url,
+            connect,
+            timeout: reader.millis("backend", "timeout-ms", 1_000..=3_600_000, 60_000),
+            health: reader.path_or("backend", "health", &service.health),
+            ..service
+        }),
+    }
+}
+
 fn read_text(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|error| {
         let text = format!("can't be read: {error}");
@@ -482,6 +584,12 @@
         self.read(section, key, "a file that exists", None, parse).unwrap_or_default()
     }
 
+    fn path_or(&mut self, section: &'static str, key: &'static str, default: &str) -> String {
+        let accepted = "a path that begins with /";
+        let parse = |value: &str| value.starts_with('/').then(|| value.to_owned());
+        self.read(section, key, accepted, Some(default.to_owned()), parse).unwrap_or_default()
+    }
+
     pub(crate) fn url(&mut self, section: &'static str, key: &'static str) -> String {
         if self.sections.get(section).is_none_or(|keys| !keys.contains_key(key)) {
             self.problem(section, key, format!("required; expected {URL}"));
