Add the side daemon

Cause: nothing drove the core's Side from connections, engines and services. Side::unsent hands back a started attempt that the backend server can't have got, so that a refused connection is told as not run instead of outcome unknown. Pulls can ask for the difference of two sections. The stand-in of an engine can hold answers back, so that no test races against its speed.

--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -157,6 +157,19 @@
         self.start(now)
     }
 
+    /// The backend server can't have got an attempt that was started. It is handed back and won't
+    /// start any more.
+    pub fn unsent(&mut self, now: Time, attempt: AttemptId, refusal: Refusal) -> Vec<SideAction> {
+        self.now = self.now.max(now);
+        let Some(running) = self.running.remove(&attempt) else { return Vec::new() };
+        if running.effect == Effect::Once {
+            self.promise(attempt);
+        }
+        let mut actions = vec![SideAction::Refuse(attempt, refusal)];
+        actions.extend(self.start(now));
+        actions
+    }
+
     /// Promises never to start a non-idempotent attempt, if that is still possible.
     ///
     /// An attempt that waits in the queue is left there: the entry that sent it waits for it, and
--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod logs;
 pub mod metrics;
 pub mod settings;
+pub mod side;
--- a/crates/engines/src/error.rs
+++ b/crates/engines/src/error.rs
@@ -12,6 +12,9 @@
 /// Why a call gave no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum EngineError {
+    /// No connection could be made, so it did not run.
+    #[error("not reached: {0}")]
+    Unreachable(String),
     /// The engine did not start it.
     #[error("refused before it ran: {reason}")]
     Refused {
@@ -51,8 +54,10 @@
             reason.push_str(&inner.to_string());
             source = inner.source();
         }
-        // Without a connection, or a valid request, nothing was sent.
-        if error.is_connect() || error.is_builder() {
+        if error.is_connect() {
+            EngineError::Unreachable(reason)
+        } else if error.is_builder() {
+            // Without a valid request nothing was sent.
             EngineError::Refused { reason, retry: None }
         } else {
             EngineError::Unknown(reason)
--- a/crates/engines/tests/completions.rs
+++ b/crates/engines/tests/completions.rs
@@ -116,7 +116,7 @@
     let port = socket.local_addr().unwrap();
     let settings = EngineSettings { url: format!("http://{port}"), ..EngineSettings::default() };
     let nobody = Engine::new(settings).unwrap().complete(call(PROMPT)).await;
-    assert!(matches!(nobody, Err(EngineError::Refused { .. })), "{nobody:?}");
+    assert!(matches!(nobody, Err(EngineError::Unreachable(_))), "{nobody:?}");
 }
 
 /// Guards against an engine that hangs in the middle of an answer holding its attempt for ever.
--- a/crates/services/src/error.rs
+++ b/crates/services/src/error.rs
@@ -7,6 +7,9 @@
 /// Why a call gave no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ServiceError {
+    /// No connection could be made, so it did not run.
+    #[error("not reached: {0}")]
+    Unreachable(String),
     /// The service did not start it.
     #[error("refused before it ran: {0}")]
     Refused(String),
@@ -27,8 +30,10 @@
             reason.push_str(&inner.to_string());
             source = inner.source();
         }
-        // Without a connection, or a valid request, nothing was sent.
-        if error.is_connect() || error.is_builder() {
+        if error.is_connect() {
+            ServiceError::Unreachable(reason)
+        } else if error.is_builder() {
+            // Without a valid request nothing was sent.
             ServiceError::Refused(reason)
         } else {
             ServiceError::Unknown(reason)
--- a/crates/services/tests/calls.rs
+++ b/crates/services/tests/calls.rs
@@ -70,7 +70,7 @@
     socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let port = socket.local_addr().unwrap();
     let error = client(format!("http://{port}")).call(call(Effect::Once)).await.unwrap_err();
-    assert!(matches!(error, ServiceError::Refused(_)), "{error}");
+    assert!(matches!(error, ServiceError::Unreachable(_)), "{error}");
 }
 
 /// Guards against "not run" for a call that was sent and timed out.
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -36,6 +36,8 @@
     pub refuse: bool,
     /// Sends an error event instead of the last token.
     pub fail: bool,
+    /// Holds answers back before this token until the behaviour changes.
+    pub hold: Option<u32>,
     /// Breaks the connection instead of sending this token of an answer.
     pub die: Option<u32>,
     /// Fails its health check.
@@ -50,6 +52,7 @@
             fenced: true,
             refuse: false,
             fail: false,
+            hold: None,
             die: None,
             sick: false,
         }
@@ -77,6 +80,8 @@
     limit: u32,
     /// A cache event was added.
     stored: Arc<Notify>,
+    /// The behaviour changed.
+    changed: Notify,
 }
 
 #[derive(Debug)]
@@ -132,7 +137,8 @@
         };
         let slots = Arc::new(Semaphore::new(limit as usize));
         let stored = Arc::new(Notify::new());
-        let shared = Arc::new(Shared { state: Mutex::new(state), slots, limit, stored });
+        let changed = Notify::new();
+        let shared = Arc::new(Shared { state: Mutex::new(state), slots, limit, stored, changed });
         let router = Router::new()
             .push(Router::with_path("v1/completions").post(Completions(Arc::clone(&shared))))
             .push(Router::with_path("load").get(ShowLoad(Arc::clone(&shared))))
@@ -156,6 +162,7 @@
     /// Changes its behaviour; answers in progress follow the new one too.
     pub fn set(&self, change: impl FnOnce(&mut Behaviour)) {
         change(&mut self.shared.lock().behaviour);
+        self.shared.changed.notify_waiters();
     }
 
     /// The work that it did.
@@ -196,6 +203,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The behaviour for a token, once it is not held back.
+    async fn behaviour_at(&self, index: u32) -> Behaviour {
+        loop {
+            let changed = self.changed.notified();
+            let behaviour = self.lock().behaviour;
+            if behaviour.hold != Some(index) {
+                return behaviour;
+            }
+            changed.await;
+        }
+    }
+
     fn store_prefix(&self, prompt: &str) {
         let prefix = digest(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)], 0);
         let mut state = self.lock();
@@ -319,7 +338,7 @@
     stream::unfold((job, prompt, first), move |(mut job, prompt, step)| async move {
         match step {
             Step::Token(index) if index < tokens => {
-                let behaviour = job.shared.lock().behaviour;
+                let behaviour = job.shared.behaviour_at(index).await;
                 sleep(behaviour.token).await;
                 if behaviour.die == Some(index) {
                     let error = io::Error::other("told to die");
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -41,6 +41,13 @@
         Manifest,
         /// The section with this digest.
         Section(Digest),
+        /// The difference of two sections.
+        Patch {
+            /// The section that is needed.
+            wanted: Digest,
+            /// The section that the asking end holds.
+            base: Digest,
+        },
     }
 
     /// What an entry sends.
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -90,7 +90,7 @@
         move |request| match request {
             PullRequest::Manifest => Some(Bytes::from(format!("{prefix} manifest"))),
             PullRequest::Section(Digest([5, ..])) => Some(Bytes::from(vec![5; 1 << 20])),
-            PullRequest::Section(_) => None,
+            PullRequest::Section(_) | PullRequest::Patch { .. } => None,
         }
     };
     let entry = entry().with_sections(sections("entry"));
