Test connections against wrong peers and wrong frames, and fix the truncated frame

Cause: nothing showed what wrong certificates, other protocol versions, oversized, truncated and arbitrary frames do. The fuzz test (fixed seed) found that a stream cut right after the length prefix of a frame looked like a clean end. A certificate of an authority with the same name was reported as a lost connection. Change: 28 failure tests and 6 property tests; the codec remembers that it is inside a frame; TLS alert 51 counts as a certificate error.

--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -12,8 +12,9 @@
 pub(crate) const CODE_MALFORMED: VarInt = VarInt::from_u32(2);
 pub(crate) const CODE_PEER: VarInt = VarInt::from_u32(3);
 
-/// TLS alerts by number (RFC 8446, section 6) that concern certificates.
-const CERTIFICATE_ALERTS: [u8; 9] = [41, 42, 43, 44, 45, 46, 48, 49, 116];
+/// TLS alerts by number (RFC 8446, section 6) that concern certificates. 51 (`decrypt_error`) is sent
+/// for a certificate that an authority of the same name signed with another key.
+const CERTIFICATE_ALERTS: [u8; 10] = [41, 42, 43, 44, 45, 46, 48, 49, 51, 116];
 /// TLS alert `no_application_protocol`.
 const ALPN_ALERT: u8 = 120;
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -14,6 +14,8 @@
 pub struct Codec<T> {
     inner: LengthDelimitedCodec,
     limit: usize,
+    /// The prefix of a frame was taken and its message not yet.
+    inside: bool,
     message: PhantomData<fn() -> T>,
 }
 
@@ -27,14 +29,14 @@
             .length_field_type::<u32>()
             .max_frame_length(limit)
             .new_codec();
-        Self { inner, limit, message: PhantomData }
+        Self { inner, limit, inside: false, message: PhantomData }
     }
 
     /// The same codec for messages of another type and with another limit.
     pub(crate) fn become_codec<U>(self, limit: usize) -> Codec<U> {
         let mut inner = self.inner;
         inner.set_max_frame_length(limit);
-        Codec { inner, limit, message: PhantomData }
+        Codec { inner, limit, inside: self.inside, message: PhantomData }
     }
 
     fn error(&self, error: io::Error) -> FrameError {
@@ -52,9 +54,16 @@
     type Error = FrameError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<T>, FrameError> {
+        let before = source.len();
         match self.inner.decode(source) {
-            Ok(Some(frame)) => read_message(&frame).map(Some),
-            Ok(None) => Ok(None),
+            Ok(Some(frame)) => {
+                self.inside = false;
+                read_message(&frame).map(Some)
+            }
+            Ok(None) => {
+                self.inside |= source.len() < before;
+                Ok(None)
+            }
             Err(error) => Err(self.error(error)),
         }
     }
@@ -62,7 +71,7 @@
     fn decode_eof(&mut self, source: &mut BytesMut) -> Result<Option<T>, FrameError> {
         match self.decode(source)? {
             Some(message) => Ok(Some(message)),
-            None if source.is_empty() => Ok(None),
+            None if source.is_empty() && !self.inside => Ok(None),
             None => Err(FrameError::Truncated),
         }
     }
--- /dev/null
+++ b/crates/wire/tests/failure.rs
@@ -0,0 +1,392 @@
+//! Failures of connections: wrong peers, wrong frames, dead peers.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "used by tests only")]
+
+mod support;
+
+use bytes::Bytes;
+use damaskweir_core::prelude::*;
+use damaskweir_wire::{
+    FrameError, Keys, Limits, Link, Local, PROTOCOL, PeerId, Rejected, Request, ToEntry, WireError,
+};
+use quinn::crypto::rustls::QuicClientConfig;
+use rstest::rstest;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use std::sync::Arc;
+use std::time::Duration;
+use support::*;
+
+/// Connects and returns what each end saw.
+async fn shake_hands(
+    entry_keys: &Keys,
+    entry: Local,
+    side_keys: &Keys,
+    side: Local,
+) -> (Result<Link, WireError>, Rejected) {
+    let mut listener = listen(side_keys, side, Limits::default());
+    let dialer = dial(entry_keys, entry, Limits::default());
+    let address = listener.address();
+    let server = server();
+    let both = async { tokio::join!(dialer.connect(address, &server), listener.accept()) };
+    let (link, accepted) = within(both).await;
+    (link, accepted.unwrap().expect_err("the side accepted the connection"))
+}
+
+/// Guards against an entry whose certificate another authority signed.
+#[rstest]
+#[tokio::test]
+async fn entry_with_a_foreign_certificate_is_refused(#[values("ours", "other")] name: &str) {
+    let (ours, foreign) = (Authority::named("ours"), Authority::named(name));
+    let entry_keys = foreign.keys_trusting("damaskweir", &ours);
+    let (link, rejected) = shake_hands(&entry_keys, entry(), &ours.keys(), side()).await;
+    assert!(matches!(rejected.error, WireError::Certificate(_)), "{:?}", rejected.error);
+    let error = link.expect_err("the entry got a link");
+    assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
+}
+
+/// Guards against a side whose certificate another authority signed.
+#[rstest]
+#[tokio::test]
+async fn side_with_a_foreign_certificate_is_refused(#[values("ours", "other")] name: &str) {
+    let (ours, foreign) = (Authority::named("ours"), Authority::named(name));
+    let side_keys = foreign.keys_trusting("damaskweir", &ours);
+    let (link, rejected) = shake_hands(&ours.keys(), entry(), &side_keys, side()).await;
+    let error = link.expect_err("the entry got a link");
+    assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
+    assert!(matches!(rejected.error, WireError::Certificate(_)), "{:?}", rejected.error);
+}
+
+/// Guards against a certificate of the right authority for another purpose.
+#[tokio::test]
+async fn side_with_another_name_is_refused() {
+    let ours = Authority::new();
+    let side_keys = ours.keys_for("label-printer");
+    let (link, _) = shake_hands(&ours.keys(), entry(), &side_keys, side()).await;
+    let error = link.expect_err("the entry got a link");
+    assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
+}
+
+/// Guards against messages being exchanged with a process of another protocol version.
+#[rstest]
+#[case::newer_entry(PROTOCOL + 1, PROTOCOL)]
+#[case::newer_side(PROTOCOL, PROTOCOL + 1)]
+#[tokio::test]
+async fn other_protocol_version_is_refused(#[case] entry_version: u16, #[case] side_version: u16) {
+    let authority = Authority::new();
+    let keys = authority.keys();
+    let mut listener = listen(&keys, side().with_protocol(side_version), Limits::default());
+    let dialer = dial(&keys, entry().with_protocol(entry_version), Limits::default());
+    let error = within(dialer.connect(listener.address(), &server())).await.unwrap_err();
+    let theirs = if side_version == PROTOCOL { PROTOCOL } else { side_version };
+    assert!(matches!(error, WireError::Protocol { theirs: Some(v) } if v == theirs), "{error:?}");
+    if entry_version != PROTOCOL {
+        let rejected = within(listener.accept()).await.unwrap().unwrap_err();
+        let expected = Some(entry_version);
+        assert!(
+            matches!(rejected.error, WireError::Protocol { theirs } if theirs == expected),
+            "{:?}",
+            rejected.error
+        );
+    }
+}
+
+/// Guards against a process of another kind being served because of its address or certificate.
+#[tokio::test]
+async fn unexpected_process_is_refused() {
+    let authority = Authority::new();
+    let keys = authority.keys();
+    let moved = Local::new(PeerId::Side("engine-2".into()), "zone-a".into(), Incarnation(9));
+    let listener = listen(&keys, moved, Limits::default());
+    let dialer = dial(&keys, entry(), Limits::default());
+    let error = within(dialer.connect(listener.address(), &server())).await.unwrap_err();
+    assert!(matches!(error, WireError::Peer { .. }), "{error:?}");
+
+    let (link, rejected) = shake_hands(&keys, side(), &keys, side()).await;
+    assert!(matches!(rejected.error, WireError::Peer { .. }), "{:?}", rejected.error);
+    assert!(link.is_err());
+}
+
+/// Guards against a wrong certificate or version having any effect on other connections.
+#[tokio::test]
+async fn refused_peers_leave_the_listener_working() {
+    let (ours, foreign) = (Authority::new(), Authority::new());
+    let mut listener = listen(&ours.keys(), side(), Limits::default());
+    let intruder = dial(&foreign.keys_trusting("damaskweir", &ours), entry(), Limits::default());
+    within(intruder.connect(listener.address(), &server())).await.unwrap_err();
+    assert!(within(listener.accept()).await.unwrap().is_err());
+    let dialer = dial(&ours.keys(), entry(), Limits::default());
+    within(dialer.connect(listener.address(), &server())).await.unwrap();
+    assert!(within(listener.accept()).await.unwrap().is_ok());
+}
+
+/// Guards against more connections than the side's limit.
+#[tokio::test]
+async fn connections_are_limited() {
+    let authority = Authority::new();
+    let keys = authority.keys();
+    let limits = Limits { connections: 1, ..Limits::default() };
+    let mut listener = listen(&keys, side(), limits);
+    let first = dial(&keys, entry(), limits);
+    let _link = within(first.connect(listener.address(), &server())).await.unwrap();
+    let _connection = within(listener.accept()).await.unwrap().unwrap();
+    let second = dial(&keys, entry(), limits);
+    let error = within(second.connect(listener.address(), &server())).await.unwrap_err();
+    assert!(matches!(error, WireError::Full), "{error:?}");
+    let rejected = within(listener.accept()).await.unwrap().unwrap_err();
+    assert!(matches!(rejected.error, WireError::Full), "{:?}", rejected.error);
+}
+
+/// Guards against a dispatch that is larger than the entry's own limit taking the connection down.
+#[tokio::test]
+async fn too_large_dispatch_is_not_sent() {
+    let limits = Limits { frame: 10_000, ..Limits::default() };
+    let mut pair = pair(limits).await;
+    let error = within(pair.link.dispatch(&dispatch(0), work(vec![0; 20_000]))).await.unwrap_err();
+    let limit = 10_000;
+    assert!(
+        matches!(error, WireError::Frame(FrameError::TooLarge { limit: l }) if l == limit),
+        "{error:?}"
+    );
+    let _attempt = within(pair.link.dispatch(&dispatch(1), work("small"))).await.unwrap();
+    assert_eq!(next_dispatch(&mut pair.connection).await.0.attempt, dispatch(1).attempt);
+}
+
+/// Guards against frames above the side's limit being read into memory.
+#[tokio::test]
+async fn oversized_frame_ends_the_connection() {
+    let small = Limits { frame: 10_000, ..Limits::default() };
+    let mut pair = pair_of(entry(), side(), Limits::default(), small).await;
+    let sent = pair.link.dispatch(&dispatch(0), work(vec![0; 20_000])).await;
+    assert!(within(pair.connection.next()).await.is_none(), "the side took the dispatch");
+    let seen = within(pair.connection.peer().closed()).await;
+    assert!(matches!(seen, WireError::Frame(FrameError::TooLarge { .. })), "{seen:?}");
+    let told = within(pair.link.closed()).await;
+    assert!(matches!(told, WireError::Rejected(_)), "{told:?}");
+    if let Ok(mut attempt) = sent {
+        assert!(within(attempt.next()).await.is_err());
+    }
+}
+
+/// Guards against an answer above the entry's limit being taken for the end of the attempt.
+#[tokio::test]
+async fn oversized_answer_breaks_the_attempt() {
+    let small = Limits { frame: 10_000, ..Limits::default() };
+    let mut pair = pair_of(entry(), side(), small, Limits::default()).await;
+    let mut attempt = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let (_, _, mut reply) = next_dispatch(&mut pair.connection).await;
+    let data = Bytes::from(vec![0; 20_000]);
+    let _ = reply.send(ToEntry::Chunk { index: 0, data }).await;
+    assert!(within(attempt.next()).await.is_err());
+    let seen = within(pair.link.closed()).await;
+    assert!(matches!(seen, WireError::Frame(FrameError::TooLarge { .. })), "{seen:?}");
+}
+
+/// A client without the crate's own framing, with the given ALPN name.
+fn raw_client(authority: &Authority, alpn: &[u8]) -> quinn::Endpoint {
+    let (ca, certificate, key) = authority.pem("damaskweir");
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_slice(ca.as_bytes()).unwrap()).unwrap();
+    let chain = vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
+    let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_client_auth_cert(chain, key)
+        .unwrap();
+    config.alpn_protocols = vec![alpn.to_vec()];
+    let config = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(config).unwrap()));
+    let mut endpoint = quinn::Endpoint::client(loopback()).unwrap();
+    endpoint.set_default_client_config(config);
+    endpoint
+}
+
+/// A Hello as an entry sends it: protocol, entry id, zone, incarnation and version in postcard.
+fn raw_hello() -> Vec<u8> {
+    let hello = [&[1u8, 0, 2][..], b"e1", &[1], b"a", &[7, 3]].concat();
+    frame(&hello)
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len()).unwrap().to_be_bytes();
+    [&length[..], body].concat()
+}
+
+/// Guards against a peer that offers another version in the TLS handshake.
+#[tokio::test]
+async fn other_alpn_is_refused() {
+    let authority = Authority::new();
+    let mut listener = listen(&authority.keys(), side(), Limits::default());
+    let client = raw_client(&authority, b"damaskweir/2");
+    let connecting = client.connect(listener.address(), "damaskweir").unwrap();
+    assert!(within(connecting).await.is_err());
+    let rejected = within(listener.accept()).await.unwrap().unwrap_err();
+    assert!(matches!(rejected.error, WireError::Protocol { theirs: None }), "{rejected:?}");
+}
+
+/// Guards against bytes that are no message, or an incomplete one, starting work or stopping the
+/// listener.
+#[rstest]
+#[case::no_message(&frame(&[0xff; 40]), true)]
+#[case::trailing_bytes(&frame(&[3, 0, 0xaa]), true)]
+#[case::length_above_the_limit(&[0xff; 8], true)]
+#[case::cut_off_in_the_length(&[0, 0], false)]
+#[case::cut_off_in_the_message(&frame(&[3, 1, 2, 3])[..6], false)]
+#[case::nothing(&[], false)]
+#[tokio::test]
+async fn unreadable_frames_start_nothing(#[case] bytes: &[u8], #[case] closes: bool) {
+    let authority = Authority::new();
+    let mut listener = listen(&authority.keys(), side(), Limits::default());
+    let client = raw_client(&authority, b"damaskweir/1");
+    let raw = within(client.connect(listener.address(), "damaskweir").unwrap()).await.unwrap();
+    let (mut control, _reports) = raw.open_bi().await.unwrap();
+    control.write_all(&raw_hello()).await.unwrap();
+    let mut connection = within(listener.accept()).await.unwrap().unwrap();
+    assert_eq!(connection.peer().hello().id, PeerId::Entry("e1".into()));
+
+    let (mut send, mut recv) = raw.open_bi().await.unwrap();
+    send.write_all(bytes).await.unwrap();
+    send.finish().unwrap();
+    if closes {
+        let seen = within(connection.peer().closed()).await;
+        assert!(matches!(seen, WireError::Frame(_)), "{seen:?}");
+        assert!(within(connection.next()).await.is_none());
+    } else {
+        // The side ends its half too and goes on.
+        assert_eq!(within(recv.read_to_end(10)).await.unwrap(), Vec::<u8>::new());
+    }
+    let dialer = dial(&authority.keys(), entry(), Limits::default());
+    within(dialer.connect(listener.address(), &server())).await.unwrap();
+}
+
+/// Guards against a dead side that an entry goes on sending to.
+#[tokio::test]
+async fn silent_side_is_noticed() {
+    let authority = Authority::new();
+    let keys = authority.keys();
+    let idle = Duration::from_millis(300);
+    let limits = Limits { idle, heartbeat: Duration::from_millis(100), ..Limits::default() };
+    // A runtime of its own, so that the side falls silent without a word when it is stopped.
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let side_keys = keys.clone();
+    let (address, held) = runtime
+        .spawn(async move {
+            let mut listener = listen(&side_keys, side(), limits);
+            let address = listener.address();
+            let held = tokio::spawn(async move {
+                let connection = listener.accept().await;
+                std::future::pending::<()>().await;
+                drop((connection, listener));
+            });
+            (address, held)
+        })
+        .await
+        .unwrap();
+    let dialer = dial(&keys, entry(), limits);
+    let link = within(dialer.connect(address, &server())).await.unwrap();
+    let mut attempt = within(link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    // Blocks the side's only worker for good.
+    let (release, blocked) = std::sync::mpsc::channel::<()>();
+    runtime.spawn(async move {
+        let _ = blocked.recv();
+    });
+    let error = within(link.closed()).await;
+    assert!(matches!(error, WireError::Lost(_)), "{error:?}");
+    assert!(within(attempt.next()).await.is_err());
+    drop(release);
+    held.abort();
+    runtime.shutdown_background();
+}
+
+/// Guards against a cancel that the side does not hear of, by drop and by a lost connection.
+#[rstest]
+#[case::dropped(|link: Link, attempt| drop((attempt, link)))]
+#[case::cancelled(|_link, mut attempt: damaskweir_wire::Attempt| {
+    attempt.cancel();
+    std::mem::forget(attempt);
+})]
+#[case::connection_closed(|link: Link, attempt| {
+    link.close();
+    std::mem::forget(attempt);
+})]
+#[tokio::test]
+async fn side_hears_of_each_cancel(#[case] end: fn(Link, damaskweir_wire::Attempt)) {
+    let mut pair = pair(Limits::default()).await;
+    let attempt = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let (got, _, reply) = next_dispatch(&mut pair.connection).await;
+    end(pair.link.clone(), attempt);
+    match within(pair.connection.next()).await {
+        Some(Request::Cancel(attempt, ticket)) => {
+            assert_eq!((attempt, ticket), (got.attempt, reply.ticket()));
+        }
+        other => panic!("expected a cancel, got {other:?}"),
+    }
+}
+
+/// Guards against a cancel for an attempt that has ended, which could hit a later copy.
+#[tokio::test]
+async fn ended_attempt_is_not_cancelled() {
+    let mut pair = pair(Limits::default()).await;
+    let mut first = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let (_, _, mut reply) = next_dispatch(&mut pair.connection).await;
+    let sent = tokio::spawn(async move { reply.send(ToEntry::Done(Outcome::Finished)).await });
+    assert!(within(first.next()).await.unwrap().is_some());
+    drop(first);
+    within(sent).await.unwrap().unwrap();
+    let _second = within(pair.link.dispatch(&dispatch(1), work("x"))).await.unwrap();
+    assert_eq!(next_dispatch(&mut pair.connection).await.0.attempt, dispatch(1).attempt);
+}
+
+/// Guards against a broken stream that looks like the end of the attempt.
+#[tokio::test]
+async fn dropped_reply_is_an_error() {
+    let mut pair = pair(Limits::default()).await;
+    let mut attempt = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let (_, _, mut reply) = next_dispatch(&mut pair.connection).await;
+    reply.send(ToEntry::Accepted).await.unwrap();
+    drop(reply);
+    assert_eq!(within(attempt.next()).await.unwrap(), Some(ToEntry::Accepted));
+    assert!(matches!(within(attempt.next()).await, Err(WireError::Ended)));
+}
+
+/// Guards against a side that takes more attempts of one connection than its limit.
+#[tokio::test]
+async fn streams_are_limited() {
+    // The control stream counts too.
+    let limits = Limits { streams: 3, ..Limits::default() };
+    let mut pair = pair(limits).await;
+    let first = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let _second = within(pair.link.dispatch(&dispatch(1), work("x"))).await.unwrap();
+    let link = pair.link.clone();
+    let third = tokio::spawn(async move { link.dispatch(&dispatch(2), work("x")).await });
+    let (_, _, reply) = next_dispatch(&mut pair.connection).await;
+    next_dispatch(&mut pair.connection).await;
+    assert!(!third.is_finished(), "the third stream was opened");
+    drop((first, reply));
+    within(third).await.unwrap().unwrap();
+}
+
+/// Guards against key files whose errors don't name the file, and against keys that can't be used.
+#[tokio::test]
+async fn keys_are_read_from_files() {
+    let directory = std::env::temp_dir().join(format!("damaskweir-keys-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let (ca, certificate, key) = Authority::new().pem("damaskweir");
+    let file = |name: &str, text: &str| {
+        let path = directory.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    };
+    let (ca, certificate) = (file("ca.pem", &ca), file("cert.pem", &certificate));
+    let key = file("key.pem", &key);
+    Keys::from_files(&ca, &certificate, &key).unwrap();
+    let swapped = Keys::from_files(&ca, &key, &certificate).unwrap_err();
+    assert!(matches!(swapped, WireError::Keys(_)), "{swapped:?}");
+    let missing = directory.join("absent.pem");
+    let error = Keys::from_files(&missing, &certificate, &key).unwrap_err().to_string();
+    assert!(error.contains("absent.pem"), "{error}");
+    std::fs::remove_dir_all(&directory).unwrap();
+}
--- /dev/null
+++ b/crates/wire/tests/fuzz.rs
@@ -0,0 +1,153 @@
+//! Arbitrary bytes against the frame decoder. The seed is fixed, so each run tries the same cases.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "used by tests only")]
+
+use bytes::{Bytes, BytesMut};
+use damaskweir_core::prelude::*;
+use damaskweir_wire::{Codec, FrameError, Hello, PeerId, ToEntry};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use tokio_util::codec::{Decoder, Encoder};
+
+const LIMIT: usize = 4096;
+/// Size of the length prefix.
+const PREFIX: usize = 4;
+
+fn check<S: Strategy>(strategy: S, property: impl Fn(S::Value)) {
+    let config = Config { cases: 2000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let run = runner.run(&strategy, |value| {
+        property(value);
+        Ok(())
+    });
+    if let Err(error) = run {
+        panic!("{error}");
+    }
+}
+
+fn messages() -> impl Strategy<Value = ToEntry> {
+    prop_oneof![
+        Just(ToEntry::Accepted),
+        any::<u64>()
+            .prop_map(|retry| { ToEntry::Refused(Refusal::Overloaded { retry: Span(retry) }) }),
+        (any::<u32>(), prop::collection::vec(any::<u8>(), 0..600))
+            .prop_map(|(index, data)| ToEntry::Chunk { index, data: Bytes::from(data) }),
+        Just(ToEntry::Done(Outcome::Failed(Failure::Interrupted))),
+    ]
+}
+
+/// Decodes as a stream does: in pieces, then to the end.
+fn decode_all<T: serde::de::DeserializeOwned>(
+    bytes: &[u8],
+    piece: usize,
+) -> (Vec<T>, Result<(), FrameError>) {
+    let mut codec = Codec::<T>::new(LIMIT);
+    let mut buffer = BytesMut::new();
+    let mut messages = Vec::new();
+    for part in bytes.chunks(piece.max(1)) {
+        buffer.extend_from_slice(part);
+        loop {
+            match codec.decode(&mut buffer) {
+                Ok(Some(message)) => messages.push(message),
+                Ok(None) => break,
+                Err(error) => return (messages, Err(error)),
+            }
+        }
+        let spare = buffer.capacity();
+        assert!(spare <= 4 * (LIMIT + bytes.len()), "buffer of {spare} bytes");
+    }
+    loop {
+        match codec.decode_eof(&mut buffer) {
+            Ok(Some(message)) => messages.push(message),
+            Ok(None) => return (messages, Ok(())),
+            Err(error) => return (messages, Err(error)),
+        }
+    }
+}
+
+/// Guards against a peer that makes the decoder panic, hang or take memory beyond the limit.
+#[test]
+fn arbitrary_bytes_never_panic() {
+    check((prop::collection::vec(any::<u8>(), 0..2000), 1usize..300), |(bytes, piece)| {
+        let _ = decode_all::<ToEntry>(&bytes, piece);
+        let _ = decode_all::<Hello>(&bytes, piece);
+        let _ = decode_all::<Dispatch>(&bytes, piece);
+    });
+}
+
+/// Guards against bytes after a valid prefix that make the decoder panic or accept them as part of a
+/// message.
+#[test]
+fn arbitrary_frames_decode_to_what_they_encode() {
+    check(prop::collection::vec(any::<u8>(), 0..200), |body| {
+        let mut bytes = u32::try_from(body.len()).unwrap().to_be_bytes().to_vec();
+        bytes.extend_from_slice(&body);
+        if let (decoded, Ok(())) = decode_all::<ToEntry>(&bytes, 64) {
+            assert_eq!(decoded.len(), 1);
+            let mut again = BytesMut::new();
+            Codec::<ToEntry>::new(LIMIT).encode(&decoded[0], &mut again).unwrap();
+            assert!(again.len() <= bytes.len(), "bytes were left over in the frame");
+            assert_eq!(decode_all::<ToEntry>(&again, 64).0, decoded);
+        }
+    });
+}
+
+/// Guards against messages that change on the way, however the stream cuts them up.
+#[test]
+fn messages_survive_any_cuts() {
+    check((prop::collection::vec(messages(), 0..8), 1usize..700), |(messages, piece)| {
+        let mut bytes = BytesMut::new();
+        let mut codec = Codec::<ToEntry>::new(LIMIT);
+        messages.iter().for_each(|message| codec.encode(message, &mut bytes).unwrap());
+        let (decoded, end) = decode_all::<ToEntry>(&bytes, piece);
+        assert!(end.is_ok(), "{end:?}");
+        assert_eq!(decoded, messages);
+    });
+}
+
+/// Guards against a truncated stream that looks complete.
+#[test]
+fn truncated_stream_is_an_error() {
+    check((messages(), any::<prop::sample::Index>()), |(message, cut)| {
+        let mut bytes = BytesMut::new();
+        Codec::<ToEntry>::new(LIMIT).encode(&message, &mut bytes).unwrap();
+        let cut = 1 + cut.index(bytes.len() - 1);
+        let (decoded, end) = decode_all::<ToEntry>(&bytes[..cut], 64);
+        assert_eq!(decoded, Vec::new());
+        assert!(matches!(end, Err(FrameError::Truncated)), "{end:?}");
+    });
+}
+
+/// Guards against frames above the limit, in either direction.
+#[test]
+fn oversized_frames_are_errors() {
+    check(LIMIT + 1..=u32::MAX as usize, |length| {
+        let prefix = u32::try_from(length).unwrap().to_be_bytes();
+        let (decoded, end) = decode_all::<ToEntry>(&prefix, PREFIX);
+        assert_eq!(decoded, Vec::new());
+        assert!(matches!(end, Err(FrameError::TooLarge { limit: LIMIT })), "{end:?}");
+    });
+    let data = Bytes::from(vec![0; LIMIT]);
+    let message = ToEntry::Chunk { index: 0, data };
+    let mut bytes = BytesMut::new();
+    let error = Codec::<ToEntry>::new(LIMIT).encode(&message, &mut bytes).unwrap_err();
+    assert!(matches!(error, FrameError::TooLarge { limit: LIMIT }));
+    assert!(bytes.is_empty(), "part of the frame was written");
+}
+
+/// Guards against a Hello whose first field is not the protocol version, which other versions need.
+#[test]
+fn hello_begins_with_the_protocol_version() {
+    let hello = Hello {
+        protocol: 300,
+        id: PeerId::Entry("e".into()),
+        zone: "z".into(),
+        incarnation: Incarnation(1),
+        version: Version(2),
+    };
+    let mut bytes = BytesMut::new();
+    Codec::<Hello>::new(LIMIT).encode(&hello, &mut bytes).unwrap();
+    // 300 as a postcard variable-length integer.
+    assert_eq!(bytes[PREFIX..PREFIX + 2], [0xac, 0x02]);
+}
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use damaskweir_wire::{
     Connection, Dialer, Keys, Limits, Link, Listener, Local, PeerId, Reply, Request, Work,
 };
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -28,8 +28,13 @@
 
 impl Authority {
     pub(crate) fn new() -> Self {
+        Self::named("damaskweir authority")
+    }
+
+    pub(crate) fn named(name: &str) -> Self {
         let key = KeyPair::generate().unwrap();
         let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.distinguished_name.push(DnType::CommonName, name);
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         let pem = params.self_signed(&key).unwrap().pem();
         Self { pem, issuer: Issuer::new(params, key) }
