--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -11,8 +11,8 @@
 use slog::Level;
 use std::ffi::OsString;
 use std::future::Future;
+use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -134,42 +134,42 @@
     }
 }
 
-/// Runs the command that the arguments name.
-pub fn run(arguments: Vec<OsString>) -> ExitCode {
-    match dispatch(Arguments::from_vec(arguments)) {
-        Ok(()) => ExitCode::SUCCESS,
+/// Runs the command that the arguments name and returns its exit code.
+pub fn run(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
+    match dispatch(Arguments::from_vec(arguments), out) {
+        Ok(()) => 0,
         Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(error.exit_code())
+            // Without standard error, the exit code still tells the kind of fault.
+            let _ = writeln!(err, "{error}");
+            error.exit_code()
         }
     }
 }
 
-fn dispatch(mut arguments: Arguments) -> Result<(), CommandError> {
+fn dispatch(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let command = arguments.subcommand()?;
     if arguments.contains("--version") {
-        println!("damaskweir {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
+        return print(out, &format!("damaskweir {}\n", env!("CARGO_PKG_VERSION")));
     }
     let help = arguments.contains("--help");
     match command.as_deref() {
-        Some("entry") if help => print(ENTRY_HELP),
+        Some("entry") if help => print(out, ENTRY_HELP),
         Some("entry") => entry(arguments),
-        Some("side") if help => print(SIDE_HELP),
+        Some("side") if help => print(out, SIDE_HELP),
         Some("side") => side(arguments),
-        Some("demo") if help => print(DEMO_HELP),
-        Some("demo") => demo(arguments),
-        Some("load") if help => print(LOAD_HELP),
-        Some("load") => load(arguments),
-        None if help => print(HELP),
+        Some("demo") if help => print(out, DEMO_HELP),
+        Some("demo") => demo(arguments, out),
+        Some("load") if help => print(out, LOAD_HELP),
+        Some("load") => load(arguments, out),
+        None if help => print(out, HELP),
         Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
         None => Err(CommandError::Usage("a command is required".to_owned())),
     }
 }
 
-fn print(text: &str) -> Result<(), CommandError> {
-    print!("{text}");
-    Ok(())
+fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
 }
 
 fn finish(arguments: Arguments) -> Result<(), CommandError> {
@@ -229,7 +229,7 @@
     })
 }
 
-fn demo(mut arguments: Arguments) -> Result<(), CommandError> {
+fn demo(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let defaults = DemoOptions::default();
     let serve = arguments.contains("--serve");
     let verbose = arguments.contains("--verbose");
@@ -246,20 +246,18 @@
         quiet_logger()
     };
     block_on(async {
-        let mut out = std::io::stdout();
         let demo = Demo::start(options, &log).await?;
-        demo.run(&mut out).await?;
+        demo.run(out).await?;
         if serve {
-            demo.print_help(&mut out)?;
+            demo.print_help(out)?;
             wait_for_stop().await?;
         }
         demo.stop().await?;
-        println!("demo: all answers are right");
-        Ok(())
+        print(out, "demo: all answers are right\n")
     })
 }
 
-fn load(mut arguments: Arguments) -> Result<(), CommandError> {
+fn load(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let target = arguments.value_from_fn("--target", reqwest::Url::parse)?;
     let body = r#"{"prompt": "load", "max_tokens": 1}"#.to_owned();
     let options = LoadOptions {
@@ -282,12 +280,13 @@
         _ => return Err(CommandError::Usage("--format must be text or json".to_owned())),
     };
     let report = block_on(async { Ok(run_load(&options).await?) })?;
-    if json {
+    let text = if json {
         let text = serde_json::to_string(&report);
-        println!("{}", text.map_err(|error| CommandError::Failure(error.to_string()))?);
+        text.map_err(|error| CommandError::Failure(error.to_string()))? + "\n"
     } else {
-        print!("{report}");
-    }
+        report.to_string()
+    };
+    print(out, &text)?;
     if report.is_clean() {
         Ok(())
     } else {
--- a/crates/damaskweir/src/main.rs
+++ b/crates/damaskweir/src/main.rs
@@ -3,5 +3,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    damaskweir::command::run(std::env::args_os().skip(1).collect())
+    let arguments = std::env::args_os().skip(1).collect();
+    let code = damaskweir::command::run(arguments, &mut std::io::stdout(), &mut std::io::stderr());
+    ExitCode::from(code)
 }
--- /dev/null
+++ b/crates/damaskweir/tests/demo.rs
@@ -0,0 +1,79 @@
+//! The demo: a whole deployment over the real protocols.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use damaskweir::demo::{Demo, DemoOptions};
+use damaskweir::load::{LoadError, LoadOptions, run_load};
+use damaskweir::logs::quiet_logger;
+use rstest::rstest;
+use std::time::Duration;
+
+/// A hang is a failure; no verdict depends on how long anything takes.
+const HANG: Duration = Duration::from_secs(120);
+
+/// Guards against a deployment that loses, alters or doubles work between caller and backend server,
+/// and against a drain that does not end.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn demo_is_right() {
+    let run = async {
+        let demo = Demo::start(DemoOptions::default(), &quiet_logger()).await.unwrap();
+        let mut out = Vec::new();
+        demo.run(&mut out).await.unwrap();
+        assert_eq!(demo.order_runs(), 1);
+        demo.stop().await.unwrap();
+        let text = String::from_utf8(out).unwrap();
+        for wanted in ["encode", "on engines-", "draft streamed: 16 chunks", "ran 1 time(s)"] {
+            assert!(text.contains(wanted), "{wanted}: {text}");
+        }
+    };
+    tokio::time::timeout(HANG, run).await.expect("the test hangs");
+}
+
+fn options(target: &str) -> LoadOptions {
+    LoadOptions {
+        target: target.parse().unwrap(),
+        rate: 50,
+        seconds: 1,
+        warmup: 0,
+        flight: 64,
+        body: r#"{"prompt": "load", "max_tokens": 1}"#.to_owned(),
+        workspace: "kollam".to_owned(),
+    }
+}
+
+/// Guards against load that loses count of requests, or calls refused ones answered.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn load_counts_every_request() {
+    let run = async {
+        let demo = Demo::start(DemoOptions::default(), &quiet_logger()).await.unwrap();
+        let url = &demo.urls()[0];
+        let options = options(&format!("{url}/v1/pipelines/complete"));
+        let report = run_load(&options).await.unwrap();
+        assert_eq!(report.due, 50);
+        let answered: u64 = report.statuses.values().sum();
+        assert_eq!(answered + report.broken + report.skipped, report.due);
+
+        let options =
+            LoadOptions { target: format!("{url}/v1/pipelines/nope").parse().unwrap(), ..options };
+        let report = run_load(&options).await.unwrap();
+        assert!(!report.is_clean());
+        assert_eq!(report.statuses.get(&200), None);
+        demo.stop().await.unwrap();
+    };
+    tokio::time::timeout(HANG, run).await.expect("the test hangs");
+}
+
+/// Guards against load on other machines and beyond its bounds.
+#[rstest]
+#[case("http://192.0.2.1/", 1, "the target must be")]
+#[case("http://localhost/", 1, "the target must be")]
+#[case("https://127.0.0.1/", 1, "the target must be")]
+#[case("http://127.0.0.1:1/", 0, "--rate must be from 1 to 20000")]
+#[case("http://127.0.0.1:1/", 20_001, "--rate must be from 1 to 20000")]
+#[tokio::test]
+async fn load_is_bounded(#[case] target: &str, #[case] rate: u32, #[case] wanted: &str) {
+    let error: LoadError = run_load(&LoadOptions { rate, ..options(target) }).await.unwrap_err();
+    assert!(error.to_string().contains(wanted), "{error}");
+}
