--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,9 +4,9 @@
 //! use damaskweir_operators::{Exit, run};
 //!
 //! # tokio::runtime::Runtime::new().unwrap().block_on(async {
-//! let mut output = Vec::new();
+//! let (mut output, mut errors) = (Vec::new(), Vec::new());
 //! let arguments = ["bundle", "check"].map(Into::into).to_vec();
-//! assert_eq!(run(arguments, &mut output).await, Exit::Usage);
+//! assert_eq!(run(arguments, &mut output, &mut errors).await, Exit::Usage);
 //! # });
 //! ```
 
