Limit long work at the side and admit by predicted wait and share

Estimates were taken from round trips and so included the wait.

Change: the side orders by slack with ageing, keeps slots free from long work (a quarter of the slots for long work while other work waits, half at any time), predicts the wait of an attempt from what goes before it and from the observed pace, and refuses long work that would wait too long. The entry admits while the predicted wait is within a quarter of the budget, scaled by the workspace's use against its share, sends refused attempts on at once at most twice, stops requests that can't make it, and does not hedge into queues. Service times come from the side (Entry::served) and are kept per size class (Entry::call_sized). Inputs in the bench now tell half of the variance of the work.

--- a/crates/bench/src/arrival.rs
+++ b/crates/bench/src/arrival.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::Deployment;
 use damaskweir_core::Rng;
+use damaskweir_core::predict::SizeClass;
 use damaskweir_core::time::{Span, Time};
 use rand_core::{Rng as _, SeedableRng as _};
 use std::f64::consts::TAU;
@@ -10,6 +11,8 @@
 const PREFIXES: f64 = 64.0;
 /// A repeat under the same key comes this long after the first call.
 const REPEAT_AFTER: Span = Span::from_millis(30);
+/// Share of inputs whose size class says nothing about them.
+const WRONG_CLASS: f64 = 0.03;
 /// Time within which a surge rises and falls.
 const RAMP_S: f64 = 1.0;
 
@@ -42,6 +45,8 @@
     pub(crate) prefix: u64,
     /// Identifies the body; a repeat has the body of its first call.
     pub(crate) body: u64,
+    /// What the caller's input tells about the work.
+    pub(crate) class: SizeClass,
     /// Work of each stage on a backend server of its own.
     pub(crate) work: Vec<Span>,
 }
@@ -105,11 +110,17 @@
     let workspace = pick(rng, deployment.workspaces.iter().map(|w| w.weight));
     let rank = PREFIXES.powf(uniform(rng)) as u64;
     let entry = (rng.next_u64() % deployment.entries as u64) as usize;
+    // The size of the input explains half of the variance; the rest shows only in the run.
+    let size = normal(rng);
     let work = deployment.pipelines[pipeline]
         .stages
         .iter()
-        .map(|stage| stage.median.scale((stage.sigma * normal(rng)).exp()))
+        .map(|stage| {
+            let part = (size + normal(rng)) * std::f64::consts::FRAC_1_SQRT_2;
+            stage.median.scale((stage.sigma * part).exp())
+        })
         .collect();
+    let class = draw_class(rng, size);
     Arrival {
         at: Time((at * 1e6) as u64),
         entry,
@@ -117,10 +128,17 @@
         workspace,
         prefix: ((workspace as u64) << 32) | rank,
         body,
+        class,
         work,
     }
 }
 
+/// Class of an input; a few are told wrong.
+fn draw_class(rng: &mut Rng, size: f64) -> SizeClass {
+    let told = if uniform(rng) < WRONG_CLASS { normal(rng) } else { size };
+    SizeClass(((told + 2.0).clamp(0.0, 3.9)) as u8)
+}
+
 fn pick(rng: &mut Rng, weights: impl Iterator<Item = f64> + Clone) -> usize {
     let total: f64 = weights.clone().sum();
     let mut left = uniform(rng) * total;
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -227,7 +227,7 @@
                 slots: pool.slots,
             })
             .collect();
-        Pool { kind: pool.kind, servers, extra: pool.extra }
+        Pool { kind: pool.kind, servers, resume: false, extra: pool.extra }
     }
 
     /// Servers and entries are spread evenly over the zones.
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug)]
 enum ToEntry {
     Event(EntryEvent),
-    Done(AttemptId, Outcome, Payload),
+    Done(AttemptId, Outcome, Payload, Span),
     Stands(RequestId, AttemptId, Standing, Option<Payload>),
     Report(Report),
 }
@@ -343,7 +343,7 @@
         };
         let entry = arrival.entry;
         let host = &mut self.hosts[entry];
-        let (id, actions) = host.entry.call(self.now, &mut self.rng, request);
+        let (id, actions) = host.entry.call_sized(self.now, &mut self.rng, request, arrival.class);
         host.calls.insert(id, call);
         self.entry_actions(entry, actions);
     }
@@ -371,13 +371,14 @@
                 }
                 event
             }
-            ToEntry::Done(attempt, outcome, payload) => {
+            ToEntry::Done(attempt, outcome, payload, time) => {
                 let host = &mut self.hosts[entry];
                 // The stream of a cancelled or lost attempt is closed: nothing arrives on it.
                 if !host.open[server].remove(&attempt) {
                     return;
                 }
                 host.outputs.insert(attempt, payload.value);
+                host.entry.served(attempt, time);
                 EntryEvent::Done(attempt, outcome)
             }
             ToEntry::Stands(request, attempt, standing, payload) => {
@@ -621,6 +622,7 @@
         let Some(payload) = self.stopped(server, attempt, work) else { return };
         let output = Payload { value: step(payload.value, attempt.stage), ..payload };
         let host = &mut self.servers[server];
+        let time = host.side.elapsed(self.now, attempt).unwrap_or_default();
         let actions = host.side.finish(self.now, attempt, outcome);
         let arrival = &self.arrivals[payload.call];
         let stage = &self.deployment.pipelines[arrival.pipeline].stages[usize::from(attempt.stage)];
@@ -628,7 +630,7 @@
             host.kept.insert(attempt, output);
         }
         if let Some(entry) = self.owner(attempt) {
-            self.send_entry(server, entry, ToEntry::Done(attempt, outcome, output));
+            self.send_entry(server, entry, ToEntry::Done(attempt, outcome, output, time));
         }
         self.side_actions(server, actions);
     }
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -2,9 +2,11 @@
 
 use crate::bundle::Workspace;
 use crate::ids::WorkspaceId;
-use crate::time::Span;
+use crate::time::{Span, Time};
 use std::collections::BTreeMap;
 
+/// Quiet workspaces that are remembered beyond twice the busy ones.
+const USAGE_SPARE: usize = 64;
 /// Retry hint when a workspace is at its limit.
 const LIMIT_RETRY: Span = Span::from_millis(500);
 
@@ -23,29 +25,76 @@
     },
 }
 
-/// Requests in progress per workspace.
+/// Share of its budget that a request may be predicted to wait. A longer queue would add no
+/// throughput, only latency, and would leave later stages without time.
+const WAIT_SHARE: f64 = 0.25;
+/// Time after which admitted work counts for less than half.
+const USAGE_MEMORY: Span = Span::from_secs(2);
+/// Least and greatest part of the usual wait that a workspace is allowed.
+const SHARE_RANGE: (f64, f64) = (0.25, 1.5);
+/// Shortest retry hint.
+const HINT_MIN: Span = Span::from_millis(100);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Predicted service time of all its stages.
+    pub work: Span,
+    /// Predicted wait at all its stages.
+    pub wait: Span,
+    /// Time until its deadline.
+    pub budget: Span,
+}
+
+/// Work admitted lately for one workspace.
+#[derive(Clone, Debug)]
+struct Usage {
+    /// Microseconds of predicted work, decayed since `updated`.
+    work: f64,
+    share: f64,
+    updated: Time,
+}
+
+impl Usage {
+    fn level(&self, now: Time) -> f64 {
+        let age = now.since(self.updated).as_secs_f64() / USAGE_MEMORY.as_secs_f64();
+        self.work * (-age).exp()
+    }
+}
+
+/// Admission control: requests in progress per workspace, and work admitted lately.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
     progress: BTreeMap<WorkspaceId, u32>,
+    usage: BTreeMap<WorkspaceId, Usage>,
 }
 
 impl Admission {
     /// Admits a request, or says why not. An admitted request must be released once.
+    ///
+    /// While requests have to wait, a workspace that used more than its share is allowed less wait
+    /// than one that used less, so the former is refused first.
     pub fn admit(
         &mut self,
+        now: Time,
         id: &WorkspaceId,
         workspace: &Workspace,
-        predicted: Span,
-        budget: Span,
+        ask: Option<Ask>,
     ) -> Result<(), Denial> {
-        if predicted > budget {
-            return Err(Denial::Overloaded { retry: predicted.saturating_sub(budget) });
+        if let Some(ask) = ask {
+            let usual = ask.budget.saturating_sub(ask.work).0.min(ask.budget.scale(WAIT_SHARE).0);
+            let allowed = Span(usual).scale(self.standing(now, id));
+            if ask.wait > allowed || ask.work > ask.budget {
+                let over = (ask.wait + ask.work).saturating_sub(allowed + ask.work);
+                return Err(Denial::Overloaded { retry: over.max(HINT_MIN) });
+            }
         }
         let progress = self.progress.entry(id.clone()).or_default();
         if *progress >= workspace.limit {
             return Err(Denial::WorkspaceLimit { retry: LIMIT_RETRY });
         }
         *progress += 1;
+        self.charge(now, id, workspace, ask.map_or(Span::ZERO, |ask| ask.work));
         Ok(())
     }
 
@@ -58,4 +107,28 @@
             }
         }
     }
+
+    /// How much of the usual wait a workspace is allowed, from its use against its share.
+    fn standing(&self, now: Time, id: &WorkspaceId) -> f64 {
+        let own = self.usage.get(id).map_or(0.0, |usage| usage.level(now) / usage.share);
+        let all: f64 = self.usage.values().map(|usage| usage.level(now)).sum();
+        let shares: f64 = self.usage.values().map(|usage| usage.share).sum();
+        if own <= 0.0 || shares <= 0.0 {
+            return SHARE_RANGE.1;
+        }
+        (all / shares / own).clamp(SHARE_RANGE.0, SHARE_RANGE.1)
+    }
+
+    fn charge(&mut self, now: Time, id: &WorkspaceId, workspace: &Workspace, work: Span) {
+        let share = f64::from(workspace.share.max(1));
+        let usage =
+            self.usage.entry(id.clone()).or_insert(Usage { work: 0.0, share, updated: now });
+        usage.work = usage.level(now) + work.0 as f64;
+        usage.share = share;
+        usage.updated = now;
+        // Workspaces that went quiet don't count as active, and thousands of them cost memory.
+        if self.usage.len() > self.progress.len() * 2 + USAGE_SPARE {
+            self.usage.retain(|_, usage| usage.level(now) > 1.0);
+        }
+    }
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,7 +1,7 @@
 //! Decisions of an entry: every request from admission to its one answer.
 
 use crate::Rng;
-use crate::admit::{Admission, Denial};
+use crate::admit::{Admission, Ask, Denial};
 use crate::bundle::{Bundle, Effect, Pipeline, Stage};
 use crate::claim::ClaimRecord;
 use crate::ids::{
@@ -10,7 +10,7 @@
 };
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
-use crate::predict::Estimator;
+use crate::predict::{Estimator, SizeClass};
 use crate::retry::{Backoff, Budget};
 use crate::route::Router;
 use crate::time::{Span, Time};
@@ -239,6 +239,10 @@
     pub(crate) id: AttemptId,
     pub(crate) server: ServerId,
     pub(crate) sent: Time,
+    /// Predicted wait when it was sent.
+    pub(crate) wait: Span,
+    /// Service time that the side measured.
+    pub(crate) served: Option<Span>,
 }
 
 /// Progress of a stage that may run only once.
@@ -261,6 +265,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
     pub(crate) call: Call,
+    pub(crate) class: SizeClass,
     pub(crate) bundle: Arc<Bundle>,
     pub(crate) deadline: Time,
     pub(crate) stage: u16,
@@ -282,6 +287,8 @@
     /// The element of `Entry::timers` that belongs to this request.
     pub(crate) armed: Time,
     pub(crate) claim: Option<Claim>,
+    /// Attempts at the current stage that were refused without having run.
+    pub(crate) bounces: u32,
     pub(crate) backoff: Backoff,
     pub(crate) retry_at: Option<Time>,
     pub(crate) hedge_at: Option<Time>,
@@ -334,7 +341,7 @@
     pub(crate) bundle: Arc<Bundle>,
     pub(crate) routers: BTreeMap<PoolId, Router>,
     pub(crate) budgets: BTreeMap<PoolId, Budget>,
-    pub(crate) estimators: BTreeMap<(PipelineId, u16), Estimator>,
+    pub(crate) estimators: BTreeMap<(PipelineId, u16, SizeClass), Estimator>,
     pub(crate) admission: Admission,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// One element per request: when its next timer runs out.
@@ -387,16 +394,27 @@
 
     /// Takes a request. The first action may already be its answer.
     pub fn call(&mut self, now: Time, rng: &mut Rng, call: Call) -> (RequestId, Vec<EntryAction>) {
+        self.call_sized(now, rng, call, SizeClass::default())
+    }
+
+    /// Takes a request of a known size class; service times are predicted for each class apart.
+    pub fn call_sized(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        call: Call,
+        class: SizeClass,
+    ) -> (RequestId, Vec<EntryAction>) {
         self.serial += 1;
         let id = RequestId { entry: self.incarnation, serial: self.serial };
         let mut actions = Vec::new();
-        match self.admit(now, &call) {
+        match self.admit(now, &call, class) {
             Err((code, retry)) => {
                 let answer = Answer::Error { code, execution: Execution::NotRun, retry };
                 actions.push(EntryAction::Answer(id, answer));
             }
             Ok(budget) => {
-                let request = self.new_request(call, now + budget);
+                let request = self.new_request(call, class, now + budget);
                 self.timers.insert((request.armed, id));
                 self.requests.insert(id, request);
                 self.begin_stage(now, rng, id, &mut actions);
@@ -451,6 +469,14 @@
         }
     }
 
+    /// The side measured this service time for an attempt that is about to be reported as done.
+    /// Without it the time is taken from the round trip, which includes the wait.
+    pub fn served(&mut self, attempt: AttemptId, time: Span) {
+        let request = self.requests.get_mut(&attempt.request);
+        let attempts = request.into_iter().flat_map(|request| &mut request.attempts);
+        attempts.filter(|a| a.id == attempt).for_each(|a| a.served = Some(time));
+    }
+
     /// The connection to a side opened or closed. Its attempts are reported lost one by one.
     pub fn connected(&mut self, now: Time, pool: &PoolId, server: &ServerId, connected: bool) {
         if let Some(router) = self.routers.get_mut(pool) {
@@ -485,7 +511,12 @@
         &self.bundle
     }
 
-    fn admit(&mut self, now: Time, call: &Call) -> Result<Span, (Code, Option<Span>)> {
+    fn admit(
+        &mut self,
+        now: Time,
+        call: &Call,
+        class: SizeClass,
+    ) -> Result<Span, (Code, Option<Span>)> {
         if self.draining {
             return Err((Code::Draining, Some(Span::ZERO)));
         }
@@ -498,34 +529,52 @@
             return Err((Code::KeyRequired, None));
         }
         let budget = call.deadline.unwrap_or(pipeline.deadline).min(pipeline.deadline);
-        let predicted = self
-            .predict(now, &call.pipeline, pipeline)
+        let (work, wait) = self
+            .predict(now, &call.pipeline, class, pipeline, 0)
             .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
-        let predicted = if self.settings.admission { predicted } else { Span::ZERO };
-        match self.admission.admit(&call.workspace, workspace, predicted, budget) {
+        let ask = self.settings.admission.then_some(Ask { work, wait, budget });
+        match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
             Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
             Err(Denial::Overloaded { retry }) => Err((Code::Overloaded, Some(retry))),
         }
     }
 
-    /// Predicted time of the whole pipeline. `None`: a pool has no server that can take work.
-    fn predict(&self, now: Time, id: &PipelineId, pipeline: &Pipeline) -> Option<Span> {
-        let mut total = Span::ZERO;
-        for (i, stage) in pipeline.stages.iter().enumerate() {
-            let estimate = self.estimate(id, i as u16, stage);
-            total += estimate + self.routers.get(&stage.pool)?.best_wait(now, estimate)?;
+    /// Predicted service time and wait of the stages from `first` on. `None`: a pool has no server
+    /// that can take work.
+    pub(crate) fn predict(
+        &self,
+        now: Time,
+        id: &PipelineId,
+        class: SizeClass,
+        pipeline: &Pipeline,
+        first: u16,
+    ) -> Option<(Span, Span)> {
+        let (mut work, mut wait) = (Span::ZERO, Span::ZERO);
+        for (i, stage) in pipeline.stages.iter().enumerate().skip(usize::from(first)) {
+            let estimate = self.estimate(id, i as u16, class, stage);
+            work += estimate;
+            wait += self.routers.get(&stage.pool)?.usual_wait(now, estimate)?;
         }
-        Some(total)
+        Some((work, wait))
     }
 
-    pub(crate) fn estimate(&self, id: &PipelineId, stage: u16, settings: &Stage) -> Span {
-        self.estimators.get(&(id.clone(), stage)).map_or(settings.expected, Estimator::mean)
+    /// Predicted service time of a stage.
+    pub(crate) fn estimate(
+        &self,
+        id: &PipelineId,
+        stage: u16,
+        class: SizeClass,
+        settings: &Stage,
+    ) -> Span {
+        let key = (id.clone(), stage, class);
+        self.estimators.get(&key).map_or(settings.expected, Estimator::mean)
     }
 
-    fn new_request(&self, call: Call, deadline: Time) -> Request {
+    fn new_request(&self, call: Call, class: SizeClass, deadline: Time) -> Request {
         Request {
             call,
+            class,
             bundle: Arc::clone(&self.bundle),
             deadline,
             stage: 0,
@@ -539,6 +588,7 @@
             foreign: false,
             armed: deadline,
             claim: None,
+            bounces: 0,
             backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
             retry_at: None,
             hedge_at: None,
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -12,6 +12,10 @@
 
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
+/// Shortest retry hint.
+const HINT_MIN: Span = Span::from_millis(100);
+/// Further servers that a refused attempt is sent to at once.
+const BOUNCES_MAX: u32 = 2;
 /// Delay of the baseline's retries. Not zero, so that a pool without an open server is not tried in
 /// an endless loop.
 const BASELINE_DELAY: Span = Span::from_millis(1);
@@ -28,8 +32,14 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(stage) = request.stage() else { return };
         let (pool, effect) = (stage.pool.clone(), stage.effect);
+        if let Some(hint) = self.hopeless(now, id) {
+            self.give_up(id, Code::Overloaded, Some(hint), actions);
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.used.clear();
         request.number = 0;
+        request.bounces = 0;
         match effect {
             Effect::Idempotent => {
                 if let Some(budget) = self.budgets.get_mut(&pool) {
@@ -41,6 +51,20 @@
         }
     }
 
+    /// Whether the stages that are left can't be done in time any more; then with a retry hint.
+    /// Going on would only take time from requests that can make it.
+    fn hopeless(&self, now: Time, id: RequestId) -> Option<Span> {
+        let request = self.requests.get(&id)?;
+        if !self.settings.admission || request.stage == 0 {
+            return None;
+        }
+        let call = &request.call;
+        let pipeline = request.bundle.pipelines.get(&call.pipeline)?;
+        let (work, wait) =
+            self.predict(now, &call.pipeline, request.class, pipeline, request.stage)?;
+        (work > request.deadline.since(now)).then_some(wait.max(HINT_MIN))
+    }
+
     /// Sends one attempt at the current stage, or plans another try when no server is open.
     pub(crate) fn send(
         &mut self,
@@ -66,7 +90,7 @@
     ) -> Option<(ServerId, Dispatch)> {
         let request = self.requests.get(&id)?;
         let stage = request.stage()?;
-        let estimate = self.estimate(&request.call.pipeline, request.stage, stage);
+        let estimate = self.estimate(&request.call.pipeline, request.stage, request.class, stage);
         let need = Need { estimate, prefix: request.call.prefix, avoid: &request.used };
         let choice = self.routers.get(&stage.pool)?.choose(now, rng, &need)?;
         let workspace = request.call.workspace.clone();
@@ -98,14 +122,23 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(stage) = request.stage() else { return };
         let (pool, effect) = (stage.pool.clone(), stage.effect);
-        let estimator = self.estimators.get(&(request.call.pipeline.clone(), request.stage));
+        let key = (request.call.pipeline.clone(), request.stage, request.class);
+        let estimator = self.estimators.get(&key);
         let high = estimator.map_or(stage.expected * 2, Estimator::high);
-        request.attempts.push(Attempt { id: dispatch.attempt, server: server.clone(), sent: now });
+        let wait =
+            self.routers.get(&pool).map_or(Span::ZERO, |r| r.wait(&server, dispatch.estimate));
+        request.attempts.push(Attempt {
+            id: dispatch.attempt,
+            server: server.clone(),
+            sent: now,
+            wait,
+            served: None,
+        });
         request.used.push(server.clone());
         request.number += 1;
         request.retry_at = None;
         let hedge = hedging && effect == Effect::Idempotent && request.attempts.len() == 1;
-        request.hedge_at = hedge.then(|| now + high);
+        request.hedge_at = hedge.then(|| now + wait + high);
         request.sent += 1;
         if let Some(router) = self.routers.get_mut(&pool) {
             router.sent(&server);
@@ -131,7 +164,35 @@
         if request.claim.is_some() {
             self.claim_refused(now, rng, attempt, refusal, actions);
         } else if request.attempts.is_empty() {
-            self.retry(now, rng, attempt.request, actions);
+            self.bounce(now, rng, attempt.request, refusal, actions);
+        }
+    }
+
+    /// Sends a refused attempt to another server. It has cost no work, so it needs no budget, but
+    /// when a few servers have refused, the others are no better.
+    fn bounce(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        id: RequestId,
+        refusal: Refusal,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let baseline = self.settings.policy == Policy::Baseline;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.bounces += 1;
+        let more = request.bounces <= BOUNCES_MAX;
+        match refusal {
+            _ if baseline => self.retry(now, rng, id, actions),
+            Refusal::Expired => self.give_up(id, Code::Overloaded, Some(DEFAULT_RETRY), actions),
+            Refusal::Overloaded { retry } if !more => {
+                self.give_up(id, Code::Overloaded, Some(retry.max(HINT_MIN)), actions);
+            }
+            _ if more => {
+                self.send(now, rng, id, actions);
+                self.arm(id);
+            }
+            _ => self.retry(now, rng, id, actions),
         }
     }
 
@@ -339,6 +400,11 @@
         let Some(stage) = request.stage() else { return };
         let same = request.used.contains(&server);
         let pool = stage.pool.clone();
+        // In a queue it would only take the turn of a first attempt.
+        let waits = self.routers.get(&pool).map(|r| r.wait(&server, dispatch.estimate));
+        if waits.is_none_or(|wait| wait > Span::ZERO) {
+            return;
+        }
         if !same && self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
             self.dispatch(now, id, server, dispatch, actions);
         }
@@ -422,12 +488,10 @@
     fn learn(&mut self, now: Time, ended: &Attempt) {
         let Some(request) = self.requests.get(&ended.id.request) else { return };
         let Some(stage) = request.stage() else { return };
-        let key = (request.call.pipeline.clone(), request.stage);
+        let key = (request.call.pipeline.clone(), request.stage, request.class);
         let expected = stage.expected;
-        self.estimators
-            .entry(key)
-            .or_insert_with(|| Estimator::new(expected))
-            .observe(now.since(ended.sent));
+        let seen = ended.served.unwrap_or_else(|| now.since(ended.sent).saturating_sub(ended.wait));
+        self.estimators.entry(key).or_insert_with(|| Estimator::new(expected)).observe(seen);
     }
 
     /// The run of the side process that a server's last report told.
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -1,6 +1,10 @@
 //! Predicts service times from the ones that were seen.
 
-use crate::time::Span;
+use crate::time::{Span, Time};
+
+/// Class of requests of like size, for instance the logarithm of the body's length.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SizeClass(pub u8);
 
 /// Weight of a new sample in the mean.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -51,3 +55,45 @@
         self.samples
     }
 }
+
+/// Time after which an observation counts for less than half.
+const PACE_MEMORY: Span = Span::from_secs(2);
+/// Predicted time that stands for "as predicted" while little was seen.
+const PACE_PRIOR: Span = Span::from_millis(400);
+
+/// Observed time as a multiple of the predicted one.
+///
+/// Work that has not ended counts with the time it has taken so far. So a server that stops answering
+/// is seen to slow down before any of its answers arrives.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    seen: f64,
+    expected: f64,
+    updated: Time,
+}
+
+impl Pace {
+    /// Work ended after `seen`; `expected` was predicted.
+    pub fn observe(&mut self, now: Time, seen: Span, expected: Span) {
+        let keep = self.decay(now);
+        self.seen = self.seen * keep + seen.0 as f64;
+        self.expected = self.expected * keep + expected.0 as f64;
+        self.updated = self.updated.max(now);
+    }
+
+    /// The pace, given the total age of the work that has not ended.
+    pub fn value(&self, now: Time, open: Span) -> f64 {
+        let keep = self.decay(now);
+        let prior = PACE_PRIOR.0 as f64;
+        (self.seen * keep + open.0 as f64 + prior) / (self.expected * keep + prior)
+    }
+
+    /// Forgets everything.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    fn decay(&self, now: Time) -> f64 {
+        (-(now.since(self.updated).as_secs_f64() / PACE_MEMORY.as_secs_f64())).exp()
+    }
+}
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -10,5 +10,6 @@
 };
 pub use crate::message::{Dispatch, Failure, Outcome, Refusal, Report, Standing};
 pub use crate::policy::Policy;
+pub use crate::predict::SizeClass;
 pub use crate::time::{Span, Time};
 pub use crate::value;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -37,6 +37,14 @@
     items: Vec<Waiting>,
 }
 
+/// Attempts predicted to take this many times the typical time are long.
+const LONG_FACTOR: u64 = 6;
+/// Weight of a new estimate in the typical one.
+const TYPICAL_WEIGHT: f64 = 0.02;
+/// Urgency that waiting adds, as a share of the time waited. Without it long work, whose deadlines
+/// lie far ahead, would start only when nothing can go wrong any more.
+const AGEING: f64 = 1.0;
+
 /// Waiting attempts: fair between workspaces by share, least slack first within one.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
@@ -47,6 +55,8 @@
     /// Sum of the estimates of all waiting attempts.
     backlog: Span,
     len: usize,
+    /// Mean logarithm of the estimates seen; the few long ones hardly move it.
+    typical: Option<f64>,
 }
 
 impl Queue {
@@ -57,6 +67,7 @@
 
     /// Adds an attempt.
     pub fn push(&mut self, waiting: Waiting) {
+        self.learn(waiting.estimate);
         self.backlog += waiting.estimate;
         self.len += 1;
         let lane = self.lanes.entry(waiting.workspace.clone()).or_default();
@@ -68,8 +79,13 @@
 
     /// Takes the attempt that should start next.
     pub fn pop(&mut self, now: Time) -> Option<Waiting> {
+        self.pop_allowed(now, true)
+    }
+
+    /// Takes the attempt that should start next; long ones only if `long` says so.
+    pub fn pop_allowed(&mut self, now: Time, long: bool) -> Option<Waiting> {
         match self.policy {
-            Policy::Damaskweir => self.pop_fair(now),
+            Policy::Damaskweir => self.pop_fair(now, long),
             Policy::Baseline => self.pop_first(),
         }
     }
@@ -81,20 +97,42 @@
         self.remove(first)
     }
 
-    fn pop_fair(&mut self, _now: Time) -> Option<Waiting> {
+    /// Takes the most urgent attempt of the workspace that is furthest behind its share.
+    fn pop_fair(&mut self, now: Time, long: bool) -> Option<Waiting> {
+        let limit = if long { Span(u64::MAX) } else { self.long_limit() };
+        let allowed = |item: &Waiting| item.estimate <= limit;
         let lane = self
             .lanes
             .values_mut()
-            .filter(|lane| !lane.items.is_empty())
-            .min_by_key(|l| l.start)?;
-        let next = (0..lane.items.len()).min_by_key(|i| lane.items[*i].latest_start())?;
+            .filter(|lane| lane.items.iter().any(allowed))
+            .min_by_key(|lane| lane.start)?;
+        let next = (0..lane.items.len())
+            .filter(|i| allowed(&lane.items[*i]))
+            .min_by_key(|i| urgency(&lane.items[*i], now))?;
         let waiting = lane.items.swap_remove(next);
         self.virtual_now = lane.start;
-        lane.start += waiting.estimate.0 / u64::from(waiting.share.max(1));
+        let cost = waiting.estimate.0 / u64::from(waiting.share.max(1));
+        lane.start = lane.start.saturating_add(cost);
         self.removed(waiting.estimate);
         Some(waiting)
     }
 
+    /// Estimates above this are long.
+    pub fn long_limit(&self) -> Span {
+        self.typical().map_or(Span(u64::MAX), |typical| typical * LONG_FACTOR)
+    }
+
+    /// The typical estimate of an attempt. `None`: nothing was seen yet.
+    pub fn typical(&self) -> Option<Span> {
+        self.typical.map(|log| Span(log.exp() as u64))
+    }
+
+    fn learn(&mut self, estimate: Span) {
+        let log = (estimate.0.max(1) as f64).ln();
+        let last = self.typical.unwrap_or(log);
+        self.typical = Some(last + (log - last) * TYPICAL_WEIGHT);
+    }
+
     /// Takes a given attempt out.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<Waiting> {
         for lane in self.lanes.values_mut() {
@@ -142,6 +180,21 @@
         self.backlog
     }
 
+    /// Sum of the estimates of the waiting attempts that are more urgent than `latest`.
+    pub fn backlog_before(&self, now: Time, latest: Time) -> Span {
+        let mark = latest.0 as i64;
+        let items = self.lanes.values().flat_map(|lane| &lane.items);
+        items
+            .filter(|item| urgency(item, now) <= mark)
+            .fold(Span::ZERO, |sum, item| sum + item.estimate)
+    }
+
+    /// Sum of the estimates of the waiting attempts that are predicted to take longer than `limit`.
+    pub fn backlog_above(&self, limit: Span) -> Span {
+        let items = self.lanes.values().flat_map(|lane| &lane.items);
+        items.filter(|item| item.estimate > limit).fold(Span::ZERO, |sum, item| sum + item.estimate)
+    }
+
     /// Number of waiting attempts.
     pub fn len(&self) -> usize {
         self.len
@@ -157,3 +210,8 @@
         self.len -= 1;
     }
 }
+
+/// Latest start, moved ahead by the time waited; lower goes first.
+fn urgency(item: &Waiting, now: Time) -> i64 {
+    item.latest_start().0 as i64 - now.since(item.arrived).scale(AGEING).0 as i64
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -108,9 +108,17 @@
         Some(Choice { server: id.clone(), wait: target.wait(need.estimate) })
     }
 
-    /// The shortest predicted wait in the pool, for admission. `None`: no server can take work.
-    pub fn best_wait(&self, now: Time, estimate: Span) -> Option<Span> {
-        self.targets.values().filter(|t| t.open(now)).map(|t| t.wait(estimate)).min()
+    /// Predicted wait at a server.
+    pub fn wait(&self, server: &ServerId, estimate: Span) -> Span {
+        self.targets.get(server).map_or(Span::ZERO, |target| target.wait(estimate))
+    }
+
+    /// The median predicted wait in the pool, for admission. `None`: no server can take work.
+    pub fn usual_wait(&self, now: Time, estimate: Span) -> Option<Span> {
+        let open = self.targets.values().filter(|t| t.open(now));
+        let mut waits: Vec<_> = open.map(|t| t.wait(estimate)).collect();
+        waits.sort_unstable();
+        waits.get(waits.len() / 2).copied()
     }
 
     /// An attempt was sent.
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -4,10 +4,21 @@
 use crate::ids::{AttemptId, Incarnation, Version};
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
+use crate::predict::Pace;
 use crate::queue::{Queue, Waiting};
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Long work may hold one in this many slots.
+const LONG_PART: u32 = 2;
+/// The same while other work waits.
+const LONG_PART_BUSY: u32 = 4;
+/// Share of its time that long work may be predicted to wait. More of it would fill the slots for
+/// long after a surge.
+const LONG_WAIT_SHARE: f64 = 0.25;
+/// Attempts over which the usual slack is averaged.
+const SLACK_MEMORY: u64 = 31;
+
 /// Settings of a side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SideSettings {
@@ -77,6 +88,10 @@
     draining: bool,
     down: bool,
     serial: u64,
+    /// Service times against their estimates.
+    pace: Pace,
+    /// Usual time between arrival and latest start, of attempts that are not long.
+    slack: Span,
 }
 
 impl Side {
@@ -94,6 +109,8 @@
             draining: false,
             down: false,
             serial: 0,
+            pace: Pace::default(),
+            slack: Span::from_secs(1),
         }
     }
 
@@ -107,6 +124,7 @@
             return vec![SideAction::Refuse(dispatch.attempt, refusal)];
         }
         self.effects.insert(dispatch.attempt, dispatch.effect);
+        self.learn_slack(dispatch);
         self.queue.push(Waiting {
             attempt: dispatch.attempt,
             workspace: dispatch.workspace.clone(),
@@ -140,6 +158,9 @@
 
     /// The backend server ended an attempt.
     pub fn finish(&mut self, now: Time, attempt: AttemptId, outcome: Outcome) -> Vec<SideAction> {
+        if let (Some(running), Outcome::Finished) = (self.running.get(&attempt), outcome) {
+            self.pace.observe(now, now.since(running.started), running.estimate);
+        }
         match self.running.remove(&attempt) {
             Some(Running { effect: Effect::Once, .. }) => {
                 self.ended.insert(attempt, Ended { outcome, at: now });
@@ -254,14 +275,62 @@
         self.running.len()
     }
 
-    /// Predicted wait of an attempt that arrives now.
+    /// Time that a running attempt has taken so far, for `Entry::served` when it ends.
+    pub fn elapsed(&self, now: Time, attempt: AttemptId) -> Option<Span> {
+        self.running.get(&attempt).map(|running| now.since(running.started))
+    }
+
+    /// Predicted wait of a usual attempt that arrives now.
     fn wait(&self, now: Time) -> Span {
+        self.wait_before(now, now + self.slack)
+    }
+
+    /// Predicted wait of an attempt that arrives now and must start at `latest`.
+    fn wait_before(&self, now: Time, latest: Time) -> Span {
         if self.running.len() < self.settings.slots as usize && self.queue.is_empty() {
             return Span::ZERO;
         }
-        let left: u64 =
-            self.running.values().map(|r| r.estimate.saturating_sub(now.since(r.started)).0).sum();
-        Span((left + self.queue.backlog().0) / u64::from(self.settings.slots.max(1)))
+        // Slots with long work don't come free while this attempt waits.
+        let slots = self.settings.slots as usize;
+        let moving = slots.saturating_sub(self.long_running(now)).max(1) as u64;
+        let ahead = self.queue.backlog_before(now, latest);
+        let own = self.queue.typical().unwrap_or_default();
+        Span((ahead + own).0 / moving).scale(self.pace(now))
+    }
+
+    /// Observed service time as a multiple of the predicted one.
+    fn pace(&self, now: Time) -> f64 {
+        let limit = self.queue.long_limit();
+        // Only what runs over its estimate is a sign of slowness; the rest is on its way.
+        let over = self.running.values().filter(|r| r.estimate <= limit);
+        let over =
+            over.fold(Span::ZERO, |sum, r| sum + now.since(r.started).saturating_sub(r.estimate));
+        self.pace.value(now, over).max(1.0)
+    }
+
+    /// Running attempts that are long: by their estimate, or because they have run that long.
+    fn long_running(&self, now: Time) -> usize {
+        let limit = self.queue.long_limit();
+        let is_long = |r: &Running| r.estimate.max(now.since(r.started)) > limit;
+        self.running.values().filter(|r| is_long(r)).count()
+    }
+
+    /// Whether long work would wait too long for the slots that long work may hold.
+    fn long_late(&self, now: Time, dispatch: &Dispatch) -> bool {
+        let limit = self.queue.long_limit();
+        if dispatch.estimate <= limit || self.running.len() < self.settings.slots as usize {
+            return false;
+        }
+        let slots = (self.settings.slots / LONG_PART_BUSY).max(1);
+        let wait = Span(self.queue.backlog_above(limit).0 / u64::from(slots));
+        wait.scale(self.pace(now)) > dispatch.remaining.scale(LONG_WAIT_SHARE)
+    }
+
+    fn learn_slack(&mut self, dispatch: &Dispatch) {
+        if dispatch.estimate <= self.queue.long_limit() {
+            let slack = dispatch.remaining.saturating_sub(dispatch.estimate);
+            self.slack = Span((self.slack.0 * SLACK_MEMORY + slack.0) / (SLACK_MEMORY + 1));
+        }
     }
 
     fn refusal(&self, now: Time, dispatch: &Dispatch) -> Option<Refusal> {
@@ -284,8 +353,9 @@
         if self.down {
             return Some(Refusal::Down);
         }
-        let wait = self.wait(now);
-        let late = wait + dispatch.estimate > dispatch.remaining;
+        let own = now + dispatch.remaining.saturating_sub(dispatch.estimate);
+        let wait = self.wait_before(now, own);
+        let late = wait + dispatch.estimate > dispatch.remaining || self.long_late(now, dispatch);
         if self.queue.len() >= self.settings.queue as usize
             || (late && self.settings.policy == Policy::Damaskweir)
         {
@@ -297,7 +367,7 @@
     fn start(&mut self, now: Time) -> Vec<SideAction> {
         let mut actions = Vec::new();
         while !self.down && self.running.len() < self.settings.slots as usize {
-            let Some(waiting) = self.queue.pop(now) else { break };
+            let Some(waiting) = self.next_waiting(now) else { break };
             let effect = self.effects.remove(&waiting.attempt).unwrap_or(Effect::Once);
             let running = Running { effect, started: now, estimate: waiting.estimate };
             self.running.insert(waiting.attempt, running);
@@ -307,6 +377,17 @@
         actions
     }
 
+    /// Takes the attempt that starts next. Long work may hold a quarter of the slots while other work
+    /// waits, and half of them at any time; the rest stays free for what arrives next.
+    fn next_waiting(&mut self, now: Time) -> Option<Waiting> {
+        let long = self.long_running(now);
+        let slots = self.settings.slots;
+        let below = |part: u32| long < (slots / part).max(1) as usize;
+        self.queue
+            .pop_allowed(now, below(LONG_PART_BUSY))
+            .or_else(|| below(LONG_PART).then(|| self.queue.pop_allowed(now, true)).flatten())
+    }
+
     /// Records that a waiting attempt will never start.
     fn withdraw(&mut self, attempt: AttemptId) {
         if self.effects.remove(&attempt) == Some(Effect::Once) {
