Route by observed pace, eject slow servers and budget hedges by work

The router trusted the reports, and hedges were counted by attempts, so hedges of long work cost most.

Change: a router compares the time that each server takes with the predicted one, counting open attempts that are late; cost is wait plus service time at that pace and occupancy. A server twice slower than the pool's median is ejected (at most a third of the pool) and probed with short attempts that are hedged early; two good probes bring it back. Hedges are budgeted by predicted work (3%). An entry uses a bounded subset of a pool by rendezvous hash, and prefers a kept prefix where nothing waits.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
 use crate::predict::{Estimator, SizeClass};
-use crate::retry::{Backoff, Budget};
+use crate::retry::{Backoff, Budget, WorkBudget};
 use crate::route::Router;
 use crate::time::{Span, Time};
 use crate::value;
@@ -23,6 +23,8 @@
 const RETRY_BASE: Span = Span::from_millis(5);
 /// Longest delay of retries.
 const RETRY_CAP: Span = Span::from_millis(250);
+/// Work that hedges may add, in thousandths of the work of first attempts.
+const HEDGE_SHARE: u32 = 30;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
 
@@ -341,11 +343,14 @@
     pub(crate) bundle: Arc<Bundle>,
     pub(crate) routers: BTreeMap<PoolId, Router>,
     pub(crate) budgets: BTreeMap<PoolId, Budget>,
+    pub(crate) hedges: BTreeMap<PoolId, WorkBudget>,
     pub(crate) estimators: BTreeMap<(PipelineId, u16, SizeClass), Estimator>,
     pub(crate) admission: Admission,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// One element per request: when its next timer runs out.
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
+    /// Time of the last event.
+    pub(crate) now: Time,
     pub(crate) serial: u64,
     pub(crate) draining: bool,
     pub(crate) dropped: u64,
@@ -366,10 +371,12 @@
             bundle: Arc::clone(&bundle),
             routers: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            hedges: BTreeMap::new(),
             estimators: BTreeMap::new(),
             admission: Admission::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
+            now: Time::default(),
             serial: 0,
             draining: false,
             dropped: 0,
@@ -383,11 +390,14 @@
         self.routers.retain(|id, _| bundle.pools.contains_key(id));
         for (id, pool) in &bundle.pools {
             let zone = self.zone.clone();
-            let policy = self.settings.policy;
-            let router =
-                self.routers.entry(id.clone()).or_insert_with(|| Router::with_policy(zone, policy));
+            let (policy, identity) = (self.settings.policy, self.incarnation.0);
+            let router = self
+                .routers
+                .entry(id.clone())
+                .or_insert_with(|| Router::with_policy(zone, policy, identity));
             router.set_servers(&pool.servers);
             self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
+            self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(HEDGE_SHARE));
         }
         self.bundle = bundle;
     }
@@ -405,6 +415,7 @@
         call: Call,
         class: SizeClass,
     ) -> (RequestId, Vec<EntryAction>) {
+        self.now = self.now.max(now);
         self.serial += 1;
         let id = RequestId { entry: self.incarnation, serial: self.serial };
         let mut actions = Vec::new();
@@ -425,6 +436,7 @@
 
     /// Takes an event.
     pub fn event(&mut self, now: Time, rng: &mut Rng, event: EntryEvent) -> Vec<EntryAction> {
+        self.now = self.now.max(now);
         let mut actions = Vec::new();
         match event {
             EntryEvent::Accepted(_) => {}
@@ -447,6 +459,7 @@
 
     /// Runs the timers that are due.
     pub fn tick(&mut self, now: Time, rng: &mut Rng) -> Vec<EntryAction> {
+        self.now = self.now.max(now);
         let mut actions = Vec::new();
         while let Some((at, id)) = self.timers.first().copied() {
             if at > now {
@@ -477,6 +490,18 @@
         attempts.filter(|a| a.id == attempt).for_each(|a| a.served = Some(time));
     }
 
+    /// A backend server's cache took up or dropped a prefix; late and incomplete news are fine.
+    pub fn cached(&mut self, pool: &PoolId, server: &ServerId, prefix: u64, kept: bool) {
+        if let Some(router) = self.routers.get_mut(pool) {
+            router.cached(server, prefix, kept);
+        }
+    }
+
+    /// The servers of a pool that this entry uses; it needs connections to these only.
+    pub fn servers(&self, pool: &PoolId) -> impl Iterator<Item = &ServerId> {
+        self.routers.get(pool).into_iter().flat_map(Router::servers)
+    }
+
     /// The connection to a side opened or closed. Its attempts are reported lost one by one.
     pub fn connected(&mut self, now: Time, pool: &PoolId, server: &ServerId, connected: bool) {
         if let Some(router) = self.routers.get_mut(pool) {
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -10,6 +10,8 @@
 use crate::route::Need;
 use crate::time::{Span, Time};
 
+/// An attempt may probe a slow server when it has this many times its estimate left.
+const PROBE_SPARE: u64 = 6;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
 /// Shortest retry hint.
@@ -91,7 +93,13 @@
         let request = self.requests.get(&id)?;
         let stage = request.stage()?;
         let estimate = self.estimate(&request.call.pipeline, request.stage, request.class, stage);
-        let need = Need { estimate, prefix: request.call.prefix, avoid: &request.used };
+        let spare = request.deadline.since(now) > estimate * PROBE_SPARE;
+        let need = Need {
+            estimate,
+            prefix: request.call.prefix,
+            avoid: &request.used,
+            probe: spare && request.used.is_empty() && stage.effect == Effect::Idempotent,
+        };
         let choice = self.routers.get(&stage.pool)?.choose(now, rng, &need)?;
         let workspace = request.call.workspace.clone();
         let share = request.bundle.workspaces.get(&workspace).map_or(1, |w| w.share);
@@ -127,6 +135,7 @@
         let high = estimator.map_or(stage.expected * 2, Estimator::high);
         let wait =
             self.routers.get(&pool).map_or(Span::ZERO, |r| r.wait(&server, dispatch.estimate));
+        let probe = self.routers.get(&pool).is_some_and(|r| r.is_ejected(&server));
         request.attempts.push(Attempt {
             id: dispatch.attempt,
             server: server.clone(),
@@ -138,10 +147,16 @@
         request.number += 1;
         request.retry_at = None;
         let hedge = hedging && effect == Effect::Idempotent && request.attempts.len() == 1;
-        request.hedge_at = hedge.then(|| now + wait + high);
+        // A probe is expected to be slow: its hedge does not wait for the high quantile.
+        let patience = if probe { dispatch.estimate } else { wait + high };
+        request.hedge_at = hedge.then(|| now + patience);
+        let prefix = request.call.prefix;
         request.sent += 1;
         if let Some(router) = self.routers.get_mut(&pool) {
-            router.sent(&server);
+            router.sent(now, &server, dispatch.attempt, dispatch.estimate, prefix);
+        }
+        if let Some(hedges) = self.hedges.get_mut(&pool) {
+            hedges.deposit(dispatch.estimate);
         }
         actions.push(EntryAction::Send { server, dispatch, input: request.input });
     }
@@ -233,6 +248,9 @@
         outcome: Outcome,
         actions: &mut Vec<EntryAction>,
     ) {
+        if outcome == Outcome::Finished {
+            self.note_run(attempt);
+        }
         let Some(ended) = self.take_attempt(attempt) else { return };
         let id = attempt.request;
         self.ran(id);
@@ -405,7 +423,8 @@
         if waits.is_none_or(|wait| wait > Span::ZERO) {
             return;
         }
-        if !same && self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
+        let hedges = self.hedges.get_mut(&pool);
+        if !same && hedges.is_some_and(|budget| budget.withdraw(dispatch.estimate)) {
             self.dispatch(now, id, server, dispatch, actions);
         }
     }
@@ -442,13 +461,14 @@
 
     /// Forgets a request and cancels what it has running.
     pub(crate) fn end(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
+        let now = self.now;
         let Some(request) = self.requests.remove(&id) else { return };
         self.timers.remove(&(request.armed, id));
         self.admission.release(&request.call.workspace);
         let pool = request.stage().map(|stage| &stage.pool);
         for attempt in &request.attempts {
             if let Some(router) = pool.and_then(|pool| self.routers.get_mut(pool)) {
-                router.ended(&attempt.server);
+                router.ran(now, &attempt.server, attempt.id, true);
             }
             actions.push(EntryAction::Cancel(attempt.server.clone(), attempt.id));
         }
@@ -456,17 +476,28 @@
 
     /// Cancels all other attempts at the stage of `winner`.
     fn cancel_others(&mut self, winner: AttemptId, actions: &mut Vec<EntryAction>) {
+        let now = self.now;
         let Some(request) = self.requests.get_mut(&winner.request) else { return };
         let pool = request.stage().map(|stage| stage.pool.clone());
         let losers: Vec<_> = request.attempts.extract_if(.., |a| a.id != winner).collect();
         for loser in losers {
             if let Some(router) = pool.as_ref().and_then(|pool| self.routers.get_mut(pool)) {
-                router.ended(&loser.server);
+                router.ran(now, &loser.server, loser.id, true);
             }
             actions.push(EntryAction::Cancel(loser.server, loser.id));
         }
     }
 
+    /// Tells the router that an attempt ran to its end.
+    fn note_run(&mut self, id: AttemptId) {
+        let Some(request) = self.requests.get(&id.request) else { return };
+        let attempt = request.attempts.iter().find(|attempt| attempt.id == id);
+        let (Some(attempt), Some(stage)) = (attempt, request.stage()) else { return };
+        if let Some(router) = self.routers.get_mut(&stage.pool) {
+            router.ran(self.now, &attempt.server, id, false);
+        }
+    }
+
     /// Takes a running attempt out of its request; counts messages of any other as dropped.
     fn take_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let taken = self.requests.get_mut(&id.request).and_then(|request| {
@@ -479,7 +510,7 @@
             return None;
         };
         if let Some(router) = self.routers.get_mut(&pool) {
-            router.ended(&attempt.server);
+            router.ended(&attempt.server, attempt.id);
         }
         Some(attempt)
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -38,6 +38,41 @@
     }
 }
 
+/// Work that a work budget can save up.
+const WORK_BURST: Span = Span::from_secs(2);
+
+/// Limits the work of hedges to a share of the work of first attempts. Counting attempts instead would
+/// let hedges of long work cost many times their share.
+#[derive(Clone, Debug)]
+pub struct WorkBudget {
+    /// Thousandths of a microsecond of predicted work.
+    level: u64,
+    share: u64,
+}
+
+impl WorkBudget {
+    /// A budget of `share` thousandths of the work of first attempts.
+    pub fn new(share: u32) -> Self {
+        Self { level: WORK_BURST.0 * TOKEN, share: u64::from(share) }
+    }
+
+    /// Counts a first attempt of this predicted length.
+    pub fn deposit(&mut self, work: Span) {
+        let added = work.0.saturating_mul(self.share);
+        self.level = self.level.saturating_add(added).min(WORK_BURST.0 * TOKEN);
+    }
+
+    /// Takes an extra attempt of this predicted length if the budget allows it.
+    pub fn withdraw(&mut self, work: Span) -> bool {
+        let cost = work.0.saturating_mul(TOKEN);
+        let allowed = self.level >= cost;
+        if allowed {
+            self.level -= cost;
+        }
+        allowed
+    }
+}
+
 /// Delay before a retry, with decorrelated jitter: uniform between the base and three times the last
 /// delay, up to a cap. The Tor directory specification uses the same variation for its clients.
 #[derive(Clone, Debug)]
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -2,17 +2,65 @@
 
 use crate::Rng;
 use crate::bundle::BackendServer;
-use crate::ids::{AvailabilityZone, Incarnation, ServerId};
+use crate::ids::{AttemptId, AvailabilityZone, Incarnation, ServerId};
 use crate::message::Report;
 use crate::policy::Policy;
+use crate::predict::Pace;
 use crate::time::{Span, Time};
 use rand_core::Rng as _;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Added to the expected completion in another availability zone.
 const ZONE_PENALTY: Span = Span::from_millis(1);
 /// How long a server that lost its connection or refused as down is not chosen.
 const DOWN_PAUSE: Span = Span::from_secs(1);
+/// Servers of a pool that one entry uses at most. Bounds connections and reports; enough that the
+/// loss of a zone leaves several.
+const SUBSET_MAX: usize = 24;
+/// Random candidates that are compared. Entries share late reports: if all took the best of the whole
+/// pool, they would all take the same one.
+const CANDIDATES: usize = 3;
+/// Part of its service time by which an attempt is slowed on a full server compared with an idle one.
+const CROWD_COST: f64 = 0.5;
+/// Part of its service time that a kept prefix is expected to save.
+const PREFIX_GAIN: f64 = 0.2;
+/// Prefixes remembered per server.
+const PREFIXES_MAX: usize = 64;
+/// A server this many times slower than the pool's median is ejected.
+const EJECT_PACE: f64 = 2.0;
+/// Greatest part of a pool that may be ejected: one in this many.
+const EJECT_PART: usize = 3;
+/// An ejected server that answers a probe within this many times the predicted time did well.
+const PROBE_PACE: f64 = 1.5;
+/// Probes in a row that must do well before a server comes back.
+const PROBES_GOOD: u32 = 2;
+/// First and longest time between probes of an ejected server.
+const PROBE_TIMES: (Span, Span) = (Span::from_secs(1), Span::from_secs(4));
+/// An attempt this many times the length of the typical one says nothing about a server's pace.
+const LONG_FACTOR: f64 = 6.0;
+/// Weight of a new attempt in the typical length.
+const TYPICAL_WEIGHT: f64 = 0.02;
+
+/// An attempt that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    sent: Time,
+    /// Predicted time until its answer.
+    expected: Span,
+    /// Too long to say anything about the server's pace.
+    long: bool,
+}
+
+/// A server that is much slower than the others.
+#[derive(Clone, Copy, Debug)]
+struct Ejection {
+    /// When the next probe may be sent.
+    next: Time,
+    gap: Span,
+    /// Probes in a row that did well.
+    good: u32,
+}
 
 /// What an entry knows about one backend server.
 #[derive(Clone, Debug)]
@@ -20,14 +68,18 @@
     zone: AvailabilityZone,
     slots: u32,
     /// Attempts sent from here that have not ended.
-    sent: u32,
-    /// `sent` at the time of the last report.
+    open: BTreeMap<AttemptId, Open>,
+    /// Number of them at the time of the last report.
     sent_then: u32,
     report: Option<Report>,
     /// Not chosen before.
     paused: Time,
     connected: bool,
     leaving: bool,
+    pace: Pace,
+    ejection: Option<Ejection>,
+    /// Prefixes that the server probably keeps, oldest first.
+    prefixes: VecDeque<u64>,
 }
 
 /// The server that was chosen.
@@ -48,6 +100,8 @@
     pub prefix: Option<u64>,
     /// Servers that other attempts of the same stage use or used.
     pub avoid: &'a [ServerId],
+    /// Whether it may go to a slow server, to see if that has recovered.
+    pub probe: bool,
 }
 
 /// An entry's view of one pool.
@@ -57,60 +111,115 @@
     /// Attempts sent so far; the turn of round robin.
     turn: u64,
     zone: AvailabilityZone,
+    /// Which subset of the servers this router uses.
+    identity: u64,
     targets: BTreeMap<ServerId, Target>,
+    /// Mean logarithm of the estimates seen.
+    typical: Option<f64>,
 }
 
 impl Router {
     /// A router for an entry in the given zone.
     pub fn new(zone: AvailabilityZone) -> Self {
-        Self::with_policy(zone, Policy::default())
+        Self::with_policy(zone, Policy::default(), 0)
     }
 
-    /// A router for an entry in the given zone, under the given policy.
-    pub fn with_policy(zone: AvailabilityZone, policy: Policy) -> Self {
-        Self { policy, turn: 0, zone, targets: BTreeMap::new() }
+    /// A router for an entry in the given zone, under the given policy. Entries with different
+    /// identities use different subsets of a large pool.
+    pub fn with_policy(zone: AvailabilityZone, policy: Policy, identity: u64) -> Self {
+        Self { policy, turn: 0, zone, identity, targets: BTreeMap::new(), typical: None }
     }
 
     /// Takes the pool's servers from a bundle; what is known about those that stay is kept.
     pub fn set_servers(&mut self, servers: &[BackendServer]) {
-        self.targets.retain(|id, _| servers.iter().any(|server| server.id == *id));
-        for server in servers {
-            self.targets.entry(server.id.clone()).or_insert_with(|| Target {
-                zone: server.zone.clone(),
-                slots: server.slots,
-                sent: 0,
-                sent_then: 0,
-                report: None,
-                paused: Time(0),
-                connected: false,
-                leaving: false,
-            });
-        }
-    }
-
-    /// Chooses the better of two random candidates by expected completion.
+        let subset = self.subset(servers);
+        self.targets.retain(|id, _| subset.iter().any(|server| server.id == *id));
+        for server in subset {
+            self.targets.entry(server.id.clone()).or_insert_with(|| Target::new(server));
+        }
+    }
+
+    /// The servers that this entry uses: those with the highest rendezvous hash, half of them from
+    /// its own zone. A server that comes or goes changes at most one place.
+    fn subset<'a>(&self, servers: &'a [BackendServer]) -> Vec<&'a BackendServer> {
+        let mut ranked: Vec<_> = servers.iter().collect();
+        ranked.sort_by_cached_key(|server| {
+            let mut bytes = server.id.as_str().as_bytes().to_vec();
+            bytes.extend(self.identity.to_le_bytes());
+            (std::cmp::Reverse(xxh3_64(&bytes)), server.id.clone())
+        });
+        let (near, far): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|server| server.zone == self.zone);
+        let spare = SUBSET_MAX.saturating_sub(far.len());
+        let near_count = near.len().min(spare.max(SUBSET_MAX / 2));
+        near.into_iter().take(near_count).chain(far).take(SUBSET_MAX).collect()
+    }
+
+    /// The servers that this router uses; an entry connects to no others.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
+        self.targets.keys()
+    }
+
+    /// Chooses the server with the earliest expected completion among a few random ones.
     pub fn choose(&self, now: Time, rng: &mut Rng, need: &Need<'_>) -> Option<Choice> {
         let open: Vec<_> = self.targets.iter().filter(|(_, t)| t.open(now)).collect();
-        let fresh: Vec<_> =
-            open.iter().filter(|(id, _)| !need.avoid.contains(id)).copied().collect();
-        let open = if fresh.is_empty() { open } else { fresh };
-        if open.is_empty() {
-            return None;
-        }
+        let chosen = |(id, target): (&ServerId, &Target)| Choice {
+            server: id.clone(),
+            wait: target.wait(need.estimate),
+        };
         if self.policy == Policy::Baseline {
-            let (id, target) = open[(self.turn % open.len() as u64) as usize];
-            return Some(Choice { server: id.clone(), wait: target.wait(need.estimate) });
+            let fresh = without(&open, |(id, _)| need.avoid.contains(id));
+            return self.in_turn(&fresh).map(chosen);
         }
-        let mut pick = || open[(rng.next_u64() % open.len() as u64) as usize];
-        let (first, second) = (pick(), pick());
-        let cost = |target: &Target| self.cost(target, need.estimate);
-        let (id, target) = if cost(second.1) < cost(first.1) { second } else { first };
-        Some(Choice { server: id.clone(), wait: target.wait(need.estimate) })
+        if need.probe {
+            let due = |target: &Target| target.ejection.is_some_and(|e| e.next <= now);
+            if let Some((id, target)) = open.iter().find(|(_, target)| due(target)) {
+                return Some(chosen((id, target)));
+            }
+        }
+        let fresh = without(&open, |(id, _)| need.avoid.contains(id));
+        let fast = without(&fresh, |(_, target)| target.ejection.is_some());
+        self.best_of_few(now, rng, &fast, need).map(chosen)
     }
 
-    /// Predicted wait at a server.
-    pub fn wait(&self, server: &ServerId, estimate: Span) -> Span {
-        self.targets.get(server).map_or(Span::ZERO, |target| target.wait(estimate))
+    fn in_turn<'a>(
+        &self,
+        open: &[(&'a ServerId, &'a Target)],
+    ) -> Option<(&'a ServerId, &'a Target)> {
+        let turn = self.turn.checked_rem(open.len() as u64)?;
+        open.get(turn as usize).copied()
+    }
+
+    fn best_of_few<'a>(
+        &self,
+        now: Time,
+        rng: &mut Rng,
+        open: &[(&'a ServerId, &'a Target)],
+        need: &Need<'_>,
+    ) -> Option<(&'a ServerId, &'a Target)> {
+        let median = self.median_pace(now);
+        let mut best: Option<(Span, (&ServerId, &Target))> = None;
+        let count = CANDIDATES.min(open.len());
+        for _ in 0..count {
+            let candidate = *open.get((rng.next_u64() % open.len() as u64) as usize)?;
+            let cost = self.cost(now, candidate.1, need, median);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        best.map(|(_, candidate)| candidate)
+    }
+
+    /// Predicted time until the answer.
+    fn cost(&self, now: Time, target: &Target, need: &Need<'_>, median: f64) -> Span {
+        let wait = target.wait(need.estimate);
+        let kept = need.prefix.is_some_and(|prefix| target.prefixes.contains(&prefix));
+        // A kept prefix is not worth a queue.
+        let gain = if kept && wait == Span::ZERO { PREFIX_GAIN } else { 0.0 };
+        let pace = (target.pace(now) / median).max(1.0);
+        let service = need.estimate.scale(pace * (1.0 + CROWD_COST * target.crowd() - gain));
+        let near = target.zone == self.zone;
+        wait + service + if near { Span::ZERO } else { ZONE_PENALTY }
     }
 
     /// The median predicted wait in the pool, for admission. `None`: no server can take work.
@@ -121,18 +230,69 @@
         waits.get(waits.len() / 2).copied()
     }
 
+    /// Predicted wait at a server.
+    pub fn wait(&self, server: &ServerId, estimate: Span) -> Span {
+        self.targets.get(server).map_or(Span::ZERO, |target| target.wait(estimate))
+    }
+
+    /// Whether a server is ejected, so that an attempt there is a probe.
+    pub fn is_ejected(&self, server: &ServerId) -> bool {
+        self.targets.get(server).is_some_and(|target| target.ejection.is_some())
+    }
+
     /// An attempt was sent.
-    pub fn sent(&mut self, server: &ServerId) {
+    pub fn sent(
+        &mut self,
+        now: Time,
+        server: &ServerId,
+        attempt: AttemptId,
+        estimate: Span,
+        prefix: Option<u64>,
+    ) {
         self.turn += 1;
-        if let Some(target) = self.targets.get_mut(server) {
-            target.sent += 1;
+        let long = self.learn_typical(estimate);
+        let Some(target) = self.targets.get_mut(server) else { return };
+        let expected = target.wait(estimate) + estimate;
+        target.open.insert(attempt, Open { sent: now, expected, long });
+        if let Some(ejection) = &mut target.ejection {
+            ejection.next = now + ejection.gap;
         }
+        if let Some(prefix) = prefix {
+            target.keep(prefix);
+        }
+        self.review(now);
     }
 
-    /// An attempt ended in any way.
-    pub fn ended(&mut self, server: &ServerId) {
+    /// An attempt was refused or lost: it says nothing about the server's pace.
+    pub fn ended(&mut self, server: &ServerId, attempt: AttemptId) {
         if let Some(target) = self.targets.get_mut(server) {
-            target.sent = target.sent.saturating_sub(1);
+            target.open.remove(&attempt);
+        }
+    }
+
+    /// An attempt ran to its end, or (`cancelled`) for as long as it was wanted.
+    pub fn ran(&mut self, now: Time, server: &ServerId, attempt: AttemptId, cancelled: bool) {
+        let median = self.median_pace(now);
+        let Some(target) = self.targets.get_mut(server) else { return };
+        let Some(open) = target.open.remove(&attempt) else { return };
+        let seen = now.since(open.sent);
+        // A cancelled attempt that was not late tells nothing.
+        if open.long || (cancelled && seen < open.expected) {
+            return;
+        }
+        target.pace.observe(now, seen, open.expected);
+        let good = !cancelled && seen <= open.expected.scale(PROBE_PACE * median);
+        target.probed(good);
+        self.review(now);
+    }
+
+    /// The server's cache took up or dropped a prefix. Such events come late and with gaps.
+    pub fn cached(&mut self, server: &ServerId, prefix: u64, kept: bool) {
+        let Some(target) = self.targets.get_mut(server) else { return };
+        if kept {
+            target.keep(prefix);
+        } else {
+            target.prefixes.retain(|other| *other != prefix);
         }
     }
 
@@ -144,7 +304,7 @@
         });
         if newer {
             target.report = Some(report);
-            target.sent_then = target.sent;
+            target.sent_then = target.sent();
         }
     }
 
@@ -156,6 +316,9 @@
             target.paused = now;
         } else {
             target.report = None;
+            target.ejection = None;
+            target.prefixes.clear();
+            target.pace.reset();
         }
     }
 
@@ -178,27 +341,121 @@
         Some(self.targets.get(server)?.report?.incarnation)
     }
 
-    fn cost(&self, target: &Target, estimate: Span) -> Span {
-        let near = target.zone == self.zone;
-        target.wait(estimate) + if near { Span::ZERO } else { ZONE_PENALTY }
+    /// Ejects servers that are much slower than the median, never more than a part of the pool.
+    fn review(&mut self, now: Time) {
+        let limit = self.targets.len() / EJECT_PART;
+        let mut ejected = self.targets.values().filter(|t| t.ejection.is_some()).count();
+        let median = self.median_pace(now);
+        for target in self.targets.values_mut() {
+            if ejected >= limit {
+                return;
+            }
+            if target.ejection.is_none() && target.pace(now) > median * EJECT_PACE {
+                let gap = PROBE_TIMES.0;
+                target.ejection = Some(Ejection { next: now + gap, gap, good: 0 });
+                ejected += 1;
+            }
+        }
+    }
+
+    /// The usual pace; more than 1 when all servers are slower than predicted.
+    fn median_pace(&self, now: Time) -> f64 {
+        let connected = self.targets.values().filter(|target| target.connected);
+        let mut paces: Vec<_> = connected.map(|target| target.pace(now)).collect();
+        paces.sort_unstable_by(f64::total_cmp);
+        paces.get(paces.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
     }
+
+    /// Takes an estimate into the typical one; says whether it is much longer.
+    fn learn_typical(&mut self, estimate: Span) -> bool {
+        let log = (estimate.0.max(1) as f64).ln();
+        let last = self.typical.unwrap_or(log);
+        self.typical = Some(last + (log - last) * TYPICAL_WEIGHT);
+        log > last + LONG_FACTOR.ln()
+    }
+}
+
+/// The elements for which `bad` does not hold, or all if it holds for each.
+fn without<T: Copy>(all: &[T], bad: impl Fn(&T) -> bool) -> Vec<T> {
+    let good: Vec<_> = all.iter().copied().filter(|item| !bad(item)).collect();
+    if good.is_empty() { all.to_vec() } else { good }
 }
 
 impl Target {
+    fn new(server: &BackendServer) -> Self {
+        Self {
+            zone: server.zone.clone(),
+            slots: server.slots,
+            open: BTreeMap::new(),
+            sent_then: 0,
+            report: None,
+            paused: Time(0),
+            connected: false,
+            leaving: false,
+            pace: Pace::default(),
+            ejection: None,
+            prefixes: VecDeque::new(),
+        }
+    }
+
     fn open(&self, now: Time) -> bool {
         let draining = self.report.is_some_and(|report| report.draining);
         self.connected && !self.leaving && !draining && now >= self.paused
     }
 
+    fn sent(&self) -> u32 {
+        self.open.len() as u32
+    }
+
+    /// Observed time as a multiple of the predicted one. Open attempts count for what they are late.
+    fn pace(&self, now: Time) -> f64 {
+        let open = self.open.values().filter(|open| !open.long);
+        let late = open
+            .fold(Span::ZERO, |sum, open| sum + now.since(open.sent).saturating_sub(open.expected));
+        self.pace.value(now, late)
+    }
+
+    /// Part of the slots that is taken, as far as is known.
+    fn crowd(&self) -> f64 {
+        let limit = f64::from(self.report.map_or(self.slots, |report| report.limit).max(1));
+        let running = self.report.map_or(0, |report| report.running);
+        let since = f64::from(self.sent()) - f64::from(self.sent_then);
+        ((f64::from(running) + since) / limit).clamp(0.0, 1.0)
+    }
+
     /// Reported wait, corrected by what was sent since.
     fn wait(&self, estimate: Span) -> Span {
         let limit = self.report.map_or(self.slots, |report| report.limit).max(1);
-        let since = self.sent.saturating_sub(self.sent_then);
+        let since = self.sent().saturating_sub(self.sent_then);
         let (wait, free) = match self.report {
             Some(report) => (report.wait, report.limit.saturating_sub(report.running)),
             None => (Span::ZERO, self.slots),
         };
         let over = (since + 1).saturating_sub(free);
-        wait + Span(estimate.0 * u64::from(over) / u64::from(limit))
+        wait + Span(estimate.0.saturating_mul(u64::from(over)) / u64::from(limit))
+    }
+
+    /// A probe ended: the server comes back after a few that did well.
+    fn probed(&mut self, good: bool) {
+        let Some(ejection) = &mut self.ejection else { return };
+        if good {
+            ejection.good += 1;
+            ejection.gap = PROBE_TIMES.0;
+        } else {
+            ejection.good = 0;
+            ejection.gap = (ejection.gap * 2).min(PROBE_TIMES.1);
+        }
+        if ejection.good >= PROBES_GOOD {
+            self.ejection = None;
+            self.pace.reset();
+        }
+    }
+
+    fn keep(&mut self, prefix: u64) {
+        self.prefixes.retain(|other| *other != prefix);
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > PREFIXES_MAX {
+            self.prefixes.pop_front();
+        }
     }
 }
