Follow the backend server's load reports at the side; measure greed and wrong slots

Cause: attempts that wait inside a model engine are out of reach for the side's order and deadlines, and a bundle may tell more or fewer slots than the server has.

Change: Side::load takes the engine's number of inner waiting attempts. The limit comes down by that number, and rises by one while attempts wait at the side and none inside.

--- a/crates/bench/src/arrival.rs
+++ b/crates/bench/src/arrival.rs
@@ -31,6 +31,8 @@
     pub(crate) length: Span,
     pub(crate) swing: f64,
     pub(crate) surge: Option<Surge>,
+    /// The workspace that all of the surge comes from; otherwise it comes from all alike.
+    pub(crate) greedy: Option<usize>,
     /// Whether long work arrives; without it the short arrivals stay the same.
     pub(crate) long: bool,
 }
@@ -73,8 +75,13 @@
             break;
         }
         let body = arrivals.len() as u64;
-        let kept = uniform(&mut rng) * peak < factor(deployment, shape, at);
-        let arrival = draw_one(deployment, &mut rng, at, body);
+        let level = uniform(&mut rng) * peak;
+        let kept = level < factor(deployment, shape, at);
+        let mut arrival = draw_one(deployment, &mut rng, at, body);
+        let plain = Shape { surge: None, ..*shape };
+        if let Some(greedy) = shape.greedy.filter(|_| level >= factor(deployment, &plain, at)) {
+            arrival.workspace = greedy;
+        }
         let repeat =
             deployment.pipelines[arrival.pipeline].once() && uniform(&mut rng) < deployment.repeats;
         if !kept || (deployment.pipelines[arrival.pipeline].long && !shape.long) {
--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -21,6 +21,17 @@
     end: u64,
 }
 
+/// What an attempt's prefix did to the cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Touch {
+    /// The server keeps no prefixes.
+    Off,
+    /// It was kept from an earlier attempt.
+    Hit,
+    /// It was added, and this one was dropped for it.
+    Added(Option<u64>),
+}
+
 /// One backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Backend {
@@ -51,14 +62,15 @@
         }
     }
 
-    /// Starts an attempt. Returns whether its prefix was kept from an earlier one.
-    pub(crate) fn start(&mut self, now: Time, id: AttemptId, work: Span, prefix: u64) -> bool {
+    /// Starts an attempt.
+    pub(crate) fn start(&mut self, now: Time, id: AttemptId, work: Span, prefix: u64) -> Touch {
         self.advance(now);
-        let hit = self.touch(prefix);
+        let touch = self.touch(prefix);
+        let hit = touch == Touch::Hit;
         let work = if hit { work.scale(1.0 - self.behaviour.gain) } else { work };
         self.inner.push_back((id, work));
         self.fill();
-        hit
+        touch
     }
 
     /// Ends an attempt early and returns the work that was spent on it.
@@ -107,6 +119,11 @@
         ids.into_iter().map(|id| (id, self.remove(id))).collect()
     }
 
+    /// Attempts that wait inside.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.inner.len() as u32
+    }
+
     /// Work per microsecond of each stream.
     fn rate(&self) -> f64 {
         let others = self.streams.len().saturating_sub(1) as f64;
@@ -133,19 +150,20 @@
         Span((self.position - stream.start) as u64)
     }
 
-    /// Marks a prefix as used last and says whether it was kept.
-    fn touch(&mut self, prefix: u64) -> bool {
+    /// Marks a prefix as used last.
+    fn touch(&mut self, prefix: u64) -> Touch {
         if self.behaviour.cache == 0 {
-            return false;
+            return Touch::Off;
         }
         let found = self.prefixes.iter().position(|kept| *kept == prefix);
         if let Some(i) = found {
             self.prefixes.remove(i);
         }
         self.prefixes.push_back(prefix);
-        if self.prefixes.len() > self.behaviour.cache {
-            self.prefixes.pop_front();
+        if found.is_some() {
+            return Touch::Hit;
         }
-        found.is_some()
+        let full = self.prefixes.len() > self.behaviour.cache;
+        Touch::Added(full.then(|| self.prefixes.pop_front()).flatten())
     }
 }
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -45,6 +45,8 @@
     pub(crate) servers: usize,
     /// Streams that a backend server runs at once; more wait inside it.
     pub(crate) slots: u32,
+    /// What the bundle says of the slots, as a multiple.
+    pub(crate) told: f64,
     /// Each further stream lengthens all streams by this share of their own time.
     pub(crate) slowdown: f64,
     /// Prefixes that a backend server keeps.
@@ -224,7 +226,7 @@
                 id: pool.server(i),
                 zone: self.zone(i),
                 side: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-                slots: pool.slots,
+                slots: pool.told(),
             })
             .collect();
         Pool { kind: pool.kind, servers, resume: false, extra: pool.extra }
@@ -256,6 +258,11 @@
         PoolId::from(self.name.as_str())
     }
 
+    /// Slots that the bundle tells.
+    pub(crate) fn told(&self) -> u32 {
+        (f64::from(self.slots) * self.told).max(1.0) as u32
+    }
+
     pub(crate) fn server(&self, i: usize) -> ServerId {
         ServerId::from(format!("{}-{i:02}", self.name).as_str())
     }
@@ -351,6 +358,7 @@
         kind,
         servers: section.positive("servers")?,
         slots: section.positive("slots")? as u32,
+        told: section.get_or("told", 1.0)?,
         slowdown: section.get_or("slowdown", 0.0)?,
         cache: section.get_or("cache", 0)?,
         gain: section.get_or("gain", 0.0)?,
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -28,6 +28,10 @@
     LongMix,
     /// Twice the capacity for a while.
     Overload,
+    /// The same surge from one workspace with a small share.
+    Greedy,
+    /// Overload with twice the slots in the bundle that the servers have; reference: half of them.
+    Misfit,
     /// Some servers slowed, their reports late.
     Slowed,
     /// One server dies at each interval.
@@ -35,11 +39,13 @@
 }
 
 /// All experiments, in the order of output.
-pub const EXPERIMENTS: [Experiment; 6] = [
+pub const EXPERIMENTS: [Experiment; 8] = [
     Experiment::Steady,
     Experiment::Swing,
     Experiment::LongMix,
     Experiment::Overload,
+    Experiment::Greedy,
+    Experiment::Misfit,
     Experiment::Slowed,
     Experiment::Dying,
 ];
@@ -52,6 +58,8 @@
             Experiment::Swing => "swing",
             Experiment::LongMix => "long-mix",
             Experiment::Overload => "overload",
+            Experiment::Greedy => "greedy",
+            Experiment::Misfit => "misfit",
             Experiment::Slowed => "slowed",
             Experiment::Dying => "dying",
         }
@@ -136,12 +144,14 @@
     length: Span,
 ) -> Findings {
     let plan = Plan { deployment, settings, seed };
-    let shape = Shape { length, swing: 0.0, surge: None, long: true };
+    let shape = Shape { length, swing: 0.0, surge: None, greedy: None, long: true };
     let mut findings = match experiment {
         Experiment::Steady => steady(&plan, &shape),
         Experiment::Swing => swing(&plan, &shape),
         Experiment::LongMix => long_mix(&plan, &shape),
         Experiment::Overload => overload(&plan, &shape),
+        Experiment::Greedy => greedy(&plan, &shape),
+        Experiment::Misfit => misfit(&plan, &shape),
         Experiment::Slowed => slowed(&plan, &shape),
         Experiment::Dying => dying(&plan, &shape),
     };
@@ -219,6 +229,52 @@
     })
 }
 
+fn greedy(plan: &Plan<'_>, shape: &Shape) -> Findings {
+    let (from, to) = window(shape.length);
+    let workspaces = &plan.deployment.workspaces;
+    let least = (0..workspaces.len()).min_by_key(|i| workspaces[*i].share);
+    let surge = Some(Surge { from, to, load: SURGE_LOAD });
+    let shape = Shape { surge, greedy: least, ..*shape };
+    plan.run(&shape, Faults::default(), |run| {
+        let calls = run.within(from, to);
+        let is_greedy = |call: &usize| Some(run.arrivals[*call].workspace) == least;
+        let measures = vec![
+            Measure::plain(
+                "others' attainment",
+                run.attainment(calls.clone().filter(|c| !is_greedy(c))),
+            ),
+            Measure::plain("greedy attainment", run.attainment(calls.filter(is_greedy))),
+            Measure::plain("yield of capacity", run.yielded(from, to)),
+            Measure::plain("wasted share", run.wasted(from, to)),
+        ];
+        let summary = run.summary(&shape);
+        Findings { experiment: Experiment::Greedy.name(), measures, run: summary, reference: None }
+    })
+}
+
+fn misfit(plan: &Plan<'_>, shape: &Shape) -> Findings {
+    let told = |factor: f64| {
+        let mut deployment = plan.deployment.clone();
+        let bottleneck = deployment.bottleneck;
+        deployment.pools[bottleneck].told = factor;
+        overload(&Plan { deployment: &deployment, ..*plan }, shape)
+    };
+    let (twice, half) = (told(2.0), told(0.5));
+    let measure = |findings: &Findings, name: &str| {
+        findings.measures.iter().find(|m| m.name == name).map_or(0.0, |m| m.value)
+    };
+    let measures = vec![
+        Measure::plain("yield, twice the slots", measure(&twice, "yield of capacity")),
+        Measure::plain("wasted, twice the slots", measure(&twice, "wasted share")),
+        Measure::plain("recovery s, twice", measure(&twice, "recovery s")),
+        Measure::plain("yield, half the slots", measure(&half, "yield of capacity")),
+        Measure::plain("wasted, half the slots", measure(&half, "wasted share")),
+        Measure::plain("recovery s, half", measure(&half, "recovery s")),
+    ];
+    let reference = Some(half.run);
+    Findings { experiment: Experiment::Misfit.name(), measures, run: twice.run, reference }
+}
+
 /// Seconds from the end of the surge until all later seconds are normal.
 fn recovery(run: &Run<'_>, end: Time) -> f64 {
     let end = (end.0 / 1_000_000) as usize;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 pub use experiment::{EXPERIMENTS, Experiment};
 
 use damaskweir_core::entry::EntrySettings;
+use damaskweir_core::retry::Spread;
 use damaskweir_core::time::Span;
 use output::{Document, PolicyFindings};
 use pico_args::Arguments;
@@ -28,7 +29,9 @@
 pub const USAGE: &str = "\
 damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
-experiments: steady, swing, long-mix, overload, slowed, dying; all of them when none is named
+    [--without hedging|admission|jitter]
+experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying; all of them when none
+is named. --without turns one policy off, to measure what it brings
 ";
 
 /// Shortest run; the overload and slowdown windows are a third of it.
@@ -88,6 +91,30 @@
         Self { name: "damaskweir", settings: EntrySettings::default() }
     }
 
+    /// damaskweir with one policy turned off.
+    fn without(what: &str) -> Result<Self, BenchError> {
+        let settings = EntrySettings::default();
+        match what {
+            "hedging" => {
+                let settings = EntrySettings { hedging: false, ..settings };
+                Ok(Self { name: "without hedging", settings })
+            }
+            "admission" => {
+                let settings = EntrySettings { admission: false, ..settings };
+                Ok(Self { name: "without admission", settings })
+            }
+            "jitter" => {
+                let settings = EntrySettings { spread: Spread::Exponential, ..settings };
+                Ok(Self { name: "without jitter", settings })
+            }
+            other => Err(BenchError::Value {
+                option: "--without",
+                value: other.to_owned(),
+                allowed: "hedging, admission, jitter",
+            }),
+        }
+    }
+
     /// The baseline.
     pub fn baseline() -> Self {
         Self { name: "baseline", settings: EntrySettings::baseline() }
@@ -121,7 +148,8 @@
             Some(name) => match Experiment::find(&name) {
                 Some(experiment) => vec![experiment],
                 None => {
-                    let allowed = "steady, swing, long-mix, overload, slowed, dying";
+                    let allowed =
+                        "steady, swing, long-mix, overload, greedy, misfit, slowed, dying";
                     return Err(BenchError::Value { option: "--experiment", value: name, allowed });
                 }
             },
@@ -145,6 +173,9 @@
 }
 
 fn read_contenders(args: &mut Arguments) -> Result<Vec<Contender>, BenchError> {
+    if let Some(without) = args.opt_value_from_str::<_, String>("--without")? {
+        return Ok(vec![Contender::without(&without)?]);
+    }
     if args.contains("--vs") {
         return Ok(vec![Contender::damaskweir(), Contender::baseline()]);
     }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -1,7 +1,7 @@
 //! Drives the real `Entry` and `Side` state machines in virtual time against the stand-ins.
 
 use crate::arrival::{Arrival, uniform};
-use crate::backend::{Backend, Behaviour};
+use crate::backend::{Backend, Behaviour, Touch};
 use crate::deployment::Deployment;
 use crate::store::{Store, Write};
 use crate::summary::OFFSET;
@@ -21,6 +21,11 @@
 const STALL_FACTOR: f64 = 6.0;
 /// Sides report at least this often.
 const HEARTBEAT: Span = Span::from_secs(1);
+/// Time between load reports of a model engine, and until one reaches the side.
+const LOAD_LAG: Span = Span::from_millis(200);
+/// Time until news of a prefix cache reach the entries, and the share of them that is lost.
+const CACHE_LAG: Span = Span::from_millis(500);
+const CACHE_GAPS: f64 = 0.2;
 /// Time that an entry collects writes for one store call.
 const BATCH_TIME: Span = Span::from_millis(2);
 /// Writes in one store call at most.
@@ -67,6 +72,7 @@
     Done(AttemptId, Outcome, Payload, Span),
     Stands(RequestId, AttemptId, Standing, Option<Payload>),
     Report(Report),
+    Cached(u64, bool),
 }
 
 #[derive(Clone, Debug)]
@@ -79,6 +85,7 @@
     Backend { server: usize, generation: u64 },
     EntryTick(usize),
     SideTick(usize),
+    Load { server: usize, life: u64, waiting: u32 },
     Heartbeat(usize, u64),
     StoreFlush(usize),
     StoreCall { entry: usize, batch: Vec<Write> },
@@ -239,6 +246,11 @@
             }
             Event::EntryTick(entry) => self.entry_tick(entry),
             Event::SideTick(server) => self.side_tick(server),
+            Event::Load { server, life, waiting } => {
+                if self.servers[server].alive && self.servers[server].life == life {
+                    self.load(server, waiting);
+                }
+            }
             Event::Heartbeat(server, life) => self.heartbeat(server, life),
             Event::StoreFlush(entry) => self.flush(entry),
             Event::StoreCall { entry, batch } => self.store_call(entry, batch),
@@ -398,6 +410,11 @@
                 }
                 return;
             }
+            ToEntry::Cached(prefix, kept) => {
+                let (pool, id) = self.name(server);
+                self.hosts[entry].entry.cached(&pool, &id, prefix, kept);
+                return;
+            }
         };
         self.entry_event(entry, event);
     }
@@ -599,11 +616,27 @@
         let stalls = uniform(&mut self.chance) < pool.stall;
         let factor = if stalls { STALL_FACTOR } else { 1.0 };
         let work = arrival.work[stage].scale(factor);
-        let hit = host.backend.start(self.now, attempt, work, arrival.prefix);
-        self.tally.hits += u64::from(hit);
+        let touch = host.backend.start(self.now, attempt, work, arrival.prefix);
+        self.tally.hits += u64::from(touch == Touch::Hit);
+        if let Touch::Added(dropped) = touch {
+            self.cache_event(server, arrival.prefix, true);
+            if let Some(prefix) = dropped {
+                self.cache_event(server, prefix, false);
+            }
+        }
         self.tally.started(payload.call, arrival, stage, once);
     }
 
+    /// Tells the entries of a change of a prefix cache: late, and with gaps.
+    fn cache_event(&mut self, server: usize, prefix: u64, kept: bool) {
+        for entry in 0..self.hosts.len() {
+            if uniform(&mut self.chance) >= CACHE_GAPS {
+                let message = ToEntry::Cached(prefix, kept);
+                self.at(self.now + CACHE_LAG, Event::ToEntry { entry, server, message });
+            }
+        }
+    }
+
     fn stopped(&mut self, server: usize, attempt: AttemptId, work: Span) -> Option<Payload> {
         let payload = self.servers[server].jobs.remove(&attempt)?;
         let stage = usize::from(attempt.stage);
@@ -645,6 +678,15 @@
         self.side_actions(server, actions);
     }
 
+    /// A load report of a model engine reached its side; the next one is on its way.
+    fn load(&mut self, server: usize, waiting: u32) {
+        let host = &mut self.servers[server];
+        let actions = host.side.load(self.now, waiting);
+        let (life, waiting) = (host.life, host.backend.waiting());
+        self.side_actions(server, actions);
+        self.at(self.now + LOAD_LAG, Event::Load { server, life, waiting });
+    }
+
     /// Plans the next end of a stream and the next tick of the side.
     fn schedule(&mut self, server: usize) {
         let host = &mut self.servers[server];
@@ -726,11 +768,14 @@
         }
         let first = Span(self.chance.next_u64() % HEARTBEAT.0);
         self.at(self.now + first, Event::Heartbeat(server, life));
+        if self.deployment.pools[self.servers[server].pool].kind == PoolKind::Engine {
+            self.at(self.now + first, Event::Load { server, life, waiting: 0 });
+        }
     }
 }
 
 fn new_side(pool: &crate::deployment::PoolSpec, incarnation: Incarnation, policy: Policy) -> Side {
-    Side::new(incarnation, SideSettings { slots: pool.slots, policy, ..SideSettings::default() })
+    Side::new(incarnation, SideSettings { slots: pool.told(), policy, ..SideSettings::default() })
 }
 
 fn new_servers(deployment: &Deployment, policy: Policy) -> Vec<Server> {
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -5,8 +5,10 @@
 use crate::time::{Span, Time};
 use std::collections::BTreeMap;
 
-/// Quiet workspaces that are remembered beyond twice the busy ones.
-const USAGE_SPARE: usize = 64;
+/// Time between two sums of the use of all workspaces.
+const SUM_TIME: Span = Span::from_millis(100);
+/// A workspace with less predicted work than this (in microseconds) is not busy.
+const USAGE_MIN: f64 = 1_000.0;
 /// Retry hint when a workspace is at its limit.
 const LIMIT_RETRY: Span = Span::from_millis(500);
 
@@ -67,6 +69,9 @@
 pub struct Admission {
     progress: BTreeMap<WorkspaceId, u32>,
     usage: BTreeMap<WorkspaceId, Usage>,
+    /// Work per share of all busy workspaces, and when it was summed up.
+    fair: f64,
+    summed: Time,
 }
 
 impl Admission {
@@ -88,6 +93,7 @@
                 let over = (ask.wait + ask.work).saturating_sub(allowed + ask.work);
                 return Err(Denial::Overloaded { retry: over.max(HINT_MIN) });
             }
+            self.sum_up(now);
         }
         let progress = self.progress.entry(id.clone()).or_default();
         if *progress >= workspace.limit {
@@ -111,12 +117,22 @@
     /// How much of the usual wait a workspace is allowed, from its use against its share.
     fn standing(&self, now: Time, id: &WorkspaceId) -> f64 {
         let own = self.usage.get(id).map_or(0.0, |usage| usage.level(now) / usage.share);
-        let all: f64 = self.usage.values().map(|usage| usage.level(now)).sum();
-        let shares: f64 = self.usage.values().map(|usage| usage.share).sum();
-        if own <= 0.0 || shares <= 0.0 {
+        if own <= 0.0 {
             return SHARE_RANGE.1;
         }
-        (all / shares / own).clamp(SHARE_RANGE.0, SHARE_RANGE.1)
+        (self.fair / own).clamp(SHARE_RANGE.0, SHARE_RANGE.1)
+    }
+
+    /// Sums up the use of all busy workspaces; not on each request, since there may be thousands.
+    fn sum_up(&mut self, now: Time) {
+        if now.since(self.summed) < SUM_TIME {
+            return;
+        }
+        self.summed = now;
+        self.usage.retain(|_, usage| usage.level(now) > USAGE_MIN);
+        let work: f64 = self.usage.values().map(|usage| usage.level(now)).sum();
+        let shares: f64 = self.usage.values().map(|usage| usage.share).sum();
+        self.fair = work / shares.max(1.0);
     }
 
     fn charge(&mut self, now: Time, id: &WorkspaceId, workspace: &Workspace, work: Span) {
@@ -126,9 +142,5 @@
         usage.work = usage.level(now) + work.0 as f64;
         usage.share = share;
         usage.updated = now;
-        // Workspaces that went quiet don't count as active, and thousands of them cost memory.
-        if self.usage.len() > self.progress.len() * 2 + USAGE_SPARE {
-            self.usage.retain(|_, usage| usage.level(now) > 1.0);
-        }
     }
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
 use crate::predict::{Estimator, SizeClass};
-use crate::retry::{Backoff, Budget, WorkBudget};
+use crate::retry::{Backoff, Budget, Spread, WorkBudget};
 use crate::route::Router;
 use crate::time::{Span, Time};
 use crate::value;
@@ -219,6 +219,8 @@
     pub hedging: bool,
     /// Whether requests that are predicted to be late are refused.
     pub admission: bool,
+    /// How the delays of retries are spread.
+    pub spread: Spread,
     /// Which decisions are in force.
     pub policy: Policy,
 }
@@ -226,13 +228,18 @@
 impl EntrySettings {
     /// Settings of the baseline that the bench measures against.
     pub fn baseline() -> Self {
-        Self { hedging: false, admission: false, policy: Policy::Baseline }
+        Self { hedging: false, admission: false, policy: Policy::Baseline, ..Self::default() }
     }
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { hedging: true, admission: true, policy: Policy::default() }
+        Self {
+            hedging: true,
+            admission: true,
+            spread: Spread::default(),
+            policy: Policy::default(),
+        }
     }
 }
 
@@ -614,7 +621,7 @@
             armed: deadline,
             claim: None,
             bounces: 0,
-            backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
+            backoff: Backoff::with_spread(RETRY_BASE, RETRY_CAP, self.settings.spread),
             retry_at: None,
             hedge_at: None,
             emitted: 0,
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -73,10 +73,21 @@
     }
 }
 
+/// How delays are spread.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Spread {
+    /// Decorrelated jitter.
+    #[default]
+    Decorrelated,
+    /// Twice the last delay, without jitter. Kept to measure against.
+    Exponential,
+}
+
 /// Delay before a retry, with decorrelated jitter: uniform between the base and three times the last
 /// delay, up to a cap. The Tor directory specification uses the same variation for its clients.
 #[derive(Clone, Debug)]
 pub struct Backoff {
+    spread: Spread,
     base: Span,
     cap: Span,
     last: Span,
@@ -85,13 +96,23 @@
 impl Backoff {
     /// Starts at `base` and never exceeds `cap`.
     pub fn new(base: Span, cap: Span) -> Self {
-        Self { base, cap, last: base }
+        Self::with_spread(base, cap, Spread::default())
+    }
+
+    /// The same with another spread.
+    pub fn with_spread(base: Span, cap: Span, spread: Spread) -> Self {
+        Self { spread, base, cap, last: base }
     }
 
     /// The next delay.
     pub fn next_delay(&mut self, rng: &mut Rng) -> Span {
-        let high = (self.last.0 * 3).max(self.base.0 + 1);
-        let delay = self.base.0 + rng.next_u64() % (high - self.base.0);
+        let delay = match self.spread {
+            Spread::Decorrelated => {
+                let high = (self.last.0 * 3).max(self.base.0 + 1);
+                self.base.0 + rng.next_u64() % (high - self.base.0)
+            }
+            Spread::Exponential => self.last.0 * 2,
+        };
         self.last = Span(delay.min(self.cap.0));
         self.last
     }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -16,6 +16,10 @@
 /// Share of its time that long work may be predicted to wait. More of it would fill the slots for
 /// long after a surge.
 const LONG_WAIT_SHARE: f64 = 0.25;
+/// How far the limit may move from the configured slots, as a factor either way.
+const LIMIT_RANGE: u32 = 4;
+/// Time until load reports show a lower limit.
+const LIMIT_SETTLE: Span = Span::from_secs(1);
 /// Attempts over which the usual slack is averaged.
 const SLACK_MEMORY: u64 = 31;
 
@@ -90,6 +94,10 @@
     serial: u64,
     /// Service times against their estimates.
     pace: Pace,
+    /// Attempts that may run at once now; follows the backend server's own load reports.
+    limit: u32,
+    /// Load reports before this don't show the last change of the limit yet.
+    settled: Time,
     /// Usual time between arrival and latest start, of attempts that are not long.
     slack: Span,
 }
@@ -110,6 +118,8 @@
             down: false,
             serial: 0,
             pace: Pace::default(),
+            limit: settings.slots,
+            settled: Time::default(),
             slack: Span::from_secs(1),
         }
     }
@@ -211,6 +221,24 @@
     /// The calls that the backend server may run at once changed.
     pub fn set_slots(&mut self, now: Time, slots: u32) -> Vec<SideAction> {
         self.settings.slots = slots.max(1);
+        self.limit = self.settings.slots;
+        self.start(now)
+    }
+
+    /// The backend server reported how many attempts wait inside it. Those are out of reach for the
+    /// order and the deadlines here, so the limit comes down by their number; it rises again while
+    /// attempts wait here and none there.
+    pub fn load(&mut self, now: Time, waiting: u32) -> Vec<SideAction> {
+        if self.settings.policy == Policy::Baseline || now < self.settled {
+            return Vec::new();
+        }
+        let least = (self.settings.slots / LIMIT_RANGE).max(1);
+        if waiting > 0 {
+            self.limit = self.limit.saturating_sub(waiting).max(least);
+            self.settled = now + LIMIT_SETTLE;
+        } else if !self.queue.is_empty() && self.running.len() >= self.limit as usize {
+            self.limit = (self.limit + 1).min(self.settings.slots.saturating_mul(LIMIT_RANGE));
+        }
         self.start(now)
     }
 
@@ -249,7 +277,7 @@
             version: self.version,
             queued: self.queue.len() as u32,
             running: self.running.len() as u32,
-            limit: self.settings.slots,
+            limit: self.limit,
             wait: self.wait(now),
             draining: self.draining || self.down,
         }
@@ -287,11 +315,11 @@
 
     /// Predicted wait of an attempt that arrives now and must start at `latest`.
     fn wait_before(&self, now: Time, latest: Time) -> Span {
-        if self.running.len() < self.settings.slots as usize && self.queue.is_empty() {
+        if self.running.len() < self.limit as usize && self.queue.is_empty() {
             return Span::ZERO;
         }
         // Slots with long work don't come free while this attempt waits.
-        let slots = self.settings.slots as usize;
+        let slots = self.limit as usize;
         let moving = slots.saturating_sub(self.long_running(now)).max(1) as u64;
         let ahead = self.queue.backlog_before(now, latest);
         let own = self.queue.typical().unwrap_or_default();
@@ -318,10 +346,10 @@
     /// Whether long work would wait too long for the slots that long work may hold.
     fn long_late(&self, now: Time, dispatch: &Dispatch) -> bool {
         let limit = self.queue.long_limit();
-        if dispatch.estimate <= limit || self.running.len() < self.settings.slots as usize {
+        if dispatch.estimate <= limit || self.running.len() < self.limit as usize {
             return false;
         }
-        let slots = (self.settings.slots / LONG_PART_BUSY).max(1);
+        let slots = (self.limit / LONG_PART_BUSY).max(1);
         let wait = Span(self.queue.backlog_above(limit).0 / u64::from(slots));
         wait.scale(self.pace(now)) > dispatch.remaining.scale(LONG_WAIT_SHARE)
     }
@@ -366,7 +394,7 @@
 
     fn start(&mut self, now: Time) -> Vec<SideAction> {
         let mut actions = Vec::new();
-        while !self.down && self.running.len() < self.settings.slots as usize {
+        while !self.down && self.running.len() < self.limit as usize {
             let Some(waiting) = self.next_waiting(now) else { break };
             let effect = self.effects.remove(&waiting.attempt).unwrap_or(Effect::Once);
             let running = Running { effect, started: now, estimate: waiting.estimate };
@@ -381,7 +409,7 @@
     /// waits, and half of them at any time; the rest stays free for what arrives next.
     fn next_waiting(&mut self, now: Time) -> Option<Waiting> {
         let long = self.long_running(now);
-        let slots = self.settings.slots;
+        let slots = self.limit;
         let below = |part: u32| long < (slots / part).max(1) as usize;
         self.queue
             .pop_allowed(now, below(LONG_PART_BUSY))
