--- a/crates/bundle/src/node.rs
+++ b/crates/bundle/src/node.rs
@@ -214,10 +214,10 @@
         if pending.record.manifest().content == *wanted {
             let index = Index::decode(&bytes)?;
             pending.index = Some((index, bytes));
-            return self.proceed(now, source);
+            return self.proceed(source);
         }
         pending.sections.insert(*wanted, bytes);
-        if self.missing().is_empty() { self.proceed(now, source) } else { Ok(None) }
+        if self.missing().is_empty() { self.proceed(source) } else { Ok(None) }
     }
 
     /// A source answered with the difference from a section that is held.
@@ -297,7 +297,7 @@
             && let (Some(pending), Ok(index)) = (&mut self.pending, Index::decode(&bytes))
         {
             pending.index = Some((index, bytes));
-            if let Ok(Some(step)) = self.proceed(now, source) {
+            if let Ok(Some(step)) = self.proceed(source) {
                 return step;
             }
         }
@@ -328,7 +328,7 @@
     }
 
     /// Puts the pending bundle into force when it is complete.
-    fn proceed(&mut self, now: Time, source: Source) -> Result<Option<NodeStep>, NodeError> {
+    fn proceed(&mut self, source: Source) -> Result<Option<NodeStep>, NodeError> {
         let missing = self.missing();
         if !missing.is_empty() {
             return Ok(Some(NodeStep::Need(source, missing)));
@@ -342,7 +342,7 @@
         }
         let version = pending.record.manifest().version;
         let joined = Content::join(version, &index, |address| sections.get(address).cloned())?;
-        if !self.epoch.install(now, version) {
+        if !self.epoch.install(version) {
             return Err(NodeError::Lower { offered: version, force: self.epoch.force() });
         }
         let held = Arc::new(Held {
--- a/crates/core/src/epoch.rs
+++ b/crates/core/src/epoch.rs
@@ -113,6 +113,8 @@
     store_seen: bool,
     /// The last poll failed.
     store_down: bool,
+    /// Peers had `CATCH_UP` to connect.
+    waited: bool,
     /// Never unset.
     ready: bool,
 }
@@ -142,6 +144,7 @@
             watch_backoff: Backoff::new(STORE_BASE, STORE_CAP),
             store_seen: false,
             store_down: false,
+            waited: false,
             ready: false,
         }
     }
@@ -175,7 +178,7 @@
             *known = version.max(*known);
         }
         if version <= self.force {
-            self.update(now);
+            self.update();
             return None;
         }
         let known = self.shown.entry(source).or_insert(version);
@@ -184,7 +187,7 @@
     }
 
     /// A whole bundle with a valid signature arrived. True if it goes into force.
-    pub fn install(&mut self, now: Time, version: Version) -> bool {
+    pub fn install(&mut self, version: Version) -> bool {
         self.pull = None;
         self.fails = 0;
         let higher = version > self.force;
@@ -192,7 +195,7 @@
             self.force = version;
             self.shown.retain(|_, shown| *shown > version);
         }
-        self.update(now);
+        self.update();
         higher
     }
 
@@ -211,7 +214,7 @@
             self.pull = None;
             self.fails = (self.fails + 1).min(PULL_DOUBLINGS);
         }
-        self.update(now);
+        self.update();
         self.next_pull(now)
     }
 
@@ -239,7 +242,7 @@
         } else {
             now + self.jitter(rng)
         };
-        self.update(now);
+        self.update();
     }
 
     /// A poll failed.
@@ -247,7 +250,7 @@
         self.polling = None;
         self.store_down = true;
         self.next_poll = now + self.backoff.next_delay(rng);
-        self.update(now);
+        self.update();
     }
 
     /// The watch showed something, even if no new version.
@@ -284,6 +287,7 @@
     /// Carries out what is due.
     pub fn tick(&mut self, now: Time, rng: &mut Rng) -> Vec<EpochAction> {
         let mut actions = Vec::new();
+        self.waited |= now.since(self.started) >= CATCH_UP;
         if let Some(pull) = self.pull
             && now >= pull.until
         {
@@ -304,7 +308,7 @@
         }
         // A version may have been shown while another one was pulled.
         actions.extend(self.next_pull(now));
-        self.update(now);
+        self.update();
         actions
     }
 
@@ -314,8 +318,7 @@
             Watching::Failed(at) => Some(at),
             Watching::No | Watching::Open => None,
         };
-        let catch_up = (!self.ready && self.store_down && self.force > Version::default())
-            .then(|| self.started + CATCH_UP);
+        let catch_up = (!self.waited).then(|| self.started + CATCH_UP);
         if self.pull.is_none() && !self.shown.is_empty() {
             return self.started;
         }
@@ -333,12 +336,12 @@
         PULL_TIMEOUT * (1 << self.fails)
     }
 
-    fn update(&mut self, now: Time) {
+    fn update(&mut self) {
         let caught_up = self.force > Version::default() && self.shown.is_empty();
         let from_peers = self.store_down
             && !self.peers.is_empty()
             && self.peers.values().all(|shown| *shown <= self.force)
-            && now.since(self.started) >= CATCH_UP;
+            && self.waited;
         self.ready |= caught_up && (self.store_seen || from_peers);
     }
 
