--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -34,6 +34,8 @@
   side --config FILE     run the side process next to a backend server
   demo [--serve]         run a whole deployment with stand-ins in this process
   load --target URL      send bounded load to a loopback address
+  bundle COMMAND         check, compare, approve and roll back bundles; see who has which
+  key new FILE           make an operator's key
 
 Options of every command:
   --help                 print help
@@ -44,6 +46,7 @@
   1  the command could not do its work; the reason is on standard error
   2  the command line can't be read
   3  a settings or bundle file has faults; all of them are on standard error
+The codes of 'bundle' are in docs/operators/bundles.md.
 ";
 
 const ENTRY_HELP: &str = "\
@@ -135,9 +138,14 @@
 }
 
 /// Runs the command that the arguments name and returns its exit code.
-pub fn run(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
-    match dispatch(Arguments::from_vec(arguments), out) {
-        Ok(()) => 0,
+pub fn run(arguments: Vec<OsString>, out: &mut (impl Write + Send), err: &mut impl Write) -> u8 {
+    let ended = if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
+        operate(arguments, out)
+    } else {
+        dispatch(Arguments::from_vec(arguments), out).map(|()| 0)
+    };
+    match ended {
+        Ok(code) => code,
         Err(error) => {
             // Without standard error, the exit code still tells the kind of fault.
             let _ = writeln!(err, "{error}");
@@ -146,7 +154,12 @@
     }
 }
 
-fn dispatch(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+/// Operators' commands, which have exit codes of their own.
+fn operate(arguments: Vec<OsString>, out: &mut (impl Write + Send)) -> Result<u8, CommandError> {
+    block_on(async { Ok(damaskweir_operators::run(arguments, out).await as u8) })
+}
+
+fn dispatch(mut arguments: Arguments, out: &mut (impl Write + Send)) -> Result<(), CommandError> {
     let command = arguments.subcommand()?;
     if arguments.contains("--version") {
         return print(out, &format!("damaskweir {}\n", env!("CARGO_PKG_VERSION")));
