--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -139,11 +139,13 @@
 
 /// Runs the command that the arguments name and returns its exit code.
 pub fn run(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
-    if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
-        return operate(arguments, out, err);
-    }
-    match dispatch(Arguments::from_vec(arguments), out) {
-        Ok(()) => 0,
+    let ended = if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
+        operate(arguments, out, err)
+    } else {
+        dispatch(Arguments::from_vec(arguments), out).map(|()| 0)
+    };
+    match ended {
+        Ok(code) => code,
         Err(error) => {
             // Without standard error, the exit code still tells the kind of fault.
             let _ = writeln!(err, "{error}");
@@ -153,9 +155,12 @@
 }
 
 /// Operators' commands, which have exit codes of their own.
-fn operate(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
-    let command = async { Ok(damaskweir_operators::run(arguments, out, err).await as u8) };
-    block_on(command).unwrap_or(FAILURE)
+fn operate(
+    arguments: Vec<OsString>,
+    out: &mut impl Write,
+    err: &mut impl Write,
+) -> Result<u8, CommandError> {
+    block_on(async { Ok(damaskweir_operators::run(arguments, out, err).await as u8) })
 }
 
 fn dispatch(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
