Tighten two tests that a changed daemon passed

Cause: with the watch for cancels left on after the last message, and with a drain that did not wait for undelivered answers, all tests still passed. Change: the cancel test holds the side's half open while the entry closes its own; a drain test has an answer of 4 MB that the entry reads only after the drain began. The stand-ins take bodies of 16 MB.

--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -214,6 +214,25 @@
     assert_eq!(engine.runs().total(), 1);
 }
 
+/// Guards against a shutdown that loses an answer which the entry has not taken yet.
+#[tokio::test]
+async fn drain_waits_until_answers_are_delivered() {
+    let service = service::Service::start().await.unwrap();
+    let rig = Rig::for_service(&service, 1).await;
+    let entry = rig.connect().await;
+    // More than the connection takes while nobody reads.
+    let input = "x".repeat(4 << 20);
+    let body = serde_json::json!({ "input": input }).to_string();
+    let mut attempt = entry.dispatch_body(&rig.once(0), body.clone().into()).await;
+    until(|| service.runs().finished == 1).await;
+    let drain = tokio::spawn(rig.daemon.drain());
+    entry.wait_until_serving(false).await;
+    let (answer, last) = rest(&mut attempt).await;
+    assert_eq!(last, Some(FINISHED));
+    assert!(answer.len() > body.len(), "{} bytes", answer.len());
+    within(drain).await.unwrap();
+}
+
 /// Guards against an attempt that hangs, or looks finished, when its side dies in the middle of it.
 #[tokio::test]
 async fn killed_side_breaks_its_streams() {
--- a/crates/damaskweir/tests/side/support.rs
+++ b/crates/damaskweir/tests/side/support.rs
@@ -97,11 +97,15 @@
 
 impl Entry {
     pub(crate) async fn dispatch(&self, dispatch: &Dispatch) -> Attempt {
+        let body = Bytes::from_static(br#"{"prompt": "labels", "max_tokens": 8}"#);
+        self.dispatch_body(dispatch, body).await
+    }
+
+    pub(crate) async fn dispatch_body(&self, dispatch: &Dispatch, body: Bytes) -> Attempt {
         let path = match dispatch.effect {
             Effect::Idempotent => "/v1/completions",
             Effect::Once => "/orders",
         };
-        let body = Bytes::from_static(br#"{"prompt": "labels", "max_tokens": 8}"#);
         let work = Work { path: path.to_owned(), key: Some(Digest([4; 32])), body };
         within(self.link.dispatch(dispatch, work)).await.unwrap()
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -16,6 +16,8 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep};
 
+/// Largest body of a request.
+const BODY_MAX_BYTES: usize = 16 << 20;
 /// Tokens of an answer when the request does not say.
 const DEFAULT_TOKENS: u32 = 16;
 /// Prefixes that the cache holds.
@@ -314,7 +316,7 @@
             response.status_code(StatusCode::TOO_MANY_REQUESTS);
             return;
         }
-        let Ok(prompt) = request.parse_json::<Prompt>().await else {
+        let Ok(prompt) = request.parse_json_with_max_size::<Prompt>(BODY_MAX_BYTES).await else {
             response.status_code(StatusCode::BAD_REQUEST);
             return;
         };
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Largest body of a call.
+const BODY_MAX_BYTES: usize = 16 << 20;
+
 /// Behaviour of the service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Behaviour {
@@ -123,7 +126,7 @@
             return;
         }
         let path = request.uri().path().to_owned();
-        let input = match request.payload().await {
+        let input = match request.payload_with_max_size(BODY_MAX_BYTES).await {
             Ok(bytes) => serde_json::from_slice(bytes).unwrap_or(Value::Null),
             Err(_) => {
                 response.status_code(StatusCode::BAD_REQUEST);
--- a/crates/wire/tests/failure.rs
+++ b/crates/wire/tests/failure.rs
@@ -332,10 +332,14 @@
     let mut pair = pair(Limits::default()).await;
     let mut first = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
     let (_, _, mut reply) = next_dispatch(&mut pair.connection).await;
-    let sent = tokio::spawn(async move { reply.send(ToEntry::Done(Outcome::Finished)).await });
+    let sent = tokio::spawn(async move {
+        reply.send(ToEntry::Done(Outcome::Finished)).await.unwrap();
+        reply
+    });
     assert!(within(first.next()).await.unwrap().is_some());
+    // The side still holds its half when the entry closes its own.
+    let _reply = within(sent).await.unwrap();
     drop(first);
-    within(sent).await.unwrap().unwrap();
     let _second = within(pair.link.dispatch(&dispatch(1), work("x"))).await.unwrap();
     assert_eq!(next_dispatch(&mut pair.connection).await.0.attempt, dispatch(1).attempt);
 }
