--- /dev/null
+++ b/crates/instances/src/client.rs
@@ -0,0 +1,136 @@
+//! The client.
+
+use crate::list::{Instance, List};
+use damaskweir_core::prelude::*;
+use damaskweir_core::retry::Backoff;
+use rand_core::Rng as _;
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+/// Polls in a row with a lower revision after which the list counts as restarted rather than lagging.
+const REGRESSIONS: u32 = 10;
+/// First delay after a failed poll.
+const RETRY_BASE: Span = Span::from_millis(500);
+/// Longest delay after a failed poll.
+const RETRY_CAP: Span = Span::from_secs(10);
+
+/// Settings of the client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstancesSettings {
+    /// URL of the platform without a path.
+    pub url: String,
+    /// Mean time between polls. With the list's own lag it decides how soon a leaving instance is
+    /// known.
+    pub period: Duration,
+    /// Time for one poll.
+    pub timeout: Duration,
+}
+
+impl Default for InstancesSettings {
+    fn default() -> Self {
+        Self {
+            url: "http://127.0.0.1:8500".to_owned(),
+            period: Duration::from_secs(1),
+            timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Why a poll brought no list.
+#[derive(Debug, Error)]
+pub enum InstancesError {
+    /// The platform did not answer with a list.
+    #[error("instance list can't be read: {0}")]
+    Call(#[from] reqwest::Error),
+}
+
+/// Polls the list.
+#[derive(Debug)]
+pub struct Instances {
+    lists: watch::Receiver<Arc<List>>,
+    task: AbortHandle,
+}
+
+impl Drop for Instances {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    revision: u64,
+    instances: Vec<Instance>,
+}
+
+impl Instances {
+    /// Starts to poll on the current tokio runtime. `failed` is told of each poll that fails; the last
+    /// list stays in force meanwhile.
+    pub fn spawn(
+        settings: InstancesSettings,
+        rng: Rng,
+        failed: impl Fn(&InstancesError) + Send + Sync + 'static,
+    ) -> Result<Self, InstancesError> {
+        let client = reqwest::Client::builder().timeout(settings.timeout).no_proxy().build()?;
+        let (sender, lists) = watch::channel(Arc::new(List::default()));
+        let task = tokio::spawn(poll(client, settings, rng, failed, sender)).abort_handle();
+        Ok(Self { lists, task })
+    }
+
+    /// The newest list; empty until the first poll.
+    pub fn lists(&self) -> watch::Receiver<Arc<List>> {
+        self.lists.clone()
+    }
+}
+
+async fn poll(
+    client: reqwest::Client,
+    settings: InstancesSettings,
+    mut rng: Rng,
+    failed: impl Fn(&InstancesError) + Send + Sync,
+    lists: watch::Sender<Arc<List>>,
+) {
+    let url = format!("{}/instances", settings.url);
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut regressions = 0;
+    loop {
+        let delay = match fetch(&client, &url).await {
+            Ok(list) => {
+                backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+                let known = lists.borrow().revision;
+                regressions = if list.revision < known { regressions + 1 } else { 0 };
+                if regressions == 0 || regressions >= REGRESSIONS {
+                    regressions = 0;
+                    lists.send_if_modified(|current| {
+                        let changed = **current != list;
+                        *current = Arc::new(list);
+                        changed
+                    });
+                }
+                jitter(&mut rng, settings.period)
+            }
+            Err(error) => {
+                failed(&error);
+                backoff.next_delay(&mut rng).into()
+            }
+        };
+        sleep(delay).await;
+    }
+}
+
+async fn fetch(client: &reqwest::Client, url: &str) -> Result<List, InstancesError> {
+    let answer: Answer = client.get(url).send().await?.error_for_status()?.json().await?;
+    let instances = answer.instances.into_iter().map(|instance| (instance.id.clone(), instance));
+    Ok(List { revision: answer.revision, instances: instances.collect() })
+}
+
+/// Uniform between half and one and a half times the period, so that pollers don't fall into step.
+fn jitter(rng: &mut Rng, period: Duration) -> Duration {
+    let period = u64::try_from(period.as_micros()).unwrap_or(u64::MAX / 2).max(1);
+    Duration::from_micros(period / 2 + rng.next_u64() % period)
+}
--- /dev/null
+++ b/crates/standins/src/instances.rs
@@ -0,0 +1,91 @@
+//! Stand-in of the platform's instance list.
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A running stand-in on a loopback port.
+#[derive(Debug)]
+pub struct Instances {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Instances {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// The list that is shown.
+    shown: Value,
+    down: bool,
+    polls: u64,
+}
+
+impl Instances {
+    /// Starts on a free loopback port with an empty list.
+    pub async fn start() -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let shared = Arc::new(Shared::default());
+        shared.lock().shown = json!({ "revision": 0, "instances": [] });
+        let router = Router::with_path("instances").get(Show(Arc::clone(&shared)));
+        let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(Self { address, shared, server })
+    }
+
+    /// Base address for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Shows a list: a revision, and instances with id, zone, address and state.
+    pub fn show(&self, list: Value) {
+        self.shared.lock().shown = list;
+    }
+
+    /// Begins or ends an outage.
+    pub fn set_down(&self, down: bool) {
+        self.shared.lock().down = down;
+    }
+
+    /// Polls that arrived.
+    pub fn polls(&self) -> u64 {
+        self.shared.lock().polls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Show(Arc<Shared>);
+
+#[handler]
+impl Show {
+    async fn handle(&self, response: &mut Response) {
+        let mut state = self.0.lock();
+        state.polls += 1;
+        if state.down {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        } else {
+            response.render(Json(state.shown.clone()));
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,9 @@
 mod runs;
 
 pub mod engine;
+pub mod instances;
 pub mod service;
 pub mod store;
+pub mod weights;
 
 pub use runs::Runs;
--- /dev/null
+++ b/crates/standins/src/weights.rs
@@ -0,0 +1,103 @@
+//! Stand-in of the weight store.
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::StatusCode;
+use salvo::prelude::*;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A running stand-in on a loopback port.
+#[derive(Debug)]
+pub struct Weights {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Weights {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Bytes by model and version.
+    known: BTreeMap<(String, String), u64>,
+    /// Calls that are still answered before the rate limit.
+    allowed: Option<u32>,
+    calls: u64,
+}
+
+impl Weights {
+    /// Starts on a free loopback port, empty and without a rate limit.
+    pub async fn start() -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let shared = Arc::new(Shared::default());
+        let show = Show(Arc::clone(&shared));
+        let router = Router::with_path("weights/{model}/{version}").get(show);
+        let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Ok(Self { address, shared, server })
+    }
+
+    /// Base address for clients.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Adds a version of a model.
+    pub fn add(&self, model: &str, version: &str, bytes: u64) {
+        self.shared.lock().known.insert((model.to_owned(), version.to_owned()), bytes);
+    }
+
+    /// Answers only this many more calls; the others get 429.
+    pub fn set_allowed(&self, allowed: Option<u32>) {
+        self.shared.lock().allowed = allowed;
+    }
+
+    /// Calls that arrived.
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Show(Arc<Shared>);
+
+#[handler]
+impl Show {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let param = |name| request.param::<String>(name).unwrap_or_default();
+        let name = (param("model"), param("version"));
+        let mut state = self.0.lock();
+        state.calls += 1;
+        if state.allowed == Some(0) {
+            response.status_code(StatusCode::TOO_MANY_REQUESTS);
+            // Seconds, as the header counts.
+            let _ = response.add_header("retry-after", "3", true);
+            return;
+        }
+        state.allowed = state.allowed.map(|allowed| allowed - 1);
+        match state.known.get(&name) {
+            Some(bytes) => response.render(Json(json!({ "bytes": bytes }))),
+            None => {
+                response.status_code(StatusCode::NOT_FOUND);
+            }
+        }
+    }
+}
