Put bundles into force in the daemons

Entries and sides had one bundle from a file and no way to take another.

With operators' keys in the settings, both drive a node with the store and their connections: an entry watches, polls and reports versions under a lease; whoever shows a higher version is pulled from, by differences where the peer holds the base. An entry listens for callers, and a side takes work, once it has caught up; seeds let an entry do so while the store is down. A dispatch with a higher version waits up to 500 ms for that version. Links follow the bundle; those to removed servers stay open for 90 s.

--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -1,14 +1,17 @@
 //! The command line.
 
 use crate::demo::{Demo, DemoError, DemoOptions};
-use crate::entry::{EntryDaemon, EntryError, EntryOptions};
+use crate::entry::{EntryDaemon, EntryError, EntryOptions, seeded_rng};
 use crate::load::{LoadError, LoadOptions, run_load};
 use crate::logs::{LogForm, LogSettings, new_logger, quiet_logger};
 use crate::settings::{EntryFile, SettingsError, SideFile};
 use crate::side::{SideDaemon, SideError};
+use crate::spread::SpreadSetup;
 use damaskweir_core::prelude::*;
+use damaskweir_store::Client;
 use pico_args::Arguments;
 use slog::Level;
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::future::Future;
 use std::io::Write;
@@ -225,9 +228,20 @@
     let file = EntryFile::read(&path)?;
     let log = new_logger(file.logs, file.instance.as_str());
     block_on(async {
-        let bundle = read_bundle(&file.bundle)?;
+        let (bundle, spread) = match &file.bundle {
+            Some(path) => (read_bundle(path)?, None),
+            None => {
+                let store = file.store.clone().map(new_client).transpose()?;
+                let (keys, seeds) = (file.operators.clone(), file.seeds.clone());
+                (Arc::new(empty_bundle()), Some(SpreadSetup { keys, store, seeds }))
+            }
+        };
         let options = EntryOptions::from_file(file, bundle)?;
-        let daemon = EntryDaemon::start(options, log).await?;
+        let daemon = tokio::select! {
+            daemon = EntryDaemon::start_spread(options, spread, log) => daemon?,
+            // It may wait for a bundle.
+            stopped = wait_for_stop() => return stopped,
+        };
         wait_for_stop().await?;
         Ok(daemon.drain().await?)
     })
@@ -239,7 +253,14 @@
     let file = SideFile::read(&path)?;
     let log = new_logger(file.logs, file.server.as_str());
     block_on(async {
-        let daemon = SideDaemon::start(file.options().map_err(SideError::from)?, log).await?;
+        let spread = if file.operators.is_empty() {
+            None
+        } else {
+            let store = file.store.clone().map(new_client).transpose()?;
+            Some(SpreadSetup { keys: file.operators.clone(), store, seeds: BTreeMap::new() })
+        };
+        let options = file.options().map_err(SideError::from)?;
+        let daemon = SideDaemon::start_spread(options, spread, log).await?;
         wait_for_stop().await?;
         daemon.drain().await;
         Ok(())
@@ -311,6 +332,21 @@
     }
 }
 
+fn new_client(settings: damaskweir_store::Settings) -> Result<Client, CommandError> {
+    Ok(Client::new(settings, seeded_rng()?).map_err(EntryError::from)?)
+}
+
+/// What an entry has before its first bundle.
+fn empty_bundle() -> Bundle {
+    Bundle {
+        version: Version(0),
+        pools: BTreeMap::new(),
+        pipelines: BTreeMap::new(),
+        workspaces: BTreeMap::new(),
+        operators: BTreeMap::new(),
+    }
+}
+
 fn read_bundle(path: &Path) -> Result<Arc<Bundle>, CommandError> {
     let text = std::fs::read_to_string(path)
         .map_err(|error| CommandError::Failure(format!("{}: {error}", path.display())))?;
--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::metrics::{EntryMetrics, MetricsError};
 use crate::settings::EntryFile;
+use crate::spread::{Spread, SpreadSetup};
 use bytes::{Bytes, BytesMut};
 use damaskweir_callers::{
     Api, Directory, ErrorCode, Execution, Failed, Finished, Form, Gateway, Limits, Readiness,
@@ -14,6 +15,7 @@
 use damaskweir_core::entry::{
     Answer, Call, ClaimAnswer, ClaimWrite, Entry, EntryAction, EntryEvent, EntrySettings, Input,
 };
+use damaskweir_core::epoch::EpochSettings;
 use damaskweir_core::prelude::*;
 use damaskweir_core::retry::Backoff;
 use damaskweir_store::{ClaimSettings, ClaimWriter, Client, StoreError};
@@ -27,8 +29,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::sync::{Notify, watch};
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep, timeout};
 
 /// First delay before a side is dialled again.
@@ -37,6 +39,8 @@
 const DIAL_CAP: Span = Span::from_secs(2);
 /// Time that a side may take to tell what it knows about an attempt.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a connection to a server that left the bundle stays open, for work that runs there.
+const LEAVE_TIME: Duration = Duration::from_secs(90);
 /// How often the end of a drain is looked for.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -142,7 +146,7 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     server: salvo::server::ServerHandle,
-    serving: tokio::task::JoinHandle<std::io::Result<()>>,
+    serving: JoinHandle<std::io::Result<()>>,
     tasks: Vec<AbortHandle>,
     grace: Duration,
     limit: Duration,
@@ -151,10 +155,30 @@
 impl EntryDaemon {
     /// Starts an entry on the current tokio runtime.
     pub async fn start(options: EntryOptions, log: Logger) -> Result<Self, EntryError> {
+        Self::start_spread(options, None, log).await
+    }
+
+    /// Starts an entry that puts bundles into force. It listens for callers once it has caught up, so
+    /// this may take as long as the store and all peers are away.
+    pub async fn start_spread(
+        options: EntryOptions,
+        spread: Option<SpreadSetup>,
+        log: Logger,
+    ) -> Result<Self, EntryError> {
         let incarnation = Incarnation(getrandom::u64().map_err(EntryError::Random)?);
         let rng = seeded_rng()?;
+        let seeds = spread.as_ref().map(|setup| setup.seeds.clone()).unwrap_or_default();
+        let place = (options.instance.clone(), options.zone.clone());
+        let spread = spread
+            .map(|setup| setup.start(incarnation, EpochSettings::ENTRY, Some(place), &log))
+            .transpose()
+            .map_err(EntryError::Random)?;
         let id = PeerId::Entry(options.instance.clone());
         let local = Local::new(id, options.zone.clone(), incarnation);
+        let local = match &spread {
+            Some(spread) => spread.attach(local),
+            None => local,
+        };
         local.set_version(options.bundle.version);
         let dialer = Dialer::bind(options.wire_address, &options.keys, local, options.wire)?;
         let listener = TcpListener::bind(options.listen)
@@ -179,13 +203,26 @@
             draining: AtomicBool::new(false),
             refusals: AtomicU64::new(0),
             incarnation,
+            spread: spread.clone(),
+            configured: watch::Sender::new(false),
             log,
         });
         let mut tasks = vec![spawn(run_timers(Arc::clone(&shared)))];
-        for (pool, servers) in &options.bundle.pools {
-            for server in &servers.servers {
-                let task = keep_link(Arc::clone(&shared), pool.clone(), server.clone());
-                tasks.push(spawn(task));
+        let mut links = Links::new(Arc::clone(&shared));
+        match spread {
+            Some(spread) => {
+                links.seed(seeds);
+                let caught_up = spread.readiness();
+                tasks.push(spawn(follow_bundles(links, spread)));
+                wait_until(caught_up).await;
+                wait_until(shared.configured.subscribe()).await;
+            }
+            None => {
+                links.follow(&options.bundle);
+                tasks.push(spawn(async move {
+                    let _links = links;
+                    std::future::pending().await
+                }));
             }
         }
         let gateway: Arc<dyn Gateway> = Arc::new(Door(Arc::clone(&shared)));
@@ -193,7 +230,7 @@
             .map_err(|source| EntryError::Listen { address: options.listen, source })?;
         let (address, server) = (api.address(), api.handle());
         info!(shared.log, "entry started"; "address" => %address, "incarnation" => %incarnation,
-            "version" => %options.bundle.version);
+            "version" => %shared.lock().entry.bundle().version);
         let serving = tokio::spawn(api.serve());
         let (grace, limit) = (options.drain_grace, options.drain_limit);
         Ok(Self { shared, address, server, serving, tasks, grace, limit })
@@ -204,6 +241,11 @@
         self.address
     }
 
+    /// The bundle in force.
+    pub fn bundle(&self) -> Arc<Bundle> {
+        Arc::clone(self.shared.lock().entry.bundle())
+    }
+
     /// Whether each pool that a pipeline needs has a connected side.
     pub fn is_ready(&self) -> bool {
         self.shared.ready() == Readiness::Ready
@@ -223,6 +265,9 @@
         self.server.stop_graceful(self.limit.saturating_sub(started.elapsed()).max(self.grace));
         let served = self.serving.await;
         self.tasks.iter().for_each(AbortHandle::abort);
+        if let Some(spread) = &self.shared.spread {
+            spread.stop();
+        }
         self.shared.dialer.close().await;
         info!(self.shared.log, "drain ended"; "progress" => self.shared.lock().open.len());
         match served {
@@ -235,6 +280,9 @@
     pub fn abort(self) {
         self.serving.abort();
         self.tasks.iter().for_each(AbortHandle::abort);
+        if let Some(spread) = &self.shared.spread {
+            spread.stop();
+        }
         let running: Vec<_> = self.shared.lock().running.drain().collect();
         running.iter().for_each(|(_, task)| task.abort());
     }
@@ -253,6 +301,9 @@
     draining: AtomicBool,
     refusals: AtomicU64,
     incarnation: Incarnation,
+    spread: Option<Spread>,
+    /// A bundle is in force.
+    configured: watch::Sender<bool>,
     log: Logger,
 }
 
@@ -873,6 +924,142 @@
     }
 }
 
+/// A connection that the core and the spread of bundles know of, until it is dropped.
+struct Connected<'a> {
+    shared: &'a Arc<Shared>,
+    pool: &'a PoolId,
+    server: &'a ServerId,
+    peer: Incarnation,
+}
+
+impl<'a> Connected<'a> {
+    fn new(shared: &'a Arc<Shared>, pool: &'a PoolId, server: &'a ServerId, link: &Link) -> Self {
+        {
+            let mut state = shared.lock();
+            let now = shared.now();
+            state.links.insert(server.clone(), link.clone());
+            state.entry.connected(now, pool, server, true);
+        }
+        if let Some(spread) = &shared.spread {
+            spread.add_side(server, link);
+        }
+        Self { shared, pool, server, peer: link.hello().incarnation }
+    }
+}
+
+impl Drop for Connected<'_> {
+    fn drop(&mut self) {
+        {
+            let mut state = self.shared.lock();
+            let now = self.shared.now();
+            state.links.remove(self.server);
+            state.entry.connected(now, self.pool, self.server, false);
+        }
+        if let Some(spread) = &self.shared.spread {
+            spread.remove_side(self.server, self.peer);
+        }
+    }
+}
+
+/// Connections to the servers of the bundle in force. They end when this is dropped.
+struct Links {
+    shared: Arc<Shared>,
+    open: BTreeMap<ServerId, (PoolId, BackendServer, JoinHandle<()>)>,
+    /// Connections to servers that the bundle no longer has, for the work that still runs there.
+    left: BTreeMap<ServerId, JoinHandle<()>>,
+}
+
+impl Links {
+    fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, open: BTreeMap::new(), left: BTreeMap::new() }
+    }
+
+    /// Connects to sides from the settings, for a process that has no bundle yet.
+    fn seed(&mut self, seeds: BTreeMap<ServerId, SocketAddr>) {
+        for (id, side) in seeds {
+            let server = BackendServer { id, zone: AvailabilityZone::from(""), side, slots: 1 };
+            self.connect(PoolId::from(""), server);
+        }
+    }
+
+    /// Connects to the servers of a bundle, and leaves those that it no longer has.
+    fn follow(&mut self, bundle: &Bundle) {
+        let mut wanted = BTreeMap::new();
+        for (pool, servers) in &bundle.pools {
+            for server in &servers.servers {
+                wanted.insert(server.id.clone(), (pool.clone(), server.clone()));
+            }
+        }
+        let gone: Vec<_> =
+            self.open.keys().filter(|id| !wanted.contains_key(id)).cloned().collect();
+        for id in gone {
+            self.leave(id);
+        }
+        for (id, (pool, server)) in wanted {
+            let same = self.open.get(&id).is_some_and(|(known_pool, known, _)| {
+                *known_pool == pool && known.side == server.side
+            });
+            if !same {
+                self.connect(pool, server);
+            }
+        }
+    }
+
+    fn connect(&mut self, pool: PoolId, server: BackendServer) {
+        let open = self.open.remove(&server.id).map(|(_, _, task)| task);
+        let before = open.or_else(|| self.left.remove(&server.id));
+        let (shared, kept) = (Arc::clone(&self.shared), server.clone());
+        let name = pool.clone();
+        let task = tokio::spawn(async move {
+            // The end of the connection before must not be taken for that of this one.
+            if let Some(before) = before {
+                before.abort();
+                let _ = before.await;
+            }
+            keep_link(shared, name, kept).await;
+        });
+        self.open.insert(server.id.clone(), (pool, server, task));
+    }
+
+    fn leave(&mut self, id: ServerId) {
+        let Some((_, _, task)) = self.open.remove(&id) else { return };
+        let handle = task.abort_handle();
+        tokio::spawn(async move {
+            sleep(LEAVE_TIME).await;
+            handle.abort();
+        });
+        self.left.insert(id, task);
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        self.open.values().for_each(|(_, _, task)| task.abort());
+        self.left.values().for_each(JoinHandle::abort);
+    }
+}
+
+/// Puts each bundle that comes into force to use.
+async fn follow_bundles(mut links: Links, spread: Spread) {
+    let mut bundles = spread.bundles();
+    loop {
+        let bundle = bundles.borrow_and_update().clone();
+        if let Some(bundle) = bundle {
+            links.shared.lock().entry.configure(Arc::clone(&bundle));
+            links.follow(&bundle);
+            links.shared.configured.send_replace(true);
+        }
+        if bundles.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn wait_until(mut condition: watch::Receiver<bool>) {
+    // The sender lives as long as the daemon.
+    let _ = condition.wait_for(|held| *held).await;
+}
+
 /// Reports a connection's state to the core until it ends.
 async fn serve_link(
     shared: &Arc<Shared>,
@@ -881,29 +1068,23 @@
     link: Link,
 ) -> WireError {
     let mut reports = link.reports();
-    {
-        let mut state = shared.lock();
-        let now = shared.now();
-        state.links.insert(server.clone(), link.clone());
-        state.entry.connected(now, pool, server, true);
-    }
-    let error = loop {
+    let peer = link.hello().incarnation;
+    let _connected = Connected::new(shared, pool, server, &link);
+    loop {
         let report = *reports.borrow_and_update();
         if let Some(report) = report {
             shared.lock().entry.report(pool, server, report);
+            if let Some(spread) = &shared.spread {
+                spread.show_side(server, peer, report.version);
+            }
         }
         tokio::select! {
-            error = link.closed() => break error,
+            error = link.closed() => return error,
             changed = reports.changed() => {
                 if changed.is_err() {
-                    break link.closed().await;
+                    return link.closed().await;
                 }
             }
         }
-    };
-    let mut state = shared.lock();
-    let now = shared.now();
-    state.links.remove(server);
-    state.entry.connected(now, pool, server, false);
-    error
+    }
 }
--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod metrics;
 pub mod settings;
 pub mod side;
+pub mod spread;
--- a/crates/damaskweir/src/settings.rs
+++ b/crates/damaskweir/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::logs::{LogForm, LogSettings};
 use crate::side::{Backend, SideOptions};
+use damaskweir_bundle::PublicKey;
 use damaskweir_callers::{Directory, Limits};
 use damaskweir_core::entry::EntrySettings;
 use damaskweir_core::prelude::*;
@@ -92,8 +93,12 @@
     pub directory: Directory,
     /// Connections to sides.
     pub wire: WireSettings,
-    /// Bundle file.
-    pub bundle: PathBuf,
+    /// Bundle file, for an entry that does not take bundles from the store.
+    pub bundle: Option<PathBuf>,
+    /// Keys that may sign bundles. With any, bundles come from the store and from sides.
+    pub operators: Vec<PublicKey>,
+    /// Sides to connect to while there is no bundle yet.
+    pub seeds: BTreeMap<ServerId, SocketAddr>,
     /// The store; without it non-idempotent calls are refused.
     pub store: Option<damaskweir_store::Settings>,
     /// Time between the start of a drain and the earliest exit.
@@ -113,6 +118,8 @@
     /// Checks the text of a file.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
         let mut reader = Reader::new(path, text)?;
+        let operators = read_operators(&mut reader);
+        let bundle = operators.is_empty().then(|| reader.file("bundle", "file"));
         let file = Self {
             instance: InstanceId::from(reader.name("entry", "instance").as_str()),
             zone: AvailabilityZone::from(reader.name("entry", "zone").as_str()),
@@ -125,7 +132,9 @@
             limits: read_limits(&mut reader),
             directory: read_directory(&mut reader),
             wire: read_wire(&mut reader),
-            bundle: reader.file("bundle", "file"),
+            operators,
+            bundle,
+            seeds: read_seeds(&mut reader),
             store: read_store(&mut reader),
             drain_grace: reader.millis("drain", "grace-ms", 0..=60_000, 500),
             drain_limit: reader.millis("drain", "limit-ms", 100..=600_000, 30_000),
@@ -146,6 +155,10 @@
     pub wire: WireSettings,
     /// How to reach the backend server.
     pub backend: Backend,
+    /// Keys that may sign bundles. Without any, the side puts no bundle into force.
+    pub operators: Vec<PublicKey>,
+    /// The store; without it, bundles come from entries only.
+    pub store: Option<damaskweir_store::Settings>,
     /// Settings of the core.
     pub core: SideSettings,
     /// Time between health checks of the backend server.
@@ -172,6 +185,8 @@
             zone: AvailabilityZone::from(reader.name("side", "zone").as_str()),
             wire: read_wire(&mut reader),
             backend: read_backend(&mut reader),
+            operators: read_operators(&mut reader),
+            store: read_store(&mut reader),
             core: SideSettings {
                 slots: reader.count("side", "slots", 1..=10_000, core.slots),
                 queue: reader.count("side", "queue", 1..=100_000, core.queue),
@@ -286,6 +301,38 @@
     Directory::new(credentials, believed)
 }
 
+/// Public keys of operators by name.
+fn read_operators(reader: &mut Reader) -> Vec<PublicKey> {
+    let mut keys = Vec::new();
+    for (name, value) in reader.take_section("operators") {
+        match value.trim().parse() {
+            Ok(key) => keys.push(key),
+            Err(_) => {
+                let text = "expected an ed25519 public key of 64 hexadecimal digits";
+                reader.problem("operators", &name, text.to_owned());
+            }
+        }
+    }
+    keys
+}
+
+/// Addresses of sides by server.
+fn read_seeds(reader: &mut Reader) -> BTreeMap<ServerId, SocketAddr> {
+    let mut seeds = BTreeMap::new();
+    for (server, value) in reader.take_section("seeds") {
+        match value.trim().parse() {
+            Ok(address) => {
+                seeds.insert(ServerId::from(server.as_str()), address);
+            }
+            Err(_) => {
+                let text = "expected the IP address and port of the server's side";
+                reader.problem("seeds", &server, text.to_owned());
+            }
+        }
+    }
+    seeds
+}
+
 fn parse_digest(text: &str) -> Option<Digest> {
     let mut digest = [0; 32];
     if text.len() != 64 || !text.is_ascii() {
--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -3,14 +3,16 @@
 //! One lock owns the core. Actions are carried out under it, in their order; calls to the backend
 //! server and messages to entries are tasks of their own.
 
+use crate::spread::{Spread, SpreadSetup};
 use bytes::{Bytes, BytesMut};
+use damaskweir_core::epoch::EpochSettings;
 use damaskweir_core::prelude::*;
 use damaskweir_core::side::{Side, SideAction, SideSettings};
 use damaskweir_engines::{Engine, EngineError, EngineSettings};
 use damaskweir_services::{Service, ServiceError, ServiceSettings};
 use damaskweir_wire::{
-    AskReply, Connection, Keys, Limits, Listener, Local, PeerId, Rejected, Reply, Request, Ticket,
-    ToEntry, WireError, Work,
+    AskReply, Connection, Keys, Limits, Listener, Local, Peer, PeerId, Rejected, Reply, Request,
+    Ticket, ToEntry, WireError, Work,
 };
 use slog::{FnValue, Logger, debug, info, o, warn};
 use std::collections::{HashMap, VecDeque};
@@ -29,6 +31,9 @@
 const FAILED_CHECKS: u32 = 2;
 /// Bytes of a frame that are not the answer: the report and the lengths.
 const OVERHEAD: usize = 1 << 10;
+/// Time that a dispatch waits at most for the version that it runs under. It carries all that its
+/// attempt needs, so after that it is run.
+const REACH_LIMIT: Duration = Duration::from_millis(500);
 /// Deadlines beyond this are as good as none, and instants can't lie arbitrarily far ahead.
 const FAR: Duration = Duration::from_secs(24 * 3600);
 
@@ -152,9 +157,27 @@
 impl SideDaemon {
     /// Starts a side on the current tokio runtime. It takes work once the backend server is healthy.
     pub async fn start(options: SideOptions, log: Logger) -> Result<Self, SideError> {
+        Self::start_spread(options, None, log).await
+    }
+
+    /// Starts a side that puts bundles into force. It takes work once it has caught up, too.
+    pub async fn start_spread(
+        options: SideOptions,
+        spread: Option<SpreadSetup>,
+        log: Logger,
+    ) -> Result<Self, SideError> {
         let incarnation = Incarnation(getrandom::u64().map_err(SideError::Random)?);
+        let server = options.server.clone();
+        let spread = spread
+            .map(|setup| setup.start(incarnation, EpochSettings::SIDE, None, &log))
+            .transpose()
+            .map_err(SideError::Random)?;
         let log = log.new(o!("server" => options.server.to_string()));
         let local = Local::new(PeerId::Side(options.server), options.zone, incarnation);
+        let local = match &spread {
+            Some(spread) => spread.attach(local),
+            None => local,
+        };
         let answer_limit = options.answer_limit.min(options.wire.frame.saturating_sub(OVERHEAD));
         let client = match options.backend {
             Backend::Engine(settings) => Client::Engine(Engine::new(settings)?),
@@ -163,7 +186,7 @@
             }
         };
         let mut side = Side::new(incarnation, options.core);
-        let healthy = client.healthy().await;
+        let healthy = client.healthy().await && spread.is_none();
         side.set_down(Time(0), !healthy);
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
@@ -174,6 +197,7 @@
             }),
             start: Instant::now(),
             client,
+            spread,
             local: local.clone(),
             answer_limit,
             timer: Notify::new(),
@@ -192,6 +216,9 @@
         shared.spawn(run_timers(Arc::clone(&shared)));
         shared.spawn(run_checks(Arc::clone(&shared), options.check, healthy));
         shared.tasks.spawn(accept(Arc::clone(&shared), listener));
+        if let Some(spread) = &shared.spread {
+            shared.spawn(follow_bundles(Arc::clone(&shared), spread.clone(), server));
+        }
         info!(shared.log, "side started"; "address" => %address, "incarnation" => %incarnation,
             "healthy" => healthy);
         Ok(Self { shared, address, drain_limit: options.drain_limit })
@@ -202,6 +229,11 @@
         self.address
     }
 
+    /// The bundle in force, when the side puts bundles into force.
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.shared.spread.as_ref()?.bundles().borrow().clone()
+    }
+
     /// What the side tells its peers about itself.
     pub fn local(&self) -> &Local {
         &self.shared.local
@@ -258,6 +290,9 @@
         let left = shared.lock().side.running();
         shared.abort_jobs();
         shared.stop.cancel();
+        if let Some(spread) = &shared.spread {
+            spread.stop();
+        }
         shared.tasks.close();
         shared.tasks.wait().await;
         if finished && delivered {
@@ -271,6 +306,9 @@
     pub fn abort(self) {
         self.shared.abort_jobs();
         self.shared.stop.cancel();
+        if let Some(spread) = &self.shared.spread {
+            spread.stop();
+        }
     }
 }
 
@@ -280,6 +318,7 @@
     state: Mutex<State>,
     start: Instant,
     client: Client,
+    spread: Option<Spread>,
     local: Local,
     answer_limit: usize,
     /// Tells the timer task that a timer is earlier than the one it waits for.
@@ -420,6 +459,12 @@
         Time(0) + Span::from(self.start.elapsed())
     }
 
+    /// Whether work can be taken: the node has caught up and the backend server is healthy.
+    async fn usable(&self) -> bool {
+        let caught_up = self.spread.as_ref().is_none_or(|spread| *spread.readiness().borrow());
+        caught_up && self.client.healthy().await
+    }
+
     /// Spawns a task that ends when the side stops.
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
@@ -606,9 +651,16 @@
     let hello = peer.hello();
     let log = shared.log.new(o!("peer" => hello.id.to_string()));
     info!(log, "entry connected"; "incarnation" => %hello.incarnation);
+    let spread = shared.spread.clone();
+    let spread = spread.map(|spread| Shown::new(spread, &peer));
     while let Some(request) = connection.next().await {
         match request {
-            Request::Dispatch { dispatch, work, reply } => shared.dispatch(dispatch, work, reply),
+            Request::Dispatch { dispatch, work, reply } => {
+                if let Some(shown) = &spread {
+                    shown.reach(&dispatch).await;
+                }
+                shared.dispatch(dispatch, work, reply);
+            }
             Request::Cancel(attempt, ticket) => shared.cancel(attempt, ticket),
             Request::Ask { attempt, incarnation, reply } => shared.ask(attempt, incarnation, reply),
         }
@@ -617,6 +669,79 @@
     info!(log, "entry disconnected"; "kind" => error.kind(), "error" => %error);
 }
 
+/// An entry among the peers of the node, until it is dropped.
+struct Shown {
+    spread: Spread,
+    peer: Incarnation,
+    task: AbortHandle,
+}
+
+impl Shown {
+    fn new(spread: Spread, peer: &Peer) -> Self {
+        spread.add_entry(peer);
+        let incarnation = peer.hello().incarnation;
+        let (mut versions, shown) = (peer.versions(), spread.clone());
+        let task = tokio::spawn(async move {
+            while versions.changed().await.is_ok() {
+                let version = *versions.borrow_and_update();
+                shown.show(incarnation, version);
+            }
+        });
+        Self { spread, peer: incarnation, task: task.abort_handle() }
+    }
+
+    /// Pulls the version of a dispatch before it is looked at. The requests behind it wait as well,
+    /// so that a cancel never comes before its dispatch.
+    async fn reach(&self, dispatch: &Dispatch) {
+        let force = self.spread.bundles().borrow().as_ref().map(|bundle| bundle.version);
+        if force.is_some_and(|force| force >= dispatch.version) {
+            return;
+        }
+        self.spread.show(self.peer, dispatch.version);
+        let patience = Duration::from(dispatch.remaining).min(REACH_LIMIT);
+        self.spread.reach(dispatch.version, patience).await;
+    }
+}
+
+impl Drop for Shown {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.spread.remove(self.peer);
+    }
+}
+
+/// Tells the core and the entries of each bundle that comes into force.
+async fn follow_bundles(shared: Arc<Shared>, spread: Spread, server: ServerId) {
+    let mut bundles = spread.bundles();
+    let mut ready = spread.readiness();
+    loop {
+        let bundle = bundles.borrow_and_update().clone();
+        if let Some(bundle) = bundle {
+            let mut state = shared.lock();
+            state.side.set_version(bundle.version);
+            let mut servers = bundle.pools.values().flat_map(|pool| &pool.servers);
+            if let Some(found) = servers.find(|found| found.id == server) {
+                let actions = state.side.set_slots(shared.now(), found.slots);
+                shared.carry_out(&mut state, actions);
+            }
+        }
+        // The next check finds that the node has caught up.
+        shared.check.notify_one();
+        tokio::select! {
+            changed = bundles.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            changed = ready.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Sends the messages of one attempt.
 async fn send_messages(
     shared: Arc<Shared>,
@@ -768,7 +893,7 @@
     loop {
         // A call that could not connect asks for a check at once.
         let _ = timeout(period, shared.check.notified()).await;
-        if shared.client.healthy().await {
+        if shared.usable().await {
             failed = 0;
             if !healthy {
                 info!(shared.log, "backend server is up");
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -219,6 +219,10 @@
         Self { key: encode(key), range_end: None }
     }
 
+    pub(crate) fn between(key: &str, end: &str) -> Self {
+        Self { key: encode(key), range_end: Some(encode(end)) }
+    }
+
     pub(crate) fn prefix(prefix: &str) -> Self {
         Self { key: encode(prefix), range_end: Some(encode(prefix_end(prefix))) }
     }
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -28,6 +28,15 @@
     /// for the present one.
     pub async fn watch(&self, key: &str, from: u64) -> Result<Watch, StoreError> {
         let range = if key.ends_with('/') { Range::prefix(key) } else { Range::key(key) };
+        self.open_watch(range, from).await
+    }
+
+    /// Watches all keys from `key` up to but without `end`.
+    pub async fn watch_range(&self, key: &str, end: &str, from: u64) -> Result<Watch, StoreError> {
+        self.open_watch(Range::between(key, end), from).await
+    }
+
+    async fn open_watch(&self, range: Range, from: u64) -> Result<Watch, StoreError> {
         let mut request = serde_json::to_value(range).unwrap_or_default();
         if from > 0 {
             request["start_revision"] = json!(from.to_string());
