--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod load;
 pub mod logs;
 pub mod metrics;
+pub mod order;
 pub mod settings;
 pub mod side;
--- a/crates/engines/src/client.rs
+++ b/crates/engines/src/client.rs
@@ -18,8 +18,10 @@
     pub connect: Duration,
     /// Longest time between two events of an answer; the first may take as long as the caller waits.
     pub idle: Duration,
-    /// Time for a load report, an order or a health check.
+    /// Time for a load report or a health check.
     pub timeout: Duration,
+    /// Time for an order; engines answer it when the weights are loaded.
+    pub order: Duration,
     /// Whether the engine honours `priority`.
     pub priority: bool,
     /// Whether the engine honours `resume_from` and sends `token_index`.
@@ -33,6 +35,7 @@
             connect: Duration::from_millis(500),
             idle: Duration::from_secs(10),
             timeout: Duration::from_secs(2),
+            order: Duration::from_secs(600),
             priority: true,
             resume: false,
         }
--- a/crates/engines/src/order.rs
+++ b/crates/engines/src/order.rs
@@ -61,7 +61,7 @@
             .client
             .post(self.url("/orders"))
             .json(&Request { fence, order })
-            .timeout(self.settings.timeout)
+            .timeout(self.settings.order)
             .send()
             .await
             .map_err(EngineError::from)?;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -34,6 +34,8 @@
     pub lag: Duration,
     /// Whether orders with an old fencing number are refused.
     pub fenced: bool,
+    /// Time that an order takes.
+    pub order: Duration,
     /// Answers with 429 and starts nothing.
     pub refuse: bool,
     /// Sends an error event instead of the last token.
@@ -52,6 +54,7 @@
             token: Duration::from_millis(2),
             lag: Duration::ZERO,
             fenced: true,
+            order: Duration::ZERO,
             refuse: false,
             fail: false,
             hold: None,
@@ -425,6 +428,8 @@
             response.status_code(StatusCode::BAD_REQUEST);
             return;
         };
+        let time = self.0.lock().behaviour.order;
+        sleep(time).await;
         let mut state = self.0.lock();
         if !state.behaviour.fenced {
             state.orders.push(order);
