--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -16,6 +16,8 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep};
 
+/// Largest body of a request.
+const BODY_MAX_BYTES: usize = 16 << 20;
 /// Tokens of an answer when the request does not say.
 const DEFAULT_TOKENS: u32 = 16;
 /// Prefixes that the cache holds.
@@ -32,6 +34,8 @@
     pub lag: Duration,
     /// Whether orders with an old fencing number are refused.
     pub fenced: bool,
+    /// Time that an order takes.
+    pub order: Duration,
     /// Answers with 429 and starts nothing.
     pub refuse: bool,
     /// Sends an error event instead of the last token.
@@ -50,6 +54,7 @@
             token: Duration::from_millis(2),
             lag: Duration::ZERO,
             fenced: true,
+            order: Duration::ZERO,
             refuse: false,
             fail: false,
             hold: None,
@@ -314,7 +319,7 @@
             response.status_code(StatusCode::TOO_MANY_REQUESTS);
             return;
         }
-        let Ok(prompt) = request.parse_json::<Prompt>().await else {
+        let Ok(prompt) = request.parse_json_with_max_size::<Prompt>(BODY_MAX_BYTES).await else {
             response.status_code(StatusCode::BAD_REQUEST);
             return;
         };
@@ -423,6 +428,8 @@
             response.status_code(StatusCode::BAD_REQUEST);
             return;
         };
+        let time = self.0.lock().behaviour.order;
+        sleep(time).await;
         let mut state = self.0.lock();
         if !state.behaviour.fenced {
             state.orders.push(order);
