Credit work to the window it was done in; allow waits of 0.3 of the budget

Cause: the overload measure credited an attempt's whole work at its end, so work in flight at the window's edges moved the figure by some percent.

Change: the work of an attempt counts in proportion to the time that it spent in the window.

--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -147,21 +147,21 @@
         if all == 0 { 0.0 } else { wasted as f64 / all as f64 }
     }
 
-    /// Work at the bottleneck pool that ended in a window and went into complete answers in time, as
-    /// a share of what the pool could have done.
+    /// Work that the bottleneck pool did in a window and that went into complete answers in time, as a
+    /// share of what the pool could have done.
     pub(crate) fn yielded(&self, from: Time, to: Time) -> f64 {
-        let useful: u64 = self
+        let useful: f64 = self
             .tally
             .spent
             .values()
-            .filter(|spent| (from..to).contains(&spent.at) && spent.used && self.good(spent.call))
+            .filter(|spent| spent.used && self.good(spent.call))
             .filter(|spent| {
                 let pipeline = &self.deployment.pipelines[self.arrivals[spent.call].pipeline];
                 pipeline.stages[spent.stage].pool == self.deployment.bottleneck
             })
-            .map(|spent| spent.work.0)
+            .map(|spent| spent.within(from, to))
             .sum();
-        Span(useful).as_secs_f64() / (self.deployment.capacity() * to.since(from).as_secs_f64())
+        useful / (self.deployment.capacity() * to.since(from).as_secs_f64())
     }
 
     /// Calls and good calls per second of arrival.
--- a/crates/bench/src/tally.rs
+++ b/crates/bench/src/tally.rs
@@ -28,11 +28,22 @@
     pub(crate) call: usize,
     pub(crate) stage: usize,
     pub(crate) work: Span,
+    /// When the work began and ended.
+    pub(crate) began: Time,
     pub(crate) at: Time,
     /// Its output was used.
     pub(crate) used: bool,
 }
 
+impl Spent {
+    /// The part of the work that falls into a window, in seconds.
+    pub(crate) fn within(&self, from: Time, to: Time) -> f64 {
+        let length = self.at.since(self.began).0.max(1) as f64;
+        let inside = self.at.min(to).since(self.began.max(from)).0 as f64;
+        self.work.as_secs_f64() * (inside / length).min(1.0)
+    }
+}
+
 /// Broken guarantees; each must be 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Broken {
@@ -53,6 +64,7 @@
     pub(crate) spent: BTreeMap<AttemptId, Spent>,
     /// Starts of non-idempotent work by body and stage.
     once: BTreeMap<(u64, usize), u64>,
+    began: BTreeMap<AttemptId, Time>,
     used: BTreeSet<AttemptId>,
     misdelivered: u64,
     pub(crate) attempts: u64,
@@ -66,8 +78,17 @@
     }
 
     /// A backend server started an attempt.
-    pub(crate) fn started(&mut self, call: usize, arrival: &Arrival, stage: usize, once: bool) {
+    pub(crate) fn started(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        call: usize,
+        arrival: &Arrival,
+        once: bool,
+    ) {
+        let stage = usize::from(id.stage);
         self.attempts += 1;
+        self.began.insert(id, now);
         self.endings[call].ran = true;
         if once {
             *self.once.entry((arrival.body, stage)).or_default() += 1;
@@ -83,7 +104,8 @@
         stage: usize,
         work: Span,
     ) {
-        self.spent.insert(id, Spent { call, stage, work, at: now, used: false });
+        let began = self.began.get(&id).copied().unwrap_or(now);
+        self.spent.insert(id, Spent { call, stage, work, began, at: now, used: false });
     }
 
     /// The output of an attempt was used.
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -624,7 +624,7 @@
                 self.cache_event(server, prefix, false);
             }
         }
-        self.tally.started(payload.call, arrival, stage, once);
+        self.tally.started(self.now, attempt, payload.call, arrival, once);
     }
 
     /// Tells the entries of a change of a prefix cache: late, and with gaps.
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -29,7 +29,7 @@
 
 /// Share of its budget that a request may be predicted to wait. A longer queue would add no
 /// throughput, only latency, and would leave later stages without time.
-const WAIT_SHARE: f64 = 0.25;
+const WAIT_SHARE: f64 = 0.3;
 /// Time after which admitted work counts for less than half.
 const USAGE_MEMORY: Span = Span::from_secs(2);
 /// Least and greatest part of the usual wait that a workspace is allowed.
