--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -36,10 +36,12 @@
     Slowed,
     /// One server dies at each interval.
     Dying,
+    /// Swing, slowed and dying servers and a store that is down for a while, all at once.
+    Storm,
 }
 
 /// All experiments, in the order of output.
-pub const EXPERIMENTS: [Experiment; 8] = [
+pub const EXPERIMENTS: [Experiment; 9] = [
     Experiment::Steady,
     Experiment::Swing,
     Experiment::LongMix,
@@ -48,6 +50,7 @@
     Experiment::Misfit,
     Experiment::Slowed,
     Experiment::Dying,
+    Experiment::Storm,
 ];
 
 impl Experiment {
@@ -62,6 +65,7 @@
             Experiment::Misfit => "misfit",
             Experiment::Slowed => "slowed",
             Experiment::Dying => "dying",
+            Experiment::Storm => "storm",
         }
     }
 
@@ -154,6 +158,7 @@
         Experiment::Misfit => misfit(&plan, &shape),
         Experiment::Slowed => slowed(&plan, &shape),
         Experiment::Dying => dying(&plan, &shape),
+        Experiment::Storm => storm(&plan, &shape),
     };
     let broken = &findings.run.broken;
     for (name, count) in [
@@ -311,3 +316,17 @@
     ];
     Findings { experiment: Experiment::Dying.name(), measures, run, reference: None }
 }
+
+fn storm(plan: &Plan<'_>, shape: &Shape) -> Findings {
+    let (from, to) = window(shape.length);
+    let faults =
+        Faults { slowdown: Some(Slowdown { from, to }), dying: true, outage: Some((from, to)) };
+    let shape = Shape { swing: plan.deployment.swing, ..*shape };
+    let run = plan.run(&shape, faults, |run| run.summary(&shape));
+    let measures = vec![
+        Measure::plain("attainment", run.attainment),
+        Measure::plain("short p99 ms", run.short.p99),
+        Measure::plain("wasted share", run.wasted_share),
+    ];
+    Findings { experiment: Experiment::Storm.name(), measures, run, reference: None }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -30,8 +30,8 @@
 damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
     [--without hedging|admission|jitter]
-experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying; all of them when none
-is named. --without turns one policy off, to measure what it brings
+experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
+when none is named. --without turns one policy off, to measure what it brings
 ";
 
 /// Shortest run; the overload and slowdown windows are a third of it.
@@ -149,7 +149,7 @@
                 Some(experiment) => vec![experiment],
                 None => {
                     let allowed =
-                        "steady, swing, long-mix, overload, greedy, misfit, slowed, dying";
+                        "steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm";
                     return Err(BenchError::Value { option: "--experiment", value: name, allowed });
                 }
             },
--- a/crates/bench/src/store.rs
+++ b/crates/bench/src/store.rs
@@ -28,6 +28,15 @@
         batch.into_iter().filter_map(|write| self.apply(write)).collect()
     }
 
+    /// The answers that a call which never arrived owes.
+    pub(crate) fn unanswered(batch: &[Write]) -> Vec<(RequestId, ClaimAnswer)> {
+        let requests = batch.iter().filter_map(|write| match write {
+            Write::Claim { request, .. } => Some(*request),
+            Write::Settle { .. } => None,
+        });
+        requests.map(|request| (request, ClaimAnswer::Down)).collect()
+    }
+
     fn apply(&mut self, write: Write) -> Option<(RequestId, ClaimAnswer)> {
         match write {
             Write::Claim { request, key, record, write } => {
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -34,6 +34,9 @@
 const STORE_TIME: Span = Span::from_millis(5);
 /// Time until a connection to an instance that vanished is given up. Three heartbeats.
 const SILENCE: Span = Span::from_secs(3);
+/// Share of store calls whose answer is lost, and time until they are given up.
+const STORE_LOSSES: f64 = 0.02;
+const STORE_TIMEOUT: Span = Span::from_millis(200);
 /// Time after the last arrival until every call must have its answer.
 const TAIL: Span = Span::from_secs(60);
 
@@ -50,6 +53,8 @@
     pub(crate) slowdown: Option<Slowdown>,
     /// One server of the bottleneck pool dies at each interval.
     pub(crate) dying: bool,
+    /// The store is down between these, and loses some answers at all times.
+    pub(crate) outage: Option<(Time, Time)>,
 }
 
 /// Identity and content of a payload: what the stand-ins check, and the core never sees.
@@ -540,9 +545,29 @@
     }
 
     fn store_call(&mut self, entry: usize, batch: Vec<Write>) {
-        for (request, answer) in self.store.call(batch) {
-            let at = self.now + Span(STORE_TIME.0 / 2);
-            self.at(at, Event::StoreAnswer { entry, request, answer });
+        let Some((from, to)) = self.faults.outage else {
+            let answers = self.store.call(batch);
+            return self.store_answers(entry, answers, Span(STORE_TIME.0 / 2));
+        };
+        let down = (from..to).contains(&self.now);
+        let lost = down || uniform(&mut self.chance) < STORE_LOSSES;
+        // A call whose answer is lost may have taken effect or not.
+        let answers = if lost && uniform(&mut self.chance) < 0.5 {
+            Store::unanswered(&batch)
+        } else {
+            self.store.call(batch)
+        };
+        if lost {
+            let answers = answers.into_iter().map(|(id, _)| (id, ClaimAnswer::Down)).collect();
+            self.store_answers(entry, answers, STORE_TIMEOUT);
+        } else {
+            self.store_answers(entry, answers, Span(STORE_TIME.0 / 2));
+        }
+    }
+
+    fn store_answers(&mut self, entry: usize, answers: Vec<(RequestId, ClaimAnswer)>, after: Span) {
+        for (request, answer) in answers {
+            self.at(self.now + after, Event::StoreAnswer { entry, request, answer });
         }
     }
 
