Refuse calls that need the store at once while it is down

Change: after 0.5 s of failed claims without a good answer, such requests are refused at admission as 'not run'; one in 0.25 s is let through to see whether the store is back.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -144,3 +144,40 @@
         usage.updated = now;
     }
 }
+
+/// Time without a good answer after which the store counts as down; one lost answer says little.
+const STORE_DOWN_AFTER: Span = Span::from_millis(500);
+/// Time after which the last failure says nothing any more.
+const STORE_DOWN_MEMORY: Span = Span::from_secs(2);
+/// Time between requests that are let through to see whether the store is back.
+const STORE_PROBE_TIME: Span = Span::from_millis(250);
+
+/// What the answers to claims tell about the store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreHealth {
+    /// First and last failure since the last good answer.
+    failures: Option<(Time, Time)>,
+    /// When a request was last let through.
+    probed: Time,
+}
+
+impl StoreHealth {
+    /// A claim was answered, or not.
+    pub fn answered(&mut self, now: Time, good: bool) {
+        let first = self.failures.map_or(now, |(first, _)| first);
+        self.failures = (!good).then_some((first, now));
+    }
+
+    /// Whether a request that needs the store may begin. While the store is down one is let through
+    /// from time to time, since the answer to its claim is the only way to see that the store is back.
+    pub fn allows(&mut self, now: Time) -> bool {
+        let down = self.failures.is_some_and(|(first, last)| {
+            now.since(first) >= STORE_DOWN_AFTER && now.since(last) < STORE_DOWN_MEMORY
+        });
+        let allowed = !down || now.since(self.probed) >= STORE_PROBE_TIME;
+        if allowed {
+            self.probed = now;
+        }
+        allowed
+    }
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,7 +1,7 @@
 //! Decisions of an entry: every request from admission to its one answer.
 
 use crate::Rng;
-use crate::admit::{Admission, Ask, Denial};
+use crate::admit::{Admission, Ask, Denial, StoreHealth};
 use crate::bundle::{Bundle, Effect, Pipeline, Stage};
 use crate::claim::ClaimRecord;
 use crate::ids::{
@@ -353,6 +353,7 @@
     pub(crate) hedges: BTreeMap<PoolId, WorkBudget>,
     pub(crate) estimators: BTreeMap<(PipelineId, u16, SizeClass), Estimator>,
     pub(crate) admission: Admission,
+    pub(crate) store: StoreHealth,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// One element per request: when its next timer runs out.
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
@@ -381,6 +382,7 @@
             hedges: BTreeMap::new(),
             estimators: BTreeMap::new(),
             admission: Admission::default(),
+            store: StoreHealth::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             now: Time::default(),
@@ -455,7 +457,10 @@
                 self.done(now, rng, attempt, outcome, &mut actions);
             }
             EntryEvent::Lost(attempt) => self.lost(now, rng, attempt, &mut actions),
-            EntryEvent::Claimed(id, answer) => self.claimed(now, rng, id, answer, &mut actions),
+            EntryEvent::Claimed(id, answer) => {
+                self.store.answered(now, answer != ClaimAnswer::Down);
+                self.claimed(now, rng, id, answer, &mut actions);
+            }
             EntryEvent::Stands(id, standing) => {
                 self.stands(now, rng, id, standing, &mut actions);
             }
@@ -560,6 +565,10 @@
         if once && call.key.is_none() {
             return Err((Code::KeyRequired, None));
         }
+        // Otherwise the stages before the claim would be paid for in vain.
+        if once && self.settings.admission && !self.store.allows(now) {
+            return Err((Code::StoreDown, Some(DEFAULT_RETRY)));
+        }
         let budget = call.deadline.unwrap_or(pipeline.deadline).min(pipeline.deadline);
         let (work, wait) = self
             .predict(now, &call.pipeline, class, pipeline, 0)
