Hedge after the 98th percentile and let the hedge budget save up for long work

Cause: a hedge of long work costs more than the 2 s that the budget could save up, so long work was never hedged, and hedges after the 95th percentile used the budget up.

--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -10,8 +10,9 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// Step of the quantile estimate, as a share of the mean.
 const QUANTILE_STEP: f64 = 0.05;
-/// Quantile that is tracked beside the mean.
-const QUANTILE: f64 = 0.95;
+/// Quantile that is tracked beside the mean, after which an attempt is hedged. At 0.95 short attempts
+/// used up the hedge budget that late ones on dead servers need.
+const QUANTILE: f64 = 0.98;
 
 /// Mean and high quantile of a service time.
 #[derive(Clone, Debug)]
@@ -45,7 +46,7 @@
         Span(self.mean as u64)
     }
 
-    /// 95th percentile of the service time, approximately.
+    /// 98th percentile of the service time, approximately.
     pub fn high(&self) -> Span {
         Span(self.high as u64)
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Work that a work budget can save up.
-const WORK_BURST: Span = Span::from_secs(2);
+/// Work that a work budget can save up; enough for a few hedges of long work.
+const WORK_BURST: Span = Span::from_secs(12);
 
 /// Limits the work of hedges to a share of the work of first attempts. Counting attempts instead would
 /// let hedges of long work cost many times their share.
