--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -34,6 +34,7 @@
   side --config FILE     run the side process next to a backend server
   demo [--serve]         run a whole deployment with stand-ins in this process
   load --target URL      send bounded load to a loopback address
+  model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
   --help                 print help
@@ -95,6 +96,16 @@
   --format text|json     form of the report (default text)
 ";
 
+const MODEL_HELP: &str = "\
+Usage: damaskweir model check [--quick]
+
+Explores every order of messages, timers and faults for small sizes and prints each size, its states, and
+pass or the shortest counterexample. docs/model.md describes the sizes. Exits with 1 on a counterexample.
+
+Options:
+  --quick                only the sizes that run in the tests
+";
+
 /// Why a command ended.
 #[derive(Debug, thiserror::Error)]
 enum CommandError {
@@ -161,12 +172,30 @@
         Some("demo") => demo(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
+        Some("model") if help => print(out, MODEL_HELP),
+        Some("model") => model(arguments, out),
         None if help => print(out, HELP),
         Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
         None => Err(CommandError::Usage("a command is required".to_owned())),
     }
 }
 
+fn model(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("check") {
+        return Err(CommandError::Usage("'model check' is the only model command".to_owned()));
+    }
+    let quick = arguments.contains("--quick");
+    finish(arguments)?;
+    for size in damaskweir_model::Size::listed(quick) {
+        let report = damaskweir_model::check(size, None);
+        print(out, &format!("{report}\n"))?;
+        if report.violation.is_some() || !report.complete {
+            return Err(CommandError::Failure(format!("{size}: not passed")));
+        }
+    }
+    Ok(())
+}
+
 fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
--- a/crates/model/tests/check.rs
+++ b/crates/model/tests/check.rs
@@ -9,6 +9,7 @@
 #[case::two_calls(1)]
 #[case::one_node(2)]
 #[case::two_nodes(3)]
+#[case::two_nodes_with_a_fault(4)]
 fn shipped_rules_hold(#[case] size: usize) {
     let report = check(Size::quick()[size], None);
     println!("{report}");
