--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -341,6 +341,13 @@
         Some(self.targets.get(server)?.report?.incarnation)
     }
 
+    /// Whether a server can take work and its side still is the given run.
+    pub fn is_open(&self, now: Time, server: &ServerId, incarnation: Incarnation) -> bool {
+        self.targets.get(server).is_some_and(|target| {
+            target.open(now) && target.report.is_some_and(|r| r.incarnation == incarnation)
+        })
+    }
+
     /// Ejects servers that are much slower than the median, never more than a part of the pool.
     fn review(&mut self, now: Time) {
         let limit = self.targets.len() / EJECT_PART;
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -7,7 +7,7 @@
 use crate::predict::Pace;
 use crate::queue::{Queue, Waiting};
 use crate::time::{Span, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Long work may hold one in this many slots.
 const LONG_PART: u32 = 2;
@@ -30,7 +30,7 @@
     pub slots: u32,
     /// Attempts that may wait.
     pub queue: u32,
-    /// How long ends of non-idempotent attempts are kept.
+    /// How long ends of non-idempotent attempts, and promises never to start one, are kept.
     pub retention: Span,
     /// Which decisions are in force.
     pub policy: Policy,
@@ -67,12 +67,6 @@
     estimate: Span,
 }
 
-#[derive(Clone, Debug)]
-struct Ended {
-    outcome: Outcome,
-    at: Time,
-}
-
 /// State of a side.
 #[derive(Clone, Debug)]
 pub struct Side {
@@ -82,13 +76,19 @@
     queue: Queue,
     /// Effects of the attempts in `queue`.
     effects: BTreeMap<AttemptId, Effect>,
-    /// At most `settings.slots`.
+    /// At most `limit` when they were started.
     running: BTreeMap<AttemptId, Running>,
     /// Non-idempotent attempts that ended, for the retention time.
-    ended: BTreeMap<AttemptId, Ended>,
-    /// Non-idempotent attempts that were promised never to start. Kept for the whole incarnation:
-    /// a delayed dispatch may arrive at any time.
+    ended: BTreeMap<AttemptId, Outcome>,
+    /// Non-idempotent attempts that were promised never to start, for the retention time.
     forbidden: BTreeSet<AttemptId>,
+    /// When each element of `ended` and `forbidden` was added; oldest first.
+    kept: VecDeque<(Time, AttemptId)>,
+    /// Highest request of each entry of which something was forgotten. Attempts up to there are
+    /// neither started, since they may have run, nor promised, since that may be untrue.
+    forgotten: BTreeMap<Incarnation, u64>,
+    /// Time of the last event.
+    now: Time,
     draining: bool,
     down: bool,
     serial: u64,
@@ -114,6 +114,9 @@
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             forbidden: BTreeSet::new(),
+            kept: VecDeque::new(),
+            forgotten: BTreeMap::new(),
+            now: Time::default(),
             draining: false,
             down: false,
             serial: 0,
@@ -126,10 +129,11 @@
 
     /// Takes a new attempt, or refuses it.
     pub fn dispatch(&mut self, now: Time, dispatch: &Dispatch) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if let Some(refusal) = self.refusal(now, dispatch) {
             if dispatch.effect == Effect::Once && refusal != Refusal::Duplicate {
                 // A refusal is a promise; a copy of the dispatch must not start either.
-                self.forbidden.insert(dispatch.attempt);
+                self.promise(dispatch.attempt);
             }
             return vec![SideAction::Refuse(dispatch.attempt, refusal)];
         }
@@ -148,6 +152,7 @@
 
     /// The entry no longer wants the attempt.
     pub fn cancel(&mut self, now: Time, attempt: AttemptId) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if self.queue.remove(attempt).is_some() {
             self.withdraw(attempt);
             let mut actions = vec![SideAction::Refuse(attempt, Refusal::Cancelled)];
@@ -168,12 +173,14 @@
 
     /// The backend server ended an attempt.
     pub fn finish(&mut self, now: Time, attempt: AttemptId, outcome: Outcome) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if let (Some(running), Outcome::Finished) = (self.running.get(&attempt), outcome) {
             self.pace.observe(now, now.since(running.started), running.estimate);
         }
         match self.running.remove(&attempt) {
             Some(Running { effect: Effect::Once, .. }) => {
-                self.ended.insert(attempt, Ended { outcome, at: now });
+                self.ended.insert(attempt, outcome);
+                self.kept.push_back((self.now, attempt));
             }
             Some(_) => {}
             None => return Vec::new(),
@@ -181,21 +188,37 @@
         self.start(now)
     }
 
+    /// The backend server can't have got an attempt that was started. It is handed back and won't
+    /// start any more.
+    pub fn unsent(&mut self, now: Time, attempt: AttemptId, refusal: Refusal) -> Vec<SideAction> {
+        self.now = self.now.max(now);
+        let Some(running) = self.running.remove(&attempt) else { return Vec::new() };
+        if running.effect == Effect::Once {
+            self.promise(attempt);
+        }
+        let mut actions = vec![SideAction::Refuse(attempt, refusal)];
+        actions.extend(self.start(now));
+        actions
+    }
+
     /// Promises never to start a non-idempotent attempt, if that is still possible.
+    ///
+    /// An attempt that waits in the queue is left there: the entry that sent it waits for it, and
+    /// would not learn that it was taken out.
     pub fn forbid(&mut self, attempt: AttemptId, incarnation: Incarnation) -> Standing {
         if incarnation != self.incarnation {
             return Standing::Gone;
         }
-        if let Some(ended) = self.ended.get(&attempt) {
-            return Standing::Ended(ended.outcome);
+        if let Some(outcome) = self.ended.get(&attempt) {
+            return Standing::Ended(*outcome);
         }
-        if self.running.contains_key(&attempt) {
+        if self.running.contains_key(&attempt) || self.effects.contains_key(&attempt) {
             return Standing::Running;
         }
-        if self.queue.remove(attempt).is_some() {
-            self.effects.remove(&attempt);
+        if self.is_forgotten(attempt) && !self.forbidden.contains(&attempt) {
+            return Standing::Gone;
         }
-        self.forbidden.insert(attempt);
+        self.promise(attempt);
         Standing::Forbidden
     }
 
@@ -209,6 +232,7 @@
 
     /// The backend server went down or came back.
     pub fn set_down(&mut self, now: Time, down: bool) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         self.down = down;
         if down { self.hand_back(Refusal::Down) } else { self.start(now) }
     }
@@ -229,6 +253,7 @@
     /// order and the deadlines here, so the limit comes down by their number; it rises again while
     /// attempts wait here and none there.
     pub fn load(&mut self, now: Time, waiting: u32) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if self.settings.policy == Policy::Baseline || now < self.settled {
             return Vec::new();
         }
@@ -244,8 +269,8 @@
 
     /// Hands back attempts that can no longer make it and forgets old ends.
     pub fn tick(&mut self, now: Time) -> Vec<SideAction> {
-        let retention = self.settings.retention;
-        self.ended.retain(|_, ended| now.since(ended.at) < retention);
+        self.now = self.now.max(now);
+        self.forget();
         let late = match self.settings.policy {
             Policy::Damaskweir => self.queue.expired(now),
             Policy::Baseline => Vec::new(),
@@ -265,7 +290,9 @@
             return None;
         }
         // One microsecond later, since an attempt is too late only after its latest start.
-        self.queue.next_expiry().map(|at| at + Span(1))
+        let expiry = self.queue.next_expiry().map(|at| at + Span(1));
+        let forget = self.kept.front().map(|(at, _)| *at + self.settings.retention);
+        expiry.into_iter().chain(forget).min()
     }
 
     /// The report to attach to the next message.
@@ -357,13 +384,15 @@
     fn learn_slack(&mut self, dispatch: &Dispatch) {
         if dispatch.estimate <= self.queue.long_limit() {
             let slack = dispatch.remaining.saturating_sub(dispatch.estimate);
-            self.slack = Span((self.slack.0 * SLACK_MEMORY + slack.0) / (SLACK_MEMORY + 1));
+            self.slack = Span((self.slack * SLACK_MEMORY + slack).0 / (SLACK_MEMORY + 1));
         }
     }
 
     fn refusal(&self, now: Time, dispatch: &Dispatch) -> Option<Refusal> {
         let attempt = dispatch.attempt;
-        if dispatch.incarnation.is_some_and(|meant| meant != self.incarnation) {
+        let meant = dispatch.incarnation;
+        let unbound = meant.is_none() && dispatch.effect == Effect::Once;
+        if unbound || meant.is_some_and(|meant| meant != self.incarnation) {
             return Some(Refusal::Stale);
         }
         if self.forbidden.contains(&attempt) {
@@ -372,6 +401,7 @@
         if self.effects.contains_key(&attempt)
             || self.running.contains_key(&attempt)
             || self.ended.contains_key(&attempt)
+            || dispatch.effect == Effect::Once && self.is_forgotten(attempt)
         {
             return Some(Refusal::Duplicate);
         }
@@ -419,7 +449,34 @@
     /// Records that a waiting attempt will never start.
     fn withdraw(&mut self, attempt: AttemptId) {
         if self.effects.remove(&attempt) == Some(Effect::Once) {
-            self.forbidden.insert(attempt);
+            self.promise(attempt);
+        }
+    }
+
+    /// Records that an attempt that neither waits, runs nor ended will never start.
+    fn promise(&mut self, attempt: AttemptId) {
+        if self.forbidden.insert(attempt) {
+            self.kept.push_back((self.now, attempt));
+        }
+    }
+
+    /// Whether the attempt may have ended, or been promised, so long ago that it was forgotten.
+    fn is_forgotten(&self, attempt: AttemptId) -> bool {
+        let request = attempt.request;
+        self.forgotten.get(&request.entry).is_some_and(|serial| request.serial <= *serial)
+    }
+
+    /// Forgets what is older than the retention time.
+    fn forget(&mut self) {
+        while let Some((at, attempt)) = self.kept.front().copied() {
+            if self.now.since(at) < self.settings.retention {
+                break;
+            }
+            self.kept.pop_front();
+            self.ended.remove(&attempt);
+            self.forbidden.remove(&attempt);
+            let serial = self.forgotten.entry(attempt.request.entry).or_default();
+            *serial = attempt.request.serial.max(*serial);
         }
     }
 
