--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -182,7 +182,7 @@
 
     /// Sum of the estimates of the waiting attempts that are more urgent than `latest`.
     pub fn backlog_before(&self, now: Time, latest: Time) -> Span {
-        let mark = latest.0 as i64;
+        let mark = signed(latest.0);
         let items = self.lanes.values().flat_map(|lane| &lane.items);
         items
             .filter(|item| urgency(item, now) <= mark)
@@ -213,5 +213,10 @@
 
 /// Latest start, moved ahead by the time waited; lower goes first.
 fn urgency(item: &Waiting, now: Time) -> i64 {
-    item.latest_start().0 as i64 - now.since(item.arrived).scale(AGEING).0 as i64
+    signed(item.latest_start().0).saturating_sub(signed(now.since(item.arrived).scale(AGEING).0))
+}
+
+/// Deadlines come from the network: one beyond the range must not turn into the most urgent.
+fn signed(micros: u64) -> i64 {
+    i64::try_from(micros).unwrap_or(i64::MAX)
 }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -76,7 +76,7 @@
     queue: Queue,
     /// Effects of the attempts in `queue`.
     effects: BTreeMap<AttemptId, Effect>,
-    /// At most `settings.slots`.
+    /// At most `limit` when they were started.
     running: BTreeMap<AttemptId, Running>,
     /// Non-idempotent attempts that ended, for the retention time.
     ended: BTreeMap<AttemptId, Outcome>,
@@ -253,6 +253,7 @@
     /// order and the deadlines here, so the limit comes down by their number; it rises again while
     /// attempts wait here and none there.
     pub fn load(&mut self, now: Time, waiting: u32) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if self.settings.policy == Policy::Baseline || now < self.settled {
             return Vec::new();
         }
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -36,6 +36,7 @@
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
   key new FILE           make an operator's key
+  bench [capacity]       measure the decision core in virtual time, or its own cost
   model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
@@ -189,6 +190,11 @@
         Some("demo") => demo(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
+        Some("bench") if help => print(out, damaskweir_bench::USAGE),
+        Some("bench") => {
+            let output = damaskweir_bench::run(arguments);
+            print(out, &output.map_err(|error| CommandError::Failure(error.to_string()))?)
+        }
         Some("model") if help => print(out, MODEL_HELP),
         Some("model") => model(arguments, out),
         None if help => print(out, HELP),
