--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -87,10 +87,13 @@
         ask: Option<Ask>,
     ) -> Result<(), Denial> {
         if let Some(ask) = ask {
+            if ask.work > ask.budget {
+                return Err(Denial::Overloaded { retry: ask.work.saturating_sub(ask.budget) });
+            }
             let usual = ask.budget.saturating_sub(ask.work).0.min(ask.budget.scale(WAIT_SHARE).0);
             let allowed = Span(usual).scale(self.standing(now, id));
-            if ask.wait > allowed || ask.work > ask.budget {
-                let over = (ask.wait + ask.work).saturating_sub(allowed + ask.work);
+            if ask.wait > allowed {
+                let over = ask.wait.saturating_sub(allowed);
                 return Err(Denial::Overloaded { retry: over.max(HINT_MIN) });
             }
             self.sum_up(now);
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -349,7 +349,9 @@
         let slots = self.limit as usize;
         let moving = slots.saturating_sub(self.long_running(now)).max(1) as u64;
         let ahead = self.queue.backlog_before(now, latest);
-        let own = self.queue.typical().unwrap_or_default();
+        // Attempts above a lowered limit must end before a slot is free.
+        let above = self.running.len().saturating_sub(slots) as u64;
+        let own = self.queue.typical().unwrap_or_default() * (above + 1);
         Span((ahead + own).0 / moving).scale(self.pace(now))
     }
 
