--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -269,6 +269,12 @@
 
     /// Stops at once, as a process that dies does: nothing is finished and no end is told.
     pub fn abort(self) {
+        drop(self);
+    }
+}
+
+impl Drop for SideDaemon {
+    fn drop(&mut self) {
         self.shared.abort_jobs();
         self.shared.stop.cancel();
     }
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -11,6 +11,28 @@
 //!
 //! Each request carries the headers `damaskweir-attempt` and, for calls with an idempotency key,
 //! `idempotency-key` with the digest of workspace and key.
+//!
+//! ```no_run
+//! use damaskweir_core::prelude::*;
+//! use damaskweir_engines::{Call, Engine, EngineError, EngineSettings};
+//!
+//! # async fn run(attempt: AttemptId) -> Result<(), EngineError> {
+//! let engine = Engine::new(EngineSettings::default())?;
+//! let call = Call {
+//!     path: "/v1/completions",
+//!     attempt,
+//!     key: None,
+//!     body: b"Labels for Kollam:",
+//!     resume: 0,
+//!     priority: 0,
+//! };
+//! let mut completion = engine.complete(call).await?;
+//! while let Some(token) = completion.next().await? {
+//!     print!("{}", token.text);
+//! }
+//! # Ok(())
+//! # }
+//! ```
 
 mod cache;
 mod client;
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -113,7 +113,8 @@
         self.version.subscribe()
     }
 
-    pub(crate) fn current(&self) -> Version {
+    /// The bundle version in force.
+    pub fn version(&self) -> Version {
         *self.version.borrow()
     }
 
@@ -127,7 +128,7 @@
             id: self.id.clone(),
             zone: self.zone.clone(),
             incarnation: self.incarnation,
-            version: self.current(),
+            version: self.version(),
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,32 @@
 //!
 //! Closing the sending half of an attempt's stream cancels the attempt. That is what dropping an
 //! [`Attempt`] does, and what a broken connection amounts to, so no cancel can be forgotten.
+//!
+//! ```no_run
+//! use bytes::Bytes;
+//! use damaskweir_core::prelude::*;
+//! use damaskweir_wire::{Dialer, Keys, Limits, Local, PeerId, ToEntry, WireError, Work};
+//! use std::path::Path;
+//!
+//! # async fn run(dispatch: Dispatch) -> Result<(), WireError> {
+//! let keys =
+//!     Keys::from_files(Path::new("ca.pem"), Path::new("entry.pem"), Path::new("entry.key"))?;
+//! let local = Local::new(PeerId::Entry("entry-1".into()), "zone-a".into(), Incarnation(7));
+//! let any = "0.0.0.0:0".parse().expect("a valid address");
+//! let dialer = Dialer::bind(any, &keys, local, Limits::default())?;
+//! let side = "10.0.0.7:7000".parse().expect("a valid address");
+//! let link = dialer.connect(side, &"engine-1".into()).await?;
+//! let path = "/v1/completions".to_owned();
+//! let work = Work { path, key: None, body: Bytes::from_static(b"Labels for Kollam:") };
+//! let mut attempt = link.dispatch(&dispatch, work).await?;
+//! while let Some(message) = attempt.next().await? {
+//!     if let ToEntry::Chunk { data, .. } = message {
+//!         print!("{}", String::from_utf8_lossy(&data));
+//!     }
+//! }
+//! # Ok(())
+//! # }
+//! ```
 
 mod error;
 mod frame;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -154,7 +154,7 @@
 
     fn seal(&self, message: EntryMessage) -> FromEntry {
         self.session.pulse.mark();
-        FromEntry { version: self.session.local.current(), message }
+        FromEntry { version: self.session.local.version(), message }
     }
 
     fn receive(&self, report: Report) {
