--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -1,7 +1,7 @@
 //! Drives the real `Entry` and `Side` state machines in virtual time against the stand-ins.
 
 use crate::arrival::{Arrival, uniform};
-use crate::backend::{Backend, Behaviour};
+use crate::backend::{Backend, Behaviour, Touch};
 use crate::deployment::Deployment;
 use crate::store::{Store, Write};
 use crate::summary::OFFSET;
@@ -21,6 +21,11 @@
 const STALL_FACTOR: f64 = 6.0;
 /// Sides report at least this often.
 const HEARTBEAT: Span = Span::from_secs(1);
+/// Time between load reports of a model engine, and until one reaches the side.
+const LOAD_LAG: Span = Span::from_millis(200);
+/// Time until news of a prefix cache reach the entries, and the share of them that is lost.
+const CACHE_LAG: Span = Span::from_millis(500);
+const CACHE_GAPS: f64 = 0.2;
 /// Time that an entry collects writes for one store call.
 const BATCH_TIME: Span = Span::from_millis(2);
 /// Writes in one store call at most.
@@ -29,6 +34,9 @@
 const STORE_TIME: Span = Span::from_millis(5);
 /// Time until a connection to an instance that vanished is given up. Three heartbeats.
 const SILENCE: Span = Span::from_secs(3);
+/// Share of store calls whose answer is lost, and time until they are given up.
+const STORE_LOSSES: f64 = 0.02;
+const STORE_TIMEOUT: Span = Span::from_millis(200);
 /// Time after the last arrival until every call must have its answer.
 const TAIL: Span = Span::from_secs(60);
 
@@ -45,6 +53,8 @@
     pub(crate) slowdown: Option<Slowdown>,
     /// One server of the bottleneck pool dies at each interval.
     pub(crate) dying: bool,
+    /// The store is down between these, and loses some answers at all times.
+    pub(crate) outage: Option<(Time, Time)>,
 }
 
 /// Identity and content of a payload: what the stand-ins check, and the core never sees.
@@ -64,9 +74,10 @@
 #[derive(Clone, Debug)]
 enum ToEntry {
     Event(EntryEvent),
-    Done(AttemptId, Outcome, Payload),
+    Done(AttemptId, Outcome, Payload, Span),
     Stands(RequestId, AttemptId, Standing, Option<Payload>),
     Report(Report),
+    Cached(u64, bool),
 }
 
 #[derive(Clone, Debug)]
@@ -79,6 +90,7 @@
     Backend { server: usize, generation: u64 },
     EntryTick(usize),
     SideTick(usize),
+    Load { server: usize, life: u64, waiting: u32 },
     Heartbeat(usize, u64),
     StoreFlush(usize),
     StoreCall { entry: usize, batch: Vec<Write> },
@@ -239,6 +251,11 @@
             }
             Event::EntryTick(entry) => self.entry_tick(entry),
             Event::SideTick(server) => self.side_tick(server),
+            Event::Load { server, life, waiting } => {
+                if self.servers[server].alive && self.servers[server].life == life {
+                    self.load(server, waiting);
+                }
+            }
             Event::Heartbeat(server, life) => self.heartbeat(server, life),
             Event::StoreFlush(entry) => self.flush(entry),
             Event::StoreCall { entry, batch } => self.store_call(entry, batch),
@@ -343,7 +360,7 @@
         };
         let entry = arrival.entry;
         let host = &mut self.hosts[entry];
-        let (id, actions) = host.entry.call(self.now, &mut self.rng, request);
+        let (id, actions) = host.entry.call_sized(self.now, &mut self.rng, request, arrival.class);
         host.calls.insert(id, call);
         self.entry_actions(entry, actions);
     }
@@ -371,13 +388,14 @@
                 }
                 event
             }
-            ToEntry::Done(attempt, outcome, payload) => {
+            ToEntry::Done(attempt, outcome, payload, time) => {
                 let host = &mut self.hosts[entry];
                 // The stream of a cancelled or lost attempt is closed: nothing arrives on it.
                 if !host.open[server].remove(&attempt) {
                     return;
                 }
                 host.outputs.insert(attempt, payload.value);
+                host.entry.served(attempt, time);
                 EntryEvent::Done(attempt, outcome)
             }
             ToEntry::Stands(request, attempt, standing, payload) => {
@@ -397,6 +415,11 @@
                 }
                 return;
             }
+            ToEntry::Cached(prefix, kept) => {
+                let (pool, id) = self.name(server);
+                self.hosts[entry].entry.cached(&pool, &id, prefix, kept);
+                return;
+            }
         };
         self.entry_event(entry, event);
     }
@@ -522,9 +545,29 @@
     }
 
     fn store_call(&mut self, entry: usize, batch: Vec<Write>) {
-        for (request, answer) in self.store.call(batch) {
-            let at = self.now + Span(STORE_TIME.0 / 2);
-            self.at(at, Event::StoreAnswer { entry, request, answer });
+        let Some((from, to)) = self.faults.outage else {
+            let answers = self.store.call(batch);
+            return self.store_answers(entry, answers, Span(STORE_TIME.0 / 2));
+        };
+        let down = (from..to).contains(&self.now);
+        let lost = down || uniform(&mut self.chance) < STORE_LOSSES;
+        // A call whose answer is lost may have taken effect or not.
+        let answers = if lost && uniform(&mut self.chance) < 0.5 {
+            Store::unanswered(&batch)
+        } else {
+            self.store.call(batch)
+        };
+        if lost {
+            let answers = answers.into_iter().map(|(id, _)| (id, ClaimAnswer::Down)).collect();
+            self.store_answers(entry, answers, STORE_TIMEOUT);
+        } else {
+            self.store_answers(entry, answers, Span(STORE_TIME.0 / 2));
+        }
+    }
+
+    fn store_answers(&mut self, entry: usize, answers: Vec<(RequestId, ClaimAnswer)>, after: Span) {
+        for (request, answer) in answers {
+            self.at(self.now + after, Event::StoreAnswer { entry, request, answer });
         }
     }
 
@@ -598,9 +641,25 @@
         let stalls = uniform(&mut self.chance) < pool.stall;
         let factor = if stalls { STALL_FACTOR } else { 1.0 };
         let work = arrival.work[stage].scale(factor);
-        let hit = host.backend.start(self.now, attempt, work, arrival.prefix);
-        self.tally.hits += u64::from(hit);
-        self.tally.started(payload.call, arrival, stage, once);
+        let touch = host.backend.start(self.now, attempt, work, arrival.prefix);
+        self.tally.hits += u64::from(touch == Touch::Hit);
+        if let Touch::Added(dropped) = touch {
+            self.cache_event(server, arrival.prefix, true);
+            if let Some(prefix) = dropped {
+                self.cache_event(server, prefix, false);
+            }
+        }
+        self.tally.started(self.now, attempt, payload.call, arrival, once);
+    }
+
+    /// Tells the entries of a change of a prefix cache: late, and with gaps.
+    fn cache_event(&mut self, server: usize, prefix: u64, kept: bool) {
+        for entry in 0..self.hosts.len() {
+            if uniform(&mut self.chance) >= CACHE_GAPS {
+                let message = ToEntry::Cached(prefix, kept);
+                self.at(self.now + CACHE_LAG, Event::ToEntry { entry, server, message });
+            }
+        }
     }
 
     fn stopped(&mut self, server: usize, attempt: AttemptId, work: Span) -> Option<Payload> {
@@ -621,6 +680,7 @@
         let Some(payload) = self.stopped(server, attempt, work) else { return };
         let output = Payload { value: step(payload.value, attempt.stage), ..payload };
         let host = &mut self.servers[server];
+        let time = host.side.elapsed(self.now, attempt).unwrap_or_default();
         let actions = host.side.finish(self.now, attempt, outcome);
         let arrival = &self.arrivals[payload.call];
         let stage = &self.deployment.pipelines[arrival.pipeline].stages[usize::from(attempt.stage)];
@@ -628,7 +688,7 @@
             host.kept.insert(attempt, output);
         }
         if let Some(entry) = self.owner(attempt) {
-            self.send_entry(server, entry, ToEntry::Done(attempt, outcome, output));
+            self.send_entry(server, entry, ToEntry::Done(attempt, outcome, output, time));
         }
         self.side_actions(server, actions);
     }
@@ -643,6 +703,15 @@
         self.side_actions(server, actions);
     }
 
+    /// A load report of a model engine reached its side; the next one is on its way.
+    fn load(&mut self, server: usize, waiting: u32) {
+        let host = &mut self.servers[server];
+        let actions = host.side.load(self.now, waiting);
+        let (life, waiting) = (host.life, host.backend.waiting());
+        self.side_actions(server, actions);
+        self.at(self.now + LOAD_LAG, Event::Load { server, life, waiting });
+    }
+
     /// Plans the next end of a stream and the next tick of the side.
     fn schedule(&mut self, server: usize) {
         let host = &mut self.servers[server];
@@ -724,11 +793,14 @@
         }
         let first = Span(self.chance.next_u64() % HEARTBEAT.0);
         self.at(self.now + first, Event::Heartbeat(server, life));
+        if self.deployment.pools[self.servers[server].pool].kind == PoolKind::Engine {
+            self.at(self.now + first, Event::Load { server, life, waiting: 0 });
+        }
     }
 }
 
 fn new_side(pool: &crate::deployment::PoolSpec, incarnation: Incarnation, policy: Policy) -> Side {
-    Side::new(incarnation, SideSettings { slots: pool.slots, policy, ..SideSettings::default() })
+    Side::new(incarnation, SideSettings { slots: pool.told(), policy, ..SideSettings::default() })
 }
 
 fn new_servers(deployment: &Deployment, policy: Policy) -> Vec<Server> {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,7 +1,7 @@
 //! Decisions of an entry: every request from admission to its one answer.
 
 use crate::Rng;
-use crate::admit::{Admission, Denial};
+use crate::admit::{Admission, Ask, Denial, StoreHealth};
 use crate::bundle::{Bundle, Effect, Pipeline, Stage};
 use crate::claim::ClaimRecord;
 use crate::ids::{
@@ -10,8 +10,8 @@
 };
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
-use crate::predict::Estimator;
-use crate::retry::{Backoff, Budget};
+use crate::predict::{Estimator, SizeClass};
+use crate::retry::{Backoff, Budget, Spread, WorkBudget};
 use crate::route::Router;
 use crate::time::{Span, Time};
 use crate::value;
@@ -24,6 +24,8 @@
 const RETRY_BASE: Span = Span::from_millis(5);
 /// Longest delay of retries.
 const RETRY_CAP: Span = Span::from_millis(250);
+/// Work that hedges may add, in thousandths of the work of first attempts.
+const HEDGE_SHARE: u32 = 30;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
 
@@ -235,6 +237,8 @@
     pub hedging: bool,
     /// Whether requests that are predicted to be late are refused.
     pub admission: bool,
+    /// How the delays of retries are spread.
+    pub spread: Spread,
     /// Which decisions are in force.
     pub policy: Policy,
 }
@@ -242,13 +246,18 @@
 impl EntrySettings {
     /// Settings of the baseline that the bench measures against.
     pub fn baseline() -> Self {
-        Self { hedging: false, admission: false, policy: Policy::Baseline }
+        Self { hedging: false, admission: false, policy: Policy::Baseline, ..Self::default() }
     }
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { hedging: true, admission: true, policy: Policy::default() }
+        Self {
+            hedging: true,
+            admission: true,
+            spread: Spread::default(),
+            policy: Policy::default(),
+        }
     }
 }
 
@@ -257,6 +266,10 @@
     pub(crate) id: AttemptId,
     pub(crate) server: ServerId,
     pub(crate) sent: Time,
+    /// Predicted wait when it was sent.
+    pub(crate) wait: Span,
+    /// Service time that the side measured.
+    pub(crate) served: Option<Span>,
 }
 
 /// Progress of a stage that may run only once.
@@ -279,6 +292,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
     pub(crate) call: Call,
+    pub(crate) class: SizeClass,
     pub(crate) bundle: Arc<Bundle>,
     pub(crate) deadline: Time,
     pub(crate) stage: u16,
@@ -298,6 +312,8 @@
     /// The element of `Entry::timers` that belongs to this request.
     pub(crate) armed: Time,
     pub(crate) claim: Option<Claim>,
+    /// Attempts at the current stage that were refused without having run.
+    pub(crate) bounces: u32,
     pub(crate) backoff: Backoff,
     pub(crate) retry_at: Option<Time>,
     pub(crate) hedge_at: Option<Time>,
@@ -362,11 +378,15 @@
     pub(crate) bundle: Arc<Bundle>,
     pub(crate) routers: BTreeMap<PoolId, Router>,
     pub(crate) budgets: BTreeMap<PoolId, Budget>,
-    pub(crate) estimators: BTreeMap<(PipelineId, u16), Estimator>,
+    pub(crate) hedges: BTreeMap<PoolId, WorkBudget>,
+    pub(crate) estimators: BTreeMap<(PipelineId, u16, SizeClass), Estimator>,
     pub(crate) admission: Admission,
+    pub(crate) store: StoreHealth,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// One element per request: when its next timer runs out.
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
+    /// Time of the last event.
+    pub(crate) now: Time,
     pub(crate) serial: u64,
     pub(crate) draining: bool,
     pub(crate) dropped: u64,
@@ -387,10 +407,13 @@
             bundle: Arc::clone(&bundle),
             routers: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            hedges: BTreeMap::new(),
             estimators: BTreeMap::new(),
             admission: Admission::default(),
+            store: StoreHealth::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
+            now: Time::default(),
             serial: 0,
             draining: false,
             dropped: 0,
@@ -406,27 +429,42 @@
         self.routers.retain(|id, _| bundle.pools.contains_key(id) || old(id));
         for (id, pool) in &bundle.pools {
             let zone = self.zone.clone();
-            let policy = self.settings.policy;
-            let router =
-                self.routers.entry(id.clone()).or_insert_with(|| Router::with_policy(zone, policy));
+            let (policy, identity) = (self.settings.policy, self.incarnation.0);
+            let router = self
+                .routers
+                .entry(id.clone())
+                .or_insert_with(|| Router::with_policy(zone, policy, identity));
             router.set_servers(&pool.servers);
             self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
+            self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(HEDGE_SHARE));
         }
         self.bundle = bundle;
     }
 
     /// Takes a request. The first action may already be its answer.
     pub fn call(&mut self, now: Time, rng: &mut Rng, call: Call) -> (RequestId, Vec<EntryAction>) {
+        self.call_sized(now, rng, call, SizeClass::default())
+    }
+
+    /// Takes a request of a known size class; service times are predicted for each class apart.
+    pub fn call_sized(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        call: Call,
+        class: SizeClass,
+    ) -> (RequestId, Vec<EntryAction>) {
+        self.now = self.now.max(now);
         self.serial += 1;
         let id = RequestId { entry: self.incarnation, serial: self.serial };
         let mut actions = Vec::new();
-        match self.admit(now, &call) {
+        match self.admit(now, &call, class) {
             Err((code, retry)) => {
                 let answer = Answer::Error { code, execution: Execution::NotRun, retry };
                 actions.push(EntryAction::Answer(id, answer));
             }
             Ok(budget) => {
-                let request = self.new_request(call, now + budget);
+                let request = self.new_request(call, class, now + budget);
                 self.timers.insert((request.armed, id));
                 self.requests.insert(id, request);
                 self.begin_stage(now, rng, id, &mut actions);
@@ -437,6 +475,7 @@
 
     /// Takes an event.
     pub fn event(&mut self, now: Time, rng: &mut Rng, event: EntryEvent) -> Vec<EntryAction> {
+        self.now = self.now.max(now);
         let mut actions = Vec::new();
         let id = event.request();
         if self.requests.get(&id).is_some_and(|request| request.deadline <= now) {
@@ -453,7 +492,10 @@
                 self.done(now, rng, attempt, outcome, &mut actions);
             }
             EntryEvent::Lost(attempt) => self.lost(now, rng, attempt, &mut actions),
-            EntryEvent::Claimed(id, answer) => self.claimed(now, rng, id, answer, &mut actions),
+            EntryEvent::Claimed(id, answer) => {
+                self.store.answered(now, answer != ClaimAnswer::Down);
+                self.claimed(now, rng, id, answer, &mut actions);
+            }
             EntryEvent::Stands(id, standing) => {
                 self.stands(now, rng, id, standing, &mut actions);
             }
@@ -464,6 +506,7 @@
 
     /// Runs the timers that are due.
     pub fn tick(&mut self, now: Time, rng: &mut Rng) -> Vec<EntryAction> {
+        self.now = self.now.max(now);
         let mut actions = Vec::new();
         while let Some((at, id)) = self.timers.first().copied() {
             if at > now {
@@ -486,6 +529,26 @@
         }
     }
 
+    /// The side measured this service time for an attempt that is about to be reported as done.
+    /// Without it the time is taken from the round trip, which includes the wait.
+    pub fn served(&mut self, attempt: AttemptId, time: Span) {
+        let request = self.requests.get_mut(&attempt.request);
+        let attempts = request.into_iter().flat_map(|request| &mut request.attempts);
+        attempts.filter(|a| a.id == attempt).for_each(|a| a.served = Some(time));
+    }
+
+    /// A backend server's cache took up or dropped a prefix; late and incomplete news are fine.
+    pub fn cached(&mut self, pool: &PoolId, server: &ServerId, prefix: u64, kept: bool) {
+        if let Some(router) = self.routers.get_mut(pool) {
+            router.cached(server, prefix, kept);
+        }
+    }
+
+    /// The servers of a pool that this entry uses; it needs connections to these only.
+    pub fn servers(&self, pool: &PoolId) -> impl Iterator<Item = &ServerId> {
+        self.routers.get(pool).into_iter().flat_map(Router::servers)
+    }
+
     /// The connection to a side opened or closed. Its attempts are reported lost one by one.
     pub fn connected(&mut self, now: Time, pool: &PoolId, server: &ServerId, connected: bool) {
         if let Some(router) = self.routers.get_mut(pool) {
@@ -520,7 +583,12 @@
         &self.bundle
     }
 
-    fn admit(&mut self, now: Time, call: &Call) -> Result<Span, (Code, Option<Span>)> {
+    fn admit(
+        &mut self,
+        now: Time,
+        call: &Call,
+        class: SizeClass,
+    ) -> Result<Span, (Code, Option<Span>)> {
         if self.draining {
             return Err((Code::Draining, Some(Span::ZERO)));
         }
@@ -532,35 +600,57 @@
         if once && call.key.is_none() {
             return Err((Code::KeyRequired, None));
         }
+        // Otherwise the stages before the claim would be paid for in vain.
+        if once && self.settings.admission && !self.store.allows(now) {
+            return Err((Code::StoreDown, Some(DEFAULT_RETRY)));
+        }
         let budget = call.deadline.unwrap_or(pipeline.deadline).min(pipeline.deadline);
-        let predicted = self
-            .predict(now, &call.pipeline, pipeline)
+        let (work, wait) = self
+            .predict(now, &call.pipeline, class, pipeline, 0)
             .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
-        let predicted = if self.settings.admission { predicted } else { Span::ZERO };
-        match self.admission.admit(&call.workspace, workspace, predicted, budget) {
+        let ask = self.settings.admission.then_some(Ask { work, wait, budget });
+        match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
             Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
             Err(Denial::Overloaded { retry }) => Err((Code::Overloaded, Some(retry))),
         }
     }
 
-    /// Predicted time of the whole pipeline. `None`: a pool has no server that can take work.
-    fn predict(&self, now: Time, id: &PipelineId, pipeline: &Pipeline) -> Option<Span> {
-        let mut total = Span::ZERO;
-        for (i, stage) in pipeline.stages.iter().enumerate() {
-            let estimate = self.estimate(id, i as u16, stage);
-            total += estimate + self.routers.get(&stage.pool)?.best_wait(now, estimate)?;
+    /// Predicted service time and wait of the stages from `first` on. `None`: a pool has no server
+    /// that can take work.
+    pub(crate) fn predict(
+        &self,
+        now: Time,
+        id: &PipelineId,
+        class: SizeClass,
+        pipeline: &Pipeline,
+        first: u16,
+    ) -> Option<(Span, Span)> {
+        let (mut work, mut wait) = (Span::ZERO, Span::ZERO);
+        for (i, stage) in pipeline.stages.iter().enumerate().skip(usize::from(first)) {
+            let estimate = self.estimate(id, i as u16, class, stage);
+            work += estimate;
+            wait += self.routers.get(&stage.pool)?.usual_wait(now, estimate)?;
         }
-        Some(total)
+        Some((work, wait))
     }
 
-    pub(crate) fn estimate(&self, id: &PipelineId, stage: u16, settings: &Stage) -> Span {
-        self.estimators.get(&(id.clone(), stage)).map_or(settings.expected, Estimator::mean)
+    /// Predicted service time of a stage.
+    pub(crate) fn estimate(
+        &self,
+        id: &PipelineId,
+        stage: u16,
+        class: SizeClass,
+        settings: &Stage,
+    ) -> Span {
+        let key = (id.clone(), stage, class);
+        self.estimators.get(&key).map_or(settings.expected, Estimator::mean)
     }
 
-    fn new_request(&self, call: Call, deadline: Time) -> Request {
+    fn new_request(&self, call: Call, class: SizeClass, deadline: Time) -> Request {
         Request {
             call,
+            class,
             bundle: Arc::clone(&self.bundle),
             deadline,
             stage: 0,
@@ -573,7 +663,8 @@
             foreign: false,
             armed: deadline,
             claim: None,
-            backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
+            bounces: 0,
+            backoff: Backoff::with_spread(RETRY_BASE, RETRY_CAP, self.settings.spread),
             retry_at: None,
             hedge_at: None,
             emitted: 0,
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -4,10 +4,25 @@
 use crate::ids::{AttemptId, Incarnation, Version};
 use crate::message::{Dispatch, Outcome, Refusal, Report, Standing};
 use crate::policy::Policy;
+use crate::predict::Pace;
 use crate::queue::{Queue, Waiting};
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Long work may hold one in this many slots.
+const LONG_PART: u32 = 2;
+/// The same while other work waits.
+const LONG_PART_BUSY: u32 = 4;
+/// Share of its time that long work may be predicted to wait. More of it would fill the slots for
+/// long after a surge.
+const LONG_WAIT_SHARE: f64 = 0.25;
+/// How far the limit may move from the configured slots, as a factor either way.
+const LIMIT_RANGE: u32 = 4;
+/// Time until load reports show a lower limit.
+const LIMIT_SETTLE: Span = Span::from_secs(1);
+/// Attempts over which the usual slack is averaged.
+const SLACK_MEMORY: u64 = 31;
+
 /// Settings of a side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SideSettings {
@@ -77,6 +92,14 @@
     draining: bool,
     down: bool,
     serial: u64,
+    /// Service times against their estimates.
+    pace: Pace,
+    /// Attempts that may run at once now; follows the backend server's own load reports.
+    limit: u32,
+    /// Load reports before this don't show the last change of the limit yet.
+    settled: Time,
+    /// Usual time between arrival and latest start, of attempts that are not long.
+    slack: Span,
 }
 
 impl Side {
@@ -97,6 +120,10 @@
             draining: false,
             down: false,
             serial: 0,
+            pace: Pace::default(),
+            limit: settings.slots,
+            settled: Time::default(),
+            slack: Span::from_secs(1),
         }
     }
 
@@ -111,6 +138,7 @@
             return vec![SideAction::Refuse(dispatch.attempt, refusal)];
         }
         self.effects.insert(dispatch.attempt, dispatch.effect);
+        self.learn_slack(dispatch);
         self.queue.push(Waiting {
             attempt: dispatch.attempt,
             workspace: dispatch.workspace.clone(),
@@ -146,6 +174,9 @@
     /// The backend server ended an attempt.
     pub fn finish(&mut self, now: Time, attempt: AttemptId, outcome: Outcome) -> Vec<SideAction> {
         self.now = self.now.max(now);
+        if let (Some(running), Outcome::Finished) = (self.running.get(&attempt), outcome) {
+            self.pace.observe(now, now.since(running.started), running.estimate);
+        }
         match self.running.remove(&attempt) {
             Some(Running { effect: Effect::Once, .. }) => {
                 self.ended.insert(attempt, outcome);
@@ -214,6 +245,24 @@
     /// The calls that the backend server may run at once changed.
     pub fn set_slots(&mut self, now: Time, slots: u32) -> Vec<SideAction> {
         self.settings.slots = slots.max(1);
+        self.limit = self.settings.slots;
+        self.start(now)
+    }
+
+    /// The backend server reported how many attempts wait inside it. Those are out of reach for the
+    /// order and the deadlines here, so the limit comes down by their number; it rises again while
+    /// attempts wait here and none there.
+    pub fn load(&mut self, now: Time, waiting: u32) -> Vec<SideAction> {
+        if self.settings.policy == Policy::Baseline || now < self.settled {
+            return Vec::new();
+        }
+        let least = (self.settings.slots / LIMIT_RANGE).max(1);
+        if waiting > 0 {
+            self.limit = self.limit.saturating_sub(waiting).max(least);
+            self.settled = now + LIMIT_SETTLE;
+        } else if !self.queue.is_empty() && self.running.len() >= self.limit as usize {
+            self.limit = (self.limit + 1).min(self.settings.slots.saturating_mul(LIMIT_RANGE));
+        }
         self.start(now)
     }
 
@@ -254,7 +303,7 @@
             version: self.version,
             queued: self.queue.len() as u32,
             running: self.running.len() as u32,
-            limit: self.settings.slots,
+            limit: self.limit,
             wait: self.wait(now),
             draining: self.draining || self.down,
         }
@@ -280,16 +329,63 @@
         self.running.len()
     }
 
-    /// Predicted wait of an attempt that arrives now.
+    /// Time that a running attempt has taken so far, for `Entry::served` when it ends.
+    pub fn elapsed(&self, now: Time, attempt: AttemptId) -> Option<Span> {
+        self.running.get(&attempt).map(|running| now.since(running.started))
+    }
+
+    /// Predicted wait of a usual attempt that arrives now.
     fn wait(&self, now: Time) -> Span {
-        if self.running.len() < self.settings.slots as usize && self.queue.is_empty() {
+        self.wait_before(now, now + self.slack)
+    }
+
+    /// Predicted wait of an attempt that arrives now and must start at `latest`.
+    fn wait_before(&self, now: Time, latest: Time) -> Span {
+        if self.running.len() < self.limit as usize && self.queue.is_empty() {
             return Span::ZERO;
         }
-        // Estimates come from the network: a sum that wraps would make a full side look idle.
-        let left = self.running.values().fold(self.queue.backlog(), |sum, running| {
-            sum + running.estimate.saturating_sub(now.since(running.started))
-        });
-        Span(left.0 / u64::from(self.settings.slots.max(1)))
+        // Slots with long work don't come free while this attempt waits.
+        let slots = self.limit as usize;
+        let moving = slots.saturating_sub(self.long_running(now)).max(1) as u64;
+        let ahead = self.queue.backlog_before(now, latest);
+        let own = self.queue.typical().unwrap_or_default();
+        Span((ahead + own).0 / moving).scale(self.pace(now))
+    }
+
+    /// Observed service time as a multiple of the predicted one.
+    fn pace(&self, now: Time) -> f64 {
+        let limit = self.queue.long_limit();
+        // Only what runs over its estimate is a sign of slowness; the rest is on its way.
+        let over = self.running.values().filter(|r| r.estimate <= limit);
+        let over =
+            over.fold(Span::ZERO, |sum, r| sum + now.since(r.started).saturating_sub(r.estimate));
+        self.pace.value(now, over).max(1.0)
+    }
+
+    /// Running attempts that are long: by their estimate, or because they have run that long.
+    fn long_running(&self, now: Time) -> usize {
+        let limit = self.queue.long_limit();
+        let is_long = |r: &Running| r.estimate.max(now.since(r.started)) > limit;
+        self.running.values().filter(|r| is_long(r)).count()
+    }
+
+    /// Whether long work would wait too long for the slots that long work may hold.
+    fn long_late(&self, now: Time, dispatch: &Dispatch) -> bool {
+        let limit = self.queue.long_limit();
+        if dispatch.estimate <= limit || self.running.len() < self.limit as usize {
+            return false;
+        }
+        let slots = (self.limit / LONG_PART_BUSY).max(1);
+        let wait = Span(self.queue.backlog_above(limit).0 / u64::from(slots));
+        wait.scale(self.pace(now)) > dispatch.remaining.scale(LONG_WAIT_SHARE)
+    }
+
+    fn learn_slack(&mut self, dispatch: &Dispatch) {
+        if dispatch.estimate <= self.queue.long_limit() {
+            let slack = dispatch.remaining.saturating_sub(dispatch.estimate);
+            let sum = self.slack * SLACK_MEMORY + slack;
+            self.slack = Span(sum.0 / (SLACK_MEMORY + 1));
+        }
     }
 
     fn refusal(&self, now: Time, dispatch: &Dispatch) -> Option<Refusal> {
@@ -315,8 +411,9 @@
         if self.down {
             return Some(Refusal::Down);
         }
-        let wait = self.wait(now);
-        let late = wait + dispatch.estimate > dispatch.remaining;
+        let own = now + dispatch.remaining.saturating_sub(dispatch.estimate);
+        let wait = self.wait_before(now, own);
+        let late = wait + dispatch.estimate > dispatch.remaining || self.long_late(now, dispatch);
         if self.queue.len() >= self.settings.queue as usize
             || (late && self.settings.policy == Policy::Damaskweir)
         {
@@ -327,8 +424,8 @@
 
     fn start(&mut self, now: Time) -> Vec<SideAction> {
         let mut actions = Vec::new();
-        while !self.down && self.running.len() < self.settings.slots as usize {
-            let Some(waiting) = self.queue.pop(now) else { break };
+        while !self.down && self.running.len() < self.limit as usize {
+            let Some(waiting) = self.next_waiting(now) else { break };
             let effect = self.effects.remove(&waiting.attempt).unwrap_or(Effect::Once);
             let running = Running { effect, started: now, estimate: waiting.estimate };
             self.running.insert(waiting.attempt, running);
@@ -338,6 +435,17 @@
         actions
     }
 
+    /// Takes the attempt that starts next. Long work may hold a quarter of the slots while other work
+    /// waits, and half of them at any time; the rest stays free for what arrives next.
+    fn next_waiting(&mut self, now: Time) -> Option<Waiting> {
+        let long = self.long_running(now);
+        let slots = self.limit;
+        let below = |part: u32| long < (slots / part).max(1) as usize;
+        self.queue
+            .pop_allowed(now, below(LONG_PART_BUSY))
+            .or_else(|| below(LONG_PART).then(|| self.queue.pop_allowed(now, true)).flatten())
+    }
+
     /// Records that a waiting attempt will never start.
     fn withdraw(&mut self, attempt: AttemptId) {
         if self.effects.remove(&attempt) == Some(Effect::Once) {
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -138,9 +138,9 @@
 }
 
 /// Runs the command that the arguments name and returns its exit code.
-pub fn run(arguments: Vec<OsString>, out: &mut (impl Write + Send), err: &mut impl Write) -> u8 {
+pub fn run(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
     let ended = if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
-        operate(arguments, out)
+        operate(arguments, out, err)
     } else {
         dispatch(Arguments::from_vec(arguments), out).map(|()| 0)
     };
@@ -155,11 +155,15 @@
 }
 
 /// Operators' commands, which have exit codes of their own.
-fn operate(arguments: Vec<OsString>, out: &mut (impl Write + Send)) -> Result<u8, CommandError> {
-    block_on(async { Ok(damaskweir_operators::run(arguments, out).await as u8) })
+fn operate(
+    arguments: Vec<OsString>,
+    out: &mut impl Write,
+    err: &mut impl Write,
+) -> Result<u8, CommandError> {
+    block_on(async { Ok(damaskweir_operators::run(arguments, out, err).await as u8) })
 }
 
-fn dispatch(mut arguments: Arguments, out: &mut (impl Write + Send)) -> Result<(), CommandError> {
+fn dispatch(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let command = arguments.subcommand()?;
     if arguments.contains("--version") {
         return print(out, &format!("damaskweir {}\n", env!("CARGO_PKG_VERSION")));
--- a/crates/operators/tests/commands.rs
+++ b/crates/operators/tests/commands.rs
@@ -390,7 +390,10 @@
 
 async fn command(arguments: &[&str]) -> (Exit, String) {
     let mut output = Vec::new();
-    let exit = run(arguments.iter().map(Into::into).collect(), &mut output).await;
+    let mut errors = Vec::new();
+    let words = arguments.iter().map(Into::into).collect();
+    let exit = run(words, &mut output, &mut errors).await;
+    output.append(&mut errors);
     (exit, String::from_utf8(output).unwrap())
 }
 
