Follow the backend server's load and tell the time that it took

Cause: the core now lowers a side's limit by what waits inside the backend server, and learns service times without waits, but no daemon gave it either. Change: the side reads the load report of its engine, or of a service that has one, along with the health check; the end of an attempt carries its service time, which Attempt::served returns. Conclusion: a test with an engine of one stream and a side of four slots sees the limit fall.

--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -49,7 +49,7 @@
     pub backend: Backend,
     /// Settings of the core.
     pub core: SideSettings,
-    /// Time between health checks of the backend server.
+    /// Time between health checks of the backend server, and between readings of its load.
     pub check: Duration,
     /// Bytes of an answer. Lowered if need be, so that an answer fits into a frame.
     pub answer_limit: usize,
@@ -311,13 +311,29 @@
     armed: Option<Time>,
 }
 
+/// Messages of one attempt on their way to its entry.
+type Outbox = mpsc::UnboundedSender<Message>;
+
+#[derive(Debug)]
+enum Message {
+    Attempt(ToEntry),
+    /// The end, and the time that the backend server took.
+    Ended(Outcome, Span),
+}
+
+impl From<ToEntry> for Message {
+    fn from(message: ToEntry) -> Self {
+        Self::Attempt(message)
+    }
+}
+
 /// An attempt that waits or runs.
 #[derive(Debug)]
 struct Job {
     /// Taken when the attempt starts.
     order: Option<(Box<Dispatch>, Work)>,
     deadline: Instant,
-    messages: mpsc::UnboundedSender<ToEntry>,
+    messages: Outbox,
     ticket: Ticket,
     task: Option<AbortHandle>,
 }
@@ -375,6 +391,14 @@
             Client::Service(service) => service.healthy().await,
         }
     }
+
+    /// Attempts that wait inside the backend server, if it tells.
+    async fn waiting(&self) -> Option<u32> {
+        match self {
+            Client::Engine(engine) => engine.load().await.ok().map(|load| load.waiting),
+            Client::Service(service) => service.load().await.ok()?.map(|load| load.waiting),
+        }
+    }
 }
 
 /// How a call to the backend server ended.
@@ -457,10 +481,10 @@
             // The job of this attempt, if there is one, belongs to an earlier copy of the message.
             self.count(&self.counters.refused);
             debug!(self.log_of(attempt), "attempt refused"; "reason" => ?refusal);
-            let _ = messages.send(ToEntry::Refused(*refusal));
+            let _ = messages.send(ToEntry::Refused(*refusal).into());
             return;
         }
-        let _ = messages.send(ToEntry::Accepted);
+        let _ = messages.send(ToEntry::Accepted.into());
         let order = Some((dispatch, work));
         state.jobs.insert(attempt, Job { order, deadline, messages, ticket, task: None });
         self.carry_out(&mut state, actions);
@@ -525,9 +549,10 @@
             self.count(&self.counters.failed);
             warn!(log, "attempt failed"; "outcome" => ?outcome, "reason" => reason);
         }
+        let served = state.side.elapsed(now, attempt).unwrap_or_default();
         let actions = state.side.finish(now, attempt, outcome);
         // The core and the kept answer are up to date before the entry hears of the end.
-        let _ = job.messages.send(ToEntry::Done(outcome));
+        let _ = job.messages.send(Message::Ended(outcome, served));
         self.carry_out(&mut state, actions);
     }
 
@@ -547,7 +572,7 @@
                     self.count(&self.counters.refused);
                     debug!(self.log_of(attempt), "attempt handed back"; "reason" => ?refusal);
                     if let Some(job) = state.jobs.remove(&attempt) {
-                        let _ = job.messages.send(ToEntry::Refused(refusal));
+                        let _ = job.messages.send(ToEntry::Refused(refusal).into());
                     }
                 }
                 SideAction::Abort(attempt) => {
@@ -559,7 +584,7 @@
                             task.abort();
                         }
                         let aborted = Outcome::Failed(Failure::Aborted);
-                        let _ = job.messages.send(ToEntry::Done(aborted));
+                        let _ = job.messages.send(ToEntry::Done(aborted).into());
                     }
                 }
                 SideAction::Drained => {
@@ -572,6 +597,12 @@
         }
     }
 
+    fn set_load(self: &Arc<Self>, waiting: u32) {
+        let mut state = self.lock();
+        let actions = state.side.load(self.now(), waiting);
+        self.carry_out(&mut state, actions);
+    }
+
     fn set_down(self: &Arc<Self>, down: bool) {
         let mut state = self.lock();
         let actions = state.side.set_down(self.now(), down);
@@ -627,12 +658,15 @@
 async fn send_messages(
     shared: Arc<Shared>,
     mut reply: Reply,
-    mut messages: mpsc::UnboundedReceiver<ToEntry>,
+    mut messages: mpsc::UnboundedReceiver<Message>,
     attempt: AttemptId,
 ) {
     while let Some(message) = messages.recv().await {
-        let last = message.is_last();
-        if let Err(error) = reply.send(message).await {
+        let (last, sent) = match message {
+            Message::Attempt(message) => (message.is_last(), reply.send(message).await),
+            Message::Ended(outcome, served) => (true, reply.finish(outcome, served).await),
+        };
+        if let Err(error) = sent {
             debug!(shared.log_of(attempt), "message to the entry not sent"; "error" => %error);
             return;
         }
@@ -647,7 +681,7 @@
     shared: Arc<Shared>,
     dispatch: Box<Dispatch>,
     work: Work,
-    messages: mpsc::UnboundedSender<ToEntry>,
+    messages: Outbox,
     deadline: Instant,
 ) {
     let (attempt, effect) = (dispatch.attempt, dispatch.effect);
@@ -674,7 +708,7 @@
     engine: &Engine,
     dispatch: &Dispatch,
     work: &Work,
-    messages: &mpsc::UnboundedSender<ToEntry>,
+    messages: &Outbox,
     deadline: Instant,
     limit: usize,
 ) -> End {
@@ -707,7 +741,7 @@
                 }
                 let data = Bytes::from(token.text);
                 // Non-idempotent work goes on without a listener.
-                let _ = messages.send(ToEntry::Chunk { index: token.index, data });
+                let _ = messages.send(ToEntry::Chunk { index: token.index, data }.into());
             }
             Ok(None) => return End::Finished(whole.freeze()),
             // Tokens were generated, so the call ran even if the engine now refuses.
@@ -725,7 +759,7 @@
     service: &Service,
     dispatch: &Dispatch,
     work: Work,
-    messages: &mpsc::UnboundedSender<ToEntry>,
+    messages: &Outbox,
 ) -> End {
     let call = damaskweir_services::Call {
         path: &work.path,
@@ -737,7 +771,7 @@
     match service.call(call).await {
         Ok(answer) => {
             if dispatch.resume == 0 {
-                let _ = messages.send(ToEntry::Chunk { index: 0, data: answer.clone() });
+                let _ = messages.send(ToEntry::Chunk { index: 0, data: answer.clone() }.into());
             }
             End::Finished(answer)
         }
@@ -768,7 +802,7 @@
     }
 }
 
-/// Checks the backend server's health.
+/// Checks the backend server's health and reads its load.
 async fn run_checks(shared: Arc<Shared>, period: Duration, mut healthy: bool) {
     let mut failed = 0;
     loop {
@@ -776,6 +810,9 @@
         let _ = timeout(period, shared.check.notified()).await;
         if shared.client.healthy().await {
             failed = 0;
+            if let Some(waiting) = shared.client.waiting().await {
+                shared.set_load(waiting);
+            }
             if !healthy {
                 info!(shared.log, "backend server is up");
                 healthy = true;
--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -27,6 +27,7 @@
     let (text, last) = rest(&mut attempt).await;
     assert_eq!(last, Some(FINISHED));
     assert_eq!(text, engine::answer("labels", 8));
+    assert!(attempt.served().is_some());
     assert_eq!(engine.runs().keys.get(&Digest([4; 32]).to_string()), Some(&1));
 }
 
@@ -278,6 +279,23 @@
     assert_eq!(engine.runs().total(), 1);
 }
 
+/// Guards against attempts that wait inside the engine, out of reach for order and deadlines.
+#[tokio::test]
+async fn load_report_of_the_engine_lowers_the_limit() {
+    let engine = engine::Engine::start(1).await.unwrap();
+    engine.set(|behaviour| behaviour.hold = Some(0));
+    let rig = Rig::for_engine(&engine, 4).await;
+    let entry = rig.connect().await;
+    let _attempts = [
+        entry.dispatch(&idempotent(0)).await,
+        entry.dispatch(&idempotent(1)).await,
+        entry.dispatch(&idempotent(2)).await,
+    ];
+    let mut reports = entry.link.reports();
+    let lowered = |report: &Option<Report>| report.is_some_and(|report| report.limit < 4);
+    within(reports.wait_for(lowered)).await.unwrap();
+}
+
 /// Guards against "outcome unknown" for a call that the service refused before it ran, and against a
 /// late copy that still runs.
 #[tokio::test]
--- a/crates/services/src/client.rs
+++ b/crates/services/src/client.rs
@@ -6,6 +6,7 @@
 use reqwest::Client;
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use reqwest::redirect::Policy;
+use serde::Deserialize;
 use std::time::Duration;
 
 /// Bytes of an error answer that go into the log.
@@ -25,6 +26,8 @@
     pub check: Duration,
     /// Path of the health check.
     pub health: String,
+    /// Path of the load report, for services that have one.
+    pub load: Option<String>,
     /// Bytes of an answer. Below the frame limit, so that it fits into a frame.
     pub limit: usize,
 }
@@ -37,6 +40,7 @@
             timeout: Duration::from_secs(60),
             check: Duration::from_secs(2),
             health: "/health".to_owned(),
+            load: None,
             limit: 8 << 20,
         }
     }
@@ -57,6 +61,15 @@
     pub body: Bytes,
 }
 
+/// Load of a service, as it was some time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct Load {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+}
+
 /// Client of one service.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -112,6 +125,18 @@
         Ok(answer.freeze())
     }
 
+    /// The service's load report, if it has one.
+    pub async fn load(&self) -> Result<Option<Load>, ServiceError> {
+        let Some(path) = &self.settings.load else { return Ok(None) };
+        let url = format!("{}{path}", self.settings.url);
+        let response = self.pooled.get(url).timeout(self.settings.check).send().await?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(status_error(status, ""));
+        }
+        Ok(Some(response.json().await?))
+    }
+
     /// Whether the service answers its health check.
     pub async fn healthy(&self) -> bool {
         let url = format!("{}{}", self.settings.url, self.settings.health);
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -29,5 +29,5 @@
 mod client;
 mod error;
 
-pub use client::{Call, Service, ServiceSettings};
+pub use client::{Call, Load, Service, ServiceSettings};
 pub use error::ServiceError;
--- a/crates/services/tests/calls.rs
+++ b/crates/services/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use damaskweir_core::prelude::*;
-use damaskweir_services::{Call, Service, ServiceError, ServiceSettings};
+use damaskweir_services::{Call, Load, Service, ServiceError, ServiceSettings};
 use damaskweir_standins::service as standin;
 use rstest::rstest;
 use std::time::Duration;
@@ -62,6 +62,17 @@
     assert_eq!(service.runs().total(), runs);
 }
 
+/// Guards against a load report that can't be read, and against asking a service that has none.
+#[tokio::test]
+async fn load_is_read_where_there_is_one() {
+    let service = standin::Service::start().await.unwrap();
+    assert_eq!(client(service.url()).load().await, Ok(None));
+    let load = Some("/load".to_owned());
+    let settings = ServiceSettings { url: service.url(), load, ..ServiceSettings::default() };
+    let load = Service::new(settings).unwrap().load().await;
+    assert_eq!(load, Ok(Some(Load { running: 0, waiting: 0 })));
+}
+
 /// Guards against "may have run" for a service that can't have got the call.
 #[tokio::test]
 async fn connect_error_means_not_run() {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -55,6 +55,7 @@
 struct State {
     behaviour: Behaviour,
     runs: Runs,
+    running: u32,
 }
 
 impl Service {
@@ -66,6 +67,7 @@
         let shared = Arc::new(Shared::default());
         let router = Router::new()
             .push(Router::with_path("health").get(Health(Arc::clone(&shared))))
+            .push(Router::with_path("load").get(ShowLoad(Arc::clone(&shared))))
             .push(Router::with_path("{**path}").post(Work(Arc::clone(&shared))));
         let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
         Ok(Self { address, shared, server })
@@ -107,6 +109,7 @@
 impl Drop for Job<'_> {
     fn drop(&mut self) {
         let mut state = self.shared.lock();
+        state.running -= 1;
         if self.finished {
             state.runs.finished += 1;
         } else {
@@ -133,7 +136,11 @@
                 return;
             }
         };
-        self.0.lock().runs.count(request);
+        {
+            let mut state = self.0.lock();
+            state.runs.count(request);
+            state.running += 1;
+        }
         let mut job = Job { shared: &self.0, finished: false };
         sleep(behaviour.delay).await;
         job.finished = true;
@@ -151,6 +158,16 @@
     }
 }
 
+struct ShowLoad(Arc<Shared>);
+
+#[handler]
+impl ShowLoad {
+    async fn handle(&self, response: &mut Response) {
+        let running = self.0.lock().running;
+        response.render(Json(json!({ "running": running, "waiting": 0 })));
+    }
+}
+
 struct Health(Arc<Shared>);
 
 #[handler]
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -104,7 +104,7 @@
     pub async fn dispatch(&self, dispatch: &Dispatch, work: Work) -> Result<Attempt, WireError> {
         let message = EntryMessage::Dispatch(Box::new(dispatch.clone()), work);
         let (writer, reader) = self.request(message).await?;
-        Ok(Attempt { writer: Some(writer), reader, link: self.clone(), ended: false })
+        Ok(Attempt { writer: Some(writer), reader, link: self.clone(), ended: false, served: None })
     }
 
     /// Asks what the side knows about a non-idempotent attempt; for one that has ended, the answer
@@ -214,6 +214,7 @@
     reader: Reader<FromSide>,
     link: Link,
     ended: bool,
+    served: Option<Span>,
 }
 
 impl Attempt {
@@ -223,16 +224,27 @@
         if self.ended {
             return Ok(None);
         }
-        match self.reader.next().await {
-            Some(Ok(FromSide { report, message: SideMessage::Attempt(message) })) => {
-                self.link.receive(report);
-                self.ended = message.is_last();
-                Ok(Some(message))
+        let FromSide { report, message } = match self.reader.next().await {
+            Some(Ok(message)) => message,
+            Some(Err(error)) => return Err(self.link.session.stream_error(error)),
+            None => return Err(WireError::Ended),
+        };
+        let message = match message {
+            SideMessage::Attempt(message) => message,
+            SideMessage::Ended(outcome, served) => {
+                self.served = Some(served);
+                ToEntry::Done(outcome)
             }
-            Some(Ok(_)) => Err(self.link.session.out_of_place()),
-            Some(Err(error)) => Err(self.link.session.stream_error(error)),
-            None => Err(WireError::Ended),
-        }
+            _ => return Err(self.link.session.out_of_place()),
+        };
+        self.link.receive(report);
+        self.ended = message.is_last();
+        Ok(Some(message))
+    }
+
+    /// Time that the backend server took, waits excluded, once the attempt is done.
+    pub fn served(&self) -> Option<Span> {
+        self.served
     }
 
     /// Asks the side to give up the attempt. Its last message still follows.
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -318,11 +318,19 @@
     /// attempt it returns once the entry has got everything, and no cancel follows.
     pub async fn send(&mut self, message: ToEntry) -> Result<(), WireError> {
         let last = message.is_last();
+        self.send_message(SideMessage::Attempt(message), last).await
+    }
+
+    /// Sends the end of the attempt like `send`, with the time that the backend server took.
+    pub async fn finish(&mut self, outcome: Outcome, served: Span) -> Result<(), WireError> {
+        self.send_message(SideMessage::Ended(outcome, served), true).await
+    }
+
+    async fn send_message(&mut self, message: SideMessage, last: bool) -> Result<(), WireError> {
         if last {
             self.watching = None;
         }
-        let message = self.peer.seal(SideMessage::Attempt(message));
-        if let Err(error) = self.writer.send(&message).await {
+        if let Err(error) = self.writer.send(&self.peer.seal(message)).await {
             return Err(match error {
                 // Nothing of a message that is too large for this end was sent.
                 FrameError::TooLarge { .. } => error.into(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -76,6 +76,8 @@
     pub(crate) enum SideMessage {
         Heartbeat,
         Attempt(ToEntry),
+        /// The attempt ended, and how long it ran.
+        Ended(Outcome, Span),
         Stands(Standing, Option<Bytes>),
         Pull(PullRequest),
         Pulled(Option<Bytes>),
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -24,18 +24,21 @@
         ToEntry::Accepted,
         ToEntry::Chunk { index: 0, data: Bytes::from_static(b"one") },
         ToEntry::Chunk { index: 1, data: Bytes::from(vec![1; 200_000]) },
-        ToEntry::Done(Outcome::Finished),
     ];
-    let expected = sent.clone();
+    let mut expected = sent.to_vec();
+    expected.push(ToEntry::Done(Outcome::Finished));
     let sender = tokio::spawn(async move {
         for message in sent {
             reply.send(message).await.unwrap();
         }
+        reply.finish(Outcome::Finished, Span::from_millis(70)).await.unwrap();
     });
+    assert_eq!(attempt.served(), None);
     for message in expected {
         assert_eq!(within(attempt.next()).await.unwrap(), Some(message));
     }
     assert_eq!(within(attempt.next()).await.unwrap(), None);
+    assert_eq!(attempt.served(), Some(Span::from_millis(70)));
     within(sender).await.unwrap();
 }
 
