Let estimates fade without samples; refuse hopeless deadlines with a code of their own

Cause: once a slowdown had pushed an estimate beyond the deadline, admission refused all such work; with no work there was no sample and the estimate stayed for good. And a deadline that the stages can't meet even when idle was refused as 'overloaded' with a retry hint that could never help. Ruled out: letting a probe through admission alone, since the early stop between stages and the side refuse by the same estimate. Change: an excess over the expected time falls to a third in each 2 s without samples; 'deadline_too_short' (422, no hint) when the expected time alone exceeds the deadline. Conclusion: refusals by estimate end by themselves and hints are true.

--- a/crates/callers/src/call.rs
+++ b/crates/callers/src/call.rs
@@ -103,6 +103,7 @@
         (status_code = 409, body = ErrorBody, description = "key_reused; not run."),
         (status_code = 413, body = ErrorBody, description = "body_too_large; not run."),
         (status_code = 415, body = ErrorBody, description = "unsupported_media_type; not run."),
+        (status_code = 422, body = ErrorBody, description = "deadline_too_short; not run."),
         (status_code = 429, body = ErrorBody, description = "workspace_limit; not run."),
         (status_code = 500, body = ErrorBody, description = "internal; not run."),
         (status_code = 502, body = ErrorBody, description = "Some of the work ran, and there is no answer."),
--- a/crates/callers/src/code.rs
+++ b/crates/callers/src/code.rs
@@ -45,6 +45,8 @@
     WorkspaceLimit,
     /// The pools can't finish the request in time.
     Overloaded,
+    /// The stages take longer than the deadline even when nothing waits.
+    DeadlineTooShort,
     /// No server of a pool can be reached.
     Unavailable,
     /// The entry is shutting down.
@@ -84,7 +86,7 @@
 
 impl ErrorCode {
     /// Every code, in the order of the API description.
-    pub const ALL: [ErrorCode; 25] = [
+    pub const ALL: [ErrorCode; 26] = [
         Self::NotFound,
         Self::MethodNotAllowed,
         Self::UnsupportedMediaType,
@@ -102,6 +104,7 @@
         Self::KeyReused,
         Self::WorkspaceLimit,
         Self::Overloaded,
+        Self::DeadlineTooShort,
         Self::Unavailable,
         Self::Draining,
         Self::StoreDown,
@@ -136,6 +139,7 @@
             Self::KeyReused => 409,
             Self::BodyTooLarge => 413,
             Self::UnsupportedMediaType => 415,
+            Self::DeadlineTooShort => 422,
             Self::WorkspaceLimit => 429,
             Self::Internal => 500,
             Self::Overloaded
@@ -169,6 +173,7 @@
             Self::KeyReused => "key_reused",
             Self::WorkspaceLimit => "workspace_limit",
             Self::Overloaded => "overloaded",
+            Self::DeadlineTooShort => "deadline_too_short",
             Self::Unavailable => "unavailable",
             Self::Draining => "draining",
             Self::StoreDown => "store_down",
@@ -200,6 +205,7 @@
             Self::KeyReused => "the idempotency-key was used with another body",
             Self::WorkspaceLimit => "the workspace has too many requests in progress",
             Self::Overloaded => "the request can't be finished in time",
+            Self::DeadlineTooShort => "the stages take longer than the deadline",
             Self::Unavailable => "no server of a stage can be reached",
             Self::Draining => "this entry is shutting down",
             Self::StoreDown => "the store is needed for this call and can't be reached",
@@ -227,6 +233,7 @@
             entry::Code::KeyReused => Self::KeyReused,
             entry::Code::WorkspaceLimit => Self::WorkspaceLimit,
             entry::Code::Overloaded => Self::Overloaded,
+            entry::Code::DeadlineTooShort => Self::DeadlineTooShort,
             entry::Code::Unavailable => Self::Unavailable,
             entry::Code::Draining => Self::Draining,
             entry::Code::StoreDown => Self::StoreDown,
--- a/crates/callers/tests/api.rs
+++ b/crates/callers/tests/api.rs
@@ -286,6 +286,7 @@
         entry::Code::KeyReused,
         entry::Code::WorkspaceLimit,
         entry::Code::Overloaded,
+        entry::Code::DeadlineTooShort,
         entry::Code::Unavailable,
         entry::Code::Draining,
         entry::Code::StoreDown,
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -25,6 +25,8 @@
         /// When to come back.
         retry: Span,
     },
+    /// The stages alone take longer than the deadline; coming back later does not help.
+    TooShort,
 }
 
 /// Share of its budget that a request may be predicted to wait. A longer queue would add no
@@ -42,6 +44,8 @@
 pub struct Ask {
     /// Predicted service time of all its stages.
     pub work: Span,
+    /// Service time of all its stages that the bundle tells to expect.
+    pub expected: Span,
     /// Predicted wait at all its stages.
     pub wait: Span,
     /// Time until its deadline.
@@ -88,7 +92,7 @@
     ) -> Result<(), Denial> {
         if let Some(ask) = ask {
             if ask.work > ask.budget {
-                return Err(Denial::Overloaded { retry: ask.work.saturating_sub(ask.budget) });
+                return Err(too_slow(&ask));
             }
             let usual = ask.budget.saturating_sub(ask.work).0.min(ask.budget.scale(WAIT_SHARE).0);
             let allowed = Span(usual).scale(self.standing(now, id));
@@ -148,6 +152,15 @@
     }
 }
 
+/// Tells a deadline that is always too short from servers that are slow for the moment.
+fn too_slow(ask: &Ask) -> Denial {
+    if ask.expected > ask.budget {
+        Denial::TooShort
+    } else {
+        Denial::Overloaded { retry: ask.work.saturating_sub(ask.budget).max(HINT_MIN) }
+    }
+}
+
 /// Time without a good answer after which the store counts as down; one lost answer says little.
 const STORE_DOWN_AFTER: Span = Span::from_millis(500);
 /// Time after which the last failure says nothing any more.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -201,6 +201,8 @@
         WorkspaceLimit,
         /// The pools can't finish it in time.
         Overloaded,
+        /// The stages take longer than the deadline even when nothing waits.
+        DeadlineTooShort,
         /// No server of a pool can be reached.
         Unavailable,
         /// The entry is shutting down.
@@ -608,11 +610,13 @@
         let (work, wait) = self
             .predict(now, &call.pipeline, class, pipeline, 0)
             .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
-        let ask = self.settings.admission.then_some(Ask { work, wait, budget });
+        let expected = pipeline.stages.iter().fold(Span::ZERO, |sum, stage| sum + stage.expected);
+        let ask = self.settings.admission.then_some(Ask { work, expected, wait, budget });
         match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
             Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
             Err(Denial::Overloaded { retry }) => Err((Code::Overloaded, Some(retry))),
+            Err(Denial::TooShort) => Err((Code::DeadlineTooShort, None)),
         }
     }
 
@@ -644,7 +648,7 @@
         settings: &Stage,
     ) -> Span {
         let key = (id.clone(), stage, class);
-        self.estimators.get(&key).map_or(settings.expected, Estimator::mean)
+        self.estimators.get(&key).map_or(settings.expected, |estimator| estimator.mean(self.now))
     }
 
     fn new_request(&self, call: Call, class: SizeClass, deadline: Time) -> Request {
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -538,7 +538,7 @@
         let key = (request.call.pipeline.clone(), request.stage, request.class);
         let expected = stage.expected;
         let seen = ended.served.unwrap_or_else(|| now.since(ended.sent).saturating_sub(ended.wait));
-        self.estimators.entry(key).or_insert_with(|| Estimator::new(expected)).observe(seen);
+        self.estimators.entry(key).or_insert_with(|| Estimator::new(expected)).observe(now, seen);
     }
 
     /// The run of the side process that a server's last report told.
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -14,24 +14,34 @@
 /// used up the hedge budget that late ones on dead servers need.
 const QUANTILE: f64 = 0.98;
 
+/// Time without samples after which an estimate above the expected time starts to come down, and in
+/// which its excess falls to about a third. Without this an estimate that grew during a slowdown beyond
+/// the deadline would refuse all work for good, since refused work gives no samples.
+const FADE_TIME: Span = Span::from_secs(2);
+
 /// Mean and high quantile of a service time.
 #[derive(Clone, Debug)]
 pub struct Estimator {
+    expected: f64,
     mean: f64,
     high: f64,
     samples: u64,
+    /// When the last sample came.
+    updated: Time,
 }
 
 impl Estimator {
     /// Starts from an expected service time.
     pub fn new(expected: Span) -> Self {
         let mean = expected.0.max(1) as f64;
-        Self { mean, high: mean * 2.0, samples: 0 }
+        Self { expected: mean, mean, high: mean * 2.0, samples: 0, updated: Time(0) }
     }
 
     /// Takes a service time that was seen.
-    pub fn observe(&mut self, seen: Span) {
+    pub fn observe(&mut self, now: Time, seen: Span) {
         let seen = seen.0 as f64;
+        self.mean = self.faded(now);
+        self.updated = self.updated.max(now);
         self.samples += 1;
         // The first samples replace the configured guess quickly.
         let weight = MEAN_WEIGHT.max(1.0 / (self.samples as f64 + 1.0));
@@ -41,9 +51,9 @@
         self.high = self.high.max(self.mean);
     }
 
-    /// Mean service time.
-    pub fn mean(&self) -> Span {
-        Span(self.mean as u64)
+    /// Mean service time. Without new samples, an excess over the expected time fades.
+    pub fn mean(&self, now: Time) -> Span {
+        Span(self.faded(now) as u64)
     }
 
     /// 98th percentile of the service time, approximately.
@@ -55,6 +65,13 @@
     pub fn samples(&self) -> u64 {
         self.samples
     }
+
+    fn faded(&self, now: Time) -> f64 {
+        let excess = (self.mean - self.expected).max(0.0);
+        let idle = now.since(self.updated).saturating_sub(FADE_TIME);
+        let keep = (-(idle.as_secs_f64() / FADE_TIME.as_secs_f64())).exp();
+        self.mean - excess * (1.0 - keep)
+    }
 }
 
 /// Time after which an observation counts for less than half.
--- /dev/null
+++ b/crates/core/tests/predict.rs
@@ -0,0 +1,47 @@
+//! Service time estimates.
+
+use damaskweir_core::predict::Estimator;
+use damaskweir_core::prelude::*;
+use rstest::rstest;
+
+const EXPECTED: Span = Span::from_millis(100);
+const SLOW: Span = Span::from_secs(5);
+
+fn slowed(now: Time) -> Estimator {
+    let mut estimator = Estimator::new(EXPECTED);
+    for _ in 0..100 {
+        estimator.observe(now, SLOW);
+    }
+    estimator
+}
+
+/// Guards against an estimate that a slowdown pushed beyond the deadline, after which all work is
+/// refused, no sample comes and the estimate never falls.
+#[rstest]
+fn excess_fades_without_samples() {
+    let estimator = slowed(Time(0));
+    assert!(estimator.mean(Time(0)) > Span::from_secs(4));
+    let later = Time(0) + Span::from_secs(20);
+    assert!(estimator.mean(later) < EXPECTED * 2);
+}
+
+/// Guards against estimates that fall while samples still confirm them.
+#[rstest]
+fn samples_keep_the_excess() {
+    let mut estimator = slowed(Time(0));
+    for second in 1..20 {
+        estimator.observe(Time(0) + Span::from_secs(second), SLOW);
+    }
+    assert!(estimator.mean(Time(0) + Span::from_secs(20)) > Span::from_secs(4));
+}
+
+/// Guards against an estimate below the expected time that rises without samples.
+#[rstest]
+fn fast_estimates_stay() {
+    let mut estimator = Estimator::new(EXPECTED);
+    for _ in 0..100 {
+        estimator.observe(Time(0), Span::from_millis(10));
+    }
+    let now = Time(0) + Span::from_secs(60);
+    assert_eq!(estimator.mean(now), estimator.mean(Time(0)));
+}
