--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -784,7 +784,9 @@
     match link.dispatch(&dispatch, work).await {
         Ok(attempt) => follow(&shared, id, attempt).await,
         Err(error) => {
-            debug!(shared.log, "attempt not sent"; "request" => %id.request, "attempt" => %id,
+            let stage = shared.lock().open.get(&id.request).and_then(Open::stage_name);
+            debug!(shared.log, "attempt not sent"; "request" => %id.request,
+                "workspace" => %dispatch.workspace, "stage" => stage, "attempt" => %id,
                 "error" => %error);
             shared.ended(id, "unsent", down);
         }
