--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod backend;
+mod capacity;
 mod deployment;
 mod experiment;
 mod output;
@@ -18,17 +19,22 @@
 pub use experiment::{EXPERIMENTS, Experiment};
 
 use damaskweir_core::entry::EntrySettings;
+use damaskweir_core::retry::Spread;
 use damaskweir_core::time::Span;
 use output::{Document, PolicyFindings};
 use pico_args::Arguments;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 /// Options of the command, for its help text.
 pub const USAGE: &str = "\
 damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
-experiments: steady, swing, long-mix, overload, slowed, dying; all of them when none is named
+    [--without hedging|admission|jitter]
+experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
+when none is named. --without turns one policy off, to measure what it brings
+
+damaskweir bench capacity
+    processor time and memory of the decision core by size, on this machine
 ";
 
 /// Shortest run; the overload and slowdown windows are a third of it.
@@ -56,6 +62,9 @@
     /// The deployment can't be used.
     #[error("deployment: {0}")]
     Deployment(#[from] DeploymentError),
+    /// The sizes of this process can't be read.
+    #[error("capacity: {0}")]
+    Capacity(#[from] std::io::Error),
     /// JSON can't be written.
     #[error("output: {0}")]
     Json(#[from] serde_json::Error),
@@ -88,6 +97,30 @@
         Self { name: "damaskweir", settings: EntrySettings::default() }
     }
 
+    /// damaskweir with one policy turned off.
+    fn without(what: &str) -> Result<Self, BenchError> {
+        let settings = EntrySettings::default();
+        match what {
+            "hedging" => {
+                let settings = EntrySettings { hedging: false, ..settings };
+                Ok(Self { name: "without hedging", settings })
+            }
+            "admission" => {
+                let settings = EntrySettings { admission: false, ..settings };
+                Ok(Self { name: "without admission", settings })
+            }
+            "jitter" => {
+                let settings = EntrySettings { spread: Spread::Exponential, ..settings };
+                Ok(Self { name: "without jitter", settings })
+            }
+            other => Err(BenchError::Value {
+                option: "--without",
+                value: other.to_owned(),
+                allowed: "hedging, admission, jitter",
+            }),
+        }
+    }
+
     /// The baseline.
     pub fn baseline() -> Self {
         Self { name: "baseline", settings: EntrySettings::baseline() }
@@ -121,7 +154,8 @@
             Some(name) => match Experiment::find(&name) {
                 Some(experiment) => vec![experiment],
                 None => {
-                    let allowed = "steady, swing, long-mix, overload, slowed, dying";
+                    let allowed =
+                        "steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm";
                     return Err(BenchError::Value { option: "--experiment", value: name, allowed });
                 }
             },
@@ -145,6 +179,9 @@
 }
 
 fn read_contenders(args: &mut Arguments) -> Result<Vec<Contender>, BenchError> {
+    if let Some(without) = args.opt_value_from_str::<_, String>("--without")? {
+        return Ok(vec![Contender::without(&without)?]);
+    }
     if args.contains("--vs") {
         return Ok(vec![Contender::damaskweir(), Contender::baseline()]);
     }
@@ -171,17 +208,12 @@
     }
 }
 
-/// Runs the command; the arguments are those after `bench`.
-pub fn run(args: Arguments) -> ExitCode {
-    match Args::parse(args).and_then(|args| execute(&args)) {
-        Ok(output) => {
-            print!("{output}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("damaskweir bench: {error}\n{USAGE}");
-            ExitCode::FAILURE
-        }
+/// Runs the command and returns its output; the arguments are those after `bench`.
+pub fn run(mut args: Arguments) -> Result<String, BenchError> {
+    match args.subcommand()?.as_deref() {
+        None => execute(&Args::parse(args)?),
+        Some("capacity") => Ok(capacity::run()?),
+        Some(other) => Err(BenchError::Unknown(other.to_owned())),
     }
 }
 
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -10,8 +10,14 @@
 use crate::route::Need;
 use crate::time::{Span, Time};
 
+/// An attempt may probe a slow server when it has this many times its estimate left.
+const PROBE_SPARE: u64 = 6;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
+/// Shortest retry hint.
+const HINT_MIN: Span = Span::from_millis(100);
+/// Further servers that a refused attempt is sent to at once.
+const BOUNCES_MAX: u32 = 2;
 /// Delay of the baseline's retries. Not zero, so that a pool without an open server is not tried in
 /// an endless loop.
 const BASELINE_DELAY: Span = Span::from_millis(1);
@@ -28,8 +34,14 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(stage) = request.stage() else { return };
         let (pool, effect) = (stage.pool.clone(), stage.effect);
+        if let Some(hint) = self.hopeless(now, id) {
+            self.give_up(id, Code::Overloaded, Some(hint), actions);
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.used.clear();
         request.number = 0;
+        request.bounces = 0;
         match effect {
             Effect::Idempotent => {
                 if let Some(budget) = self.budgets.get_mut(&pool) {
@@ -41,6 +53,20 @@
         }
     }
 
+    /// Whether the stages that are left can't be done in time any more; then with a retry hint.
+    /// Going on would only take time from requests that can make it.
+    fn hopeless(&self, now: Time, id: RequestId) -> Option<Span> {
+        let request = self.requests.get(&id)?;
+        if !self.settings.admission || request.stage == 0 {
+            return None;
+        }
+        let call = &request.call;
+        let pipeline = request.bundle.pipelines.get(&call.pipeline)?;
+        let (work, wait) =
+            self.predict(now, &call.pipeline, request.class, pipeline, request.stage)?;
+        (work > request.deadline.since(now)).then_some(wait.max(HINT_MIN))
+    }
+
     /// Sends one attempt at the current stage, or plans another try when no server is open.
     pub(crate) fn send(
         &mut self,
@@ -70,8 +96,14 @@
             return None;
         }
         let stage = request.stage()?;
-        let estimate = self.estimate(&request.call.pipeline, request.stage, stage);
-        let need = Need { estimate, prefix: request.call.prefix, avoid: &request.used };
+        let estimate = self.estimate(&request.call.pipeline, request.stage, request.class, stage);
+        let spare = request.deadline.since(now) > estimate * PROBE_SPARE;
+        let need = Need {
+            estimate,
+            prefix: request.call.prefix,
+            avoid: &request.used,
+            probe: spare && request.used.is_empty() && stage.effect == Effect::Idempotent,
+        };
         let choice = self.routers.get(&stage.pool)?.choose(now, rng, &need)?;
         let workspace = request.call.workspace.clone();
         let share = request.bundle.workspaces.get(&workspace).map_or(1, |w| w.share);
@@ -102,19 +134,35 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(stage) = request.stage() else { return };
         let (pool, effect) = (stage.pool.clone(), stage.effect);
-        let estimator = self.estimators.get(&(request.call.pipeline.clone(), request.stage));
+        let key = (request.call.pipeline.clone(), request.stage, request.class);
+        let estimator = self.estimators.get(&key);
         let high = estimator.map_or(stage.expected * 2, Estimator::high);
-        request.attempts.push(Attempt { id: dispatch.attempt, server: server.clone(), sent: now });
+        let wait =
+            self.routers.get(&pool).map_or(Span::ZERO, |r| r.wait(&server, dispatch.estimate));
+        let probe = self.routers.get(&pool).is_some_and(|r| r.is_ejected(&server));
+        request.attempts.push(Attempt {
+            id: dispatch.attempt,
+            server: server.clone(),
+            sent: now,
+            wait,
+            served: None,
+        });
         if !request.used.contains(&server) {
             request.used.push(server.clone());
         }
         request.number = request.number.saturating_add(1);
         request.retry_at = None;
         let hedge = hedging && effect == Effect::Idempotent && request.attempts.len() == 1;
-        request.hedge_at = hedge.then(|| now + high);
+        // A probe is expected to be slow: its hedge does not wait for the high quantile.
+        let patience = if probe { dispatch.estimate } else { wait + high };
+        request.hedge_at = hedge.then(|| now + patience);
+        let prefix = request.call.prefix;
         request.open.insert(dispatch.attempt);
         if let Some(router) = self.routers.get_mut(&pool) {
-            router.sent(&server);
+            router.sent(now, &server, dispatch.attempt, dispatch.estimate, prefix);
+        }
+        if let Some(hedges) = self.hedges.get_mut(&pool) {
+            hedges.deposit(dispatch.estimate);
         }
         actions.push(EntryAction::Send { server, dispatch, input: request.input });
     }
@@ -144,7 +192,35 @@
         if request.claim.is_some() {
             self.claim_refused(now, rng, attempt, refusal, actions);
         } else if request.attempts.is_empty() {
-            self.retry(now, rng, attempt.request, actions);
+            self.bounce(now, rng, attempt.request, refusal, actions);
+        }
+    }
+
+    /// Sends a refused attempt to another server. It has cost no work, so it needs no budget, but
+    /// when a few servers have refused, the others are no better.
+    fn bounce(
+        &mut self,
+        now: Time,
+        rng: &mut Rng,
+        id: RequestId,
+        refusal: Refusal,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let baseline = self.settings.policy == Policy::Baseline;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.bounces += 1;
+        let more = request.bounces <= BOUNCES_MAX;
+        match refusal {
+            _ if baseline => self.retry(now, rng, id, actions),
+            Refusal::Expired => self.give_up(id, Code::Overloaded, Some(DEFAULT_RETRY), actions),
+            Refusal::Overloaded { retry } if !more => {
+                self.give_up(id, Code::Overloaded, Some(retry.max(HINT_MIN)), actions);
+            }
+            _ if more => {
+                self.send(now, rng, id, actions);
+                self.arm(id);
+            }
+            _ => self.retry(now, rng, id, actions),
         }
     }
 
@@ -185,6 +261,9 @@
         outcome: Outcome,
         actions: &mut Vec<EntryAction>,
     ) {
+        if outcome == Outcome::Finished {
+            self.note_run(attempt);
+        }
         let Some(ended) = self.take_attempt(attempt) else { return };
         let id = attempt.request;
         if outcome != Outcome::Failed(Failure::Interrupted) {
@@ -355,7 +434,13 @@
         let Some(stage) = request.stage() else { return };
         let same = request.used.contains(&server);
         let pool = stage.pool.clone();
-        if !same && self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
+        // In a queue it would only take the turn of a first attempt.
+        let waits = self.routers.get(&pool).map(|r| r.wait(&server, dispatch.estimate));
+        if waits.is_none_or(|wait| wait > Span::ZERO) {
+            return;
+        }
+        let hedges = self.hedges.get_mut(&pool);
+        if !same && hedges.is_some_and(|budget| budget.withdraw(dispatch.estimate)) {
             self.dispatch(now, id, server, dispatch, actions);
         }
     }
@@ -392,13 +477,14 @@
 
     /// Forgets a request and cancels what it has running.
     pub(crate) fn end(&mut self, id: RequestId, actions: &mut Vec<EntryAction>) {
+        let now = self.now;
         let Some(request) = self.requests.remove(&id) else { return };
         self.timers.remove(&(request.armed, id));
         self.admission.release(&request.call.workspace);
         let pool = request.stage().map(|stage| &stage.pool);
         for attempt in &request.attempts {
             if let Some(router) = pool.and_then(|pool| self.routers.get_mut(pool)) {
-                router.ended(&attempt.server);
+                router.ran(now, &attempt.server, attempt.id, true);
             }
             actions.push(EntryAction::Cancel(attempt.server.clone(), attempt.id));
         }
@@ -406,17 +492,28 @@
 
     /// Cancels all other attempts at the stage of `winner`.
     fn cancel_others(&mut self, winner: AttemptId, actions: &mut Vec<EntryAction>) {
+        let now = self.now;
         let Some(request) = self.requests.get_mut(&winner.request) else { return };
         let pool = request.stage().map(|stage| stage.pool.clone());
         let losers: Vec<_> = request.attempts.extract_if(.., |a| a.id != winner).collect();
         for loser in losers {
             if let Some(router) = pool.as_ref().and_then(|pool| self.routers.get_mut(pool)) {
-                router.ended(&loser.server);
+                router.ran(now, &loser.server, loser.id, true);
             }
             actions.push(EntryAction::Cancel(loser.server, loser.id));
         }
     }
 
+    /// Tells the router that an attempt ran to its end.
+    fn note_run(&mut self, id: AttemptId) {
+        let Some(request) = self.requests.get(&id.request) else { return };
+        let attempt = request.attempts.iter().find(|attempt| attempt.id == id);
+        let (Some(attempt), Some(stage)) = (attempt, request.stage()) else { return };
+        if let Some(router) = self.routers.get_mut(&stage.pool) {
+            router.ran(self.now, &attempt.server, id, false);
+        }
+    }
+
     /// Takes a running attempt out of its request; counts messages of any other as dropped.
     fn take_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let taken = self.requests.get_mut(&id.request).and_then(|request| {
@@ -429,7 +526,7 @@
             return None;
         };
         if let Some(router) = self.routers.get_mut(&pool) {
-            router.ended(&attempt.server);
+            router.ended(&attempt.server, attempt.id);
         }
         Some(attempt)
     }
@@ -438,12 +535,10 @@
     fn learn(&mut self, now: Time, ended: &Attempt) {
         let Some(request) = self.requests.get(&ended.id.request) else { return };
         let Some(stage) = request.stage() else { return };
-        let key = (request.call.pipeline.clone(), request.stage);
+        let key = (request.call.pipeline.clone(), request.stage, request.class);
         let expected = stage.expected;
-        self.estimators
-            .entry(key)
-            .or_insert_with(|| Estimator::new(expected))
-            .observe(now.since(ended.sent));
+        let seen = ended.served.unwrap_or_else(|| now.since(ended.sent).saturating_sub(ended.wait));
+        self.estimators.entry(key).or_insert_with(|| Estimator::new(expected)).observe(seen);
     }
 
     /// The run of the side process that a server's last report told.
--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -27,6 +27,7 @@
     let (text, last) = rest(&mut attempt).await;
     assert_eq!(last, Some(FINISHED));
     assert_eq!(text, engine::answer("labels", 8));
+    assert!(attempt.served().is_some());
     assert_eq!(engine.runs().keys.get(&Digest([4; 32]).to_string()), Some(&1));
 }
 
@@ -214,6 +215,25 @@
     assert_eq!(engine.runs().total(), 1);
 }
 
+/// Guards against a shutdown that loses an answer which the entry has not taken yet.
+#[tokio::test]
+async fn drain_waits_until_answers_are_delivered() {
+    let service = service::Service::start().await.unwrap();
+    let rig = Rig::for_service(&service, 1).await;
+    let entry = rig.connect().await;
+    // More than the connection takes while nobody reads.
+    let input = "x".repeat(4 << 20);
+    let body = serde_json::json!({ "input": input }).to_string();
+    let mut attempt = entry.dispatch_body(&rig.once(0), body.clone().into()).await;
+    until(|| service.runs().finished == 1).await;
+    let drain = tokio::spawn(rig.daemon.drain());
+    entry.wait_until_serving(false).await;
+    let (answer, last) = rest(&mut attempt).await;
+    assert_eq!(last, Some(FINISHED));
+    assert!(answer.len() > body.len(), "{} bytes", answer.len());
+    within(drain).await.unwrap();
+}
+
 /// Guards against an attempt that hangs, or looks finished, when its side dies in the middle of it.
 #[tokio::test]
 async fn killed_side_breaks_its_streams() {
@@ -259,6 +279,23 @@
     assert_eq!(engine.runs().total(), 1);
 }
 
+/// Guards against attempts that wait inside the engine, out of reach for order and deadlines.
+#[tokio::test]
+async fn load_report_of_the_engine_lowers_the_limit() {
+    let engine = engine::Engine::start(1).await.unwrap();
+    engine.set(|behaviour| behaviour.hold = Some(0));
+    let rig = Rig::for_engine(&engine, 4).await;
+    let entry = rig.connect().await;
+    let _attempts = [
+        entry.dispatch(&idempotent(0)).await,
+        entry.dispatch(&idempotent(1)).await,
+        entry.dispatch(&idempotent(2)).await,
+    ];
+    let mut reports = entry.link.reports();
+    let lowered = |report: &Option<Report>| report.is_some_and(|report| report.limit < 4);
+    within(reports.wait_for(lowered)).await.unwrap();
+}
+
 /// Guards against "outcome unknown" for a call that the service refused before it ran, and against a
 /// late copy that still runs.
 #[tokio::test]
--- a/crates/operators/src/command.rs
+++ b/crates/operators/src/command.rs
@@ -113,22 +113,19 @@
     }
 }
 
-/// Runs `bundle ...` or `key ...`. Results and errors go to `output`.
-pub async fn run(arguments: Vec<OsString>, output: &mut (dyn Write + Send)) -> Exit {
+/// Runs `bundle ...` or `key ...`. Results go to `output`, errors to `errors`.
+pub async fn run(arguments: Vec<OsString>, output: &mut dyn Write, errors: &mut dyn Write) -> Exit {
     match dispatch(Arguments::from_vec(arguments), output).await {
         Ok(exit) => exit,
         Err(error) => {
-            // Without an output there is nobody to tell; the exit code still says it.
-            let _ = writeln!(output, "{error}");
+            // Without standard error, the exit code still says it.
+            let _ = writeln!(errors, "{error}");
             error.exit()
         }
     }
 }
 
-async fn dispatch(
-    mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
-) -> Result<Exit, CommandError> {
+async fn dispatch(mut arguments: Arguments, output: &mut dyn Write) -> Result<Exit, CommandError> {
     let group = arguments.subcommand()?.unwrap_or_default();
     let command = arguments.subcommand()?.unwrap_or_default();
     match (group.as_str(), command.as_str()) {
@@ -183,10 +180,7 @@
     Ok(Exit::Done)
 }
 
-async fn compare(
-    mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
-) -> Result<Exit, CommandError> {
+async fn compare(mut arguments: Arguments, output: &mut dyn Write) -> Result<Exit, CommandError> {
     let client = optional_store(&mut arguments)?;
     let after = path_argument(&mut arguments)?;
     let (before, after) = match client {
@@ -246,7 +240,7 @@
 
 async fn run_approve(
     mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
+    output: &mut dyn Write,
 ) -> Result<Exit, CommandError> {
     let signing = Signing::read(&mut arguments)?;
     let path = path_argument(&mut arguments)?;
@@ -258,7 +252,7 @@
 
 async fn run_rollback(
     mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
+    output: &mut dyn Write,
 ) -> Result<Exit, CommandError> {
     let signing = Signing::read(&mut arguments)?;
     let to: u64 = arguments.free_from_str()?;
@@ -285,7 +279,7 @@
 
 async fn run_status(
     mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
+    output: &mut dyn Write,
 ) -> Result<Exit, CommandError> {
     let client = store(&mut arguments)?;
     finish(arguments)?;
@@ -295,7 +289,7 @@
 
 async fn run_history(
     mut arguments: Arguments,
-    output: &mut (dyn Write + Send),
+    output: &mut dyn Write,
 ) -> Result<Exit, CommandError> {
     let client = store(&mut arguments)?;
     let all = arguments.contains("--all");
