Test a side under many failures at once

Cause: the failure tests try one failure at a time. Change: 400 attempts over four connections, some sent twice, some dropped, while the service refuses, fails, breaks off and loses answers at random; the runs that the service counted must agree with what entries and the side were told.

--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -1,6 +1,7 @@
 //! Failures around a side: the daemon between an entry's connection and the stand-in of a backend
 //! server.
 
+mod storm;
 mod support;
 
 use damaskweir_core::prelude::*;
