--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod backend;
+mod capacity;
 mod deployment;
 mod experiment;
 mod output;
@@ -23,7 +24,6 @@
 use output::{Document, PolicyFindings};
 use pico_args::Arguments;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 /// Options of the command, for its help text.
 pub const USAGE: &str = "\
@@ -32,6 +32,9 @@
     [--without hedging|admission|jitter]
 experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
 when none is named. --without turns one policy off, to measure what it brings
+
+damaskweir bench capacity
+    processor time and memory of the decision core by size, on this machine
 ";
 
 /// Shortest run; the overload and slowdown windows are a third of it.
@@ -59,6 +62,9 @@
     /// The deployment can't be used.
     #[error("deployment: {0}")]
     Deployment(#[from] DeploymentError),
+    /// The sizes of this process can't be read.
+    #[error("capacity: {0}")]
+    Capacity(#[from] std::io::Error),
     /// JSON can't be written.
     #[error("output: {0}")]
     Json(#[from] serde_json::Error),
@@ -202,17 +208,12 @@
     }
 }
 
-/// Runs the command; the arguments are those after `bench`.
-pub fn run(args: Arguments) -> ExitCode {
-    match Args::parse(args).and_then(|args| execute(&args)) {
-        Ok(output) => {
-            print!("{output}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("damaskweir bench: {error}\n{USAGE}");
-            ExitCode::FAILURE
-        }
+/// Runs the command and returns its output; the arguments are those after `bench`.
+pub fn run(mut args: Arguments) -> Result<String, BenchError> {
+    match args.subcommand()?.as_deref() {
+        None => execute(&Args::parse(args)?),
+        Some("capacity") => Ok(capacity::run()?),
+        Some(other) => Err(BenchError::Unknown(other.to_owned())),
     }
 }
 
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -76,7 +76,7 @@
     queue: Queue,
     /// Effects of the attempts in `queue`.
     effects: BTreeMap<AttemptId, Effect>,
-    /// At most `settings.slots`.
+    /// At most `limit` when they were started.
     running: BTreeMap<AttemptId, Running>,
     /// Non-idempotent attempts that ended, for the retention time.
     ended: BTreeMap<AttemptId, Outcome>,
@@ -253,6 +253,7 @@
     /// order and the deadlines here, so the limit comes down by their number; it rises again while
     /// attempts wait here and none there.
     pub fn load(&mut self, now: Time, waiting: u32) -> Vec<SideAction> {
+        self.now = self.now.max(now);
         if self.settings.policy == Policy::Baseline || now < self.settled {
             return Vec::new();
         }
@@ -348,7 +349,9 @@
         let slots = self.limit as usize;
         let moving = slots.saturating_sub(self.long_running(now)).max(1) as u64;
         let ahead = self.queue.backlog_before(now, latest);
-        let own = self.queue.typical().unwrap_or_default();
+        // Attempts above a lowered limit must end before a slot is free.
+        let above = self.running.len().saturating_sub(slots) as u64;
+        let own = self.queue.typical().unwrap_or_default() * (above + 1);
         Span((ahead + own).0 / moving).scale(self.pace(now))
     }
 
