--- a/crates/callers/src/call.rs
+++ b/crates/callers/src/call.rs
@@ -22,6 +22,8 @@
 const MAX_DEADLINE_MS: u64 = 24 * 3_600 * 1_000;
 /// Longest idempotency key in bytes.
 const MAX_KEY: usize = 255;
+/// Length of a token, for guessing the size of a request that tells no `max_tokens`.
+const TOKEN_BYTES: u64 = 4;
 /// Bytes at the start of a prompt that decide about affinity.
 const PREFIX: usize = 512;
 
@@ -75,6 +77,8 @@
     stream: bool,
     #[serde(default)]
     prompt: Option<serde_json::Value>,
+    #[serde(default)]
+    max_tokens: Option<serde_json::Value>,
 }
 
 /// Runs a pipeline on the body.
@@ -155,6 +159,8 @@
     let name = req.param::<String>("name").ok_or(ErrorCode::UnknownPipeline)?;
     let body = read_body(req, state.limits.body).await?;
     let head = read_head(&body)?;
+    let tokens = head.max_tokens.as_ref().and_then(serde_json::Value::as_u64);
+    let size = tokens.unwrap_or(body.len() as u64 / TOKEN_BYTES);
     let prefix = head.prompt.as_ref().and_then(|prompt| prompt.as_str()).map(prefix_digest);
     Ok(Submission {
         pipeline: PipelineId::from(name.as_str()),
@@ -163,6 +169,7 @@
         key,
         digest: Digest(Sha256::digest(&body).into()),
         body,
+        size,
         prefix,
         stream: accepts || head.stream,
     })
--- a/crates/callers/src/gateway.rs
+++ b/crates/callers/src/gateway.rs
@@ -37,6 +37,8 @@
     pub body: Bytes,
     /// Digest of the body.
     pub digest: Digest,
+    /// Tokens that the request asks for, or a guess from its length.
+    pub size: u64,
     /// Digest of the start of the prompt, for affinity.
     pub prefix: Option<u64>,
     /// Whether chunks are wanted as they come.
--- a/crates/callers/tests/api.rs
+++ b/crates/callers/tests/api.rs
@@ -169,6 +169,18 @@
     assert!(submission.key.is_some() && submission.prefix.is_some() && !submission.stream);
 }
 
+/// Guards against long drafts being predicted like short questions.
+#[rstest]
+#[case(r#"{"prompt":"p","max_tokens":900}"#, 900)]
+#[case(r#"{"prompt":"pppppppp"}"#, 5)]
+#[case(r#"{"max_tokens":"many"}"#, 5)]
+#[tokio::test]
+async fn size_of_the_request(#[case] body: &'static str, #[case] want: u64) {
+    let bed = Bed::start(Script::Events(vec![finished("{}", Form::Json)])).await;
+    assert_eq!(bed.post(body).send().await.unwrap().status(), 200);
+    assert_eq!(bed.fake.submissions.lock().unwrap()[0].size, want);
+}
+
 /// Guards against text of an engine that looks like JSON being given another type.
 #[rstest]
 #[case("42", Form::Text, r#""42""#)]
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -6,6 +6,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SizeClass(pub u8);
 
+impl SizeClass {
+    /// The class of a size in any unit: a new one at each power of two.
+    pub fn of(size: u64) -> Self {
+        Self(size.max(1).ilog2() as u8)
+    }
+}
+
 /// Weight of a new sample in the mean.
 const MEAN_WEIGHT: f64 = 0.05;
 /// Step of the quantile estimate, as a share of the mean.
--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -14,6 +14,7 @@
 use damaskweir_core::entry::{
     Answer, Call, ClaimAnswer, ClaimWrite, Entry, EntryAction, EntryEvent, EntrySettings, Input,
 };
+use damaskweir_core::predict::SizeClass;
 use damaskweir_core::prelude::*;
 use damaskweir_core::retry::Backoff;
 use damaskweir_store::{ClaimSettings, ClaimWriter, Client, StoreError};
@@ -644,7 +645,8 @@
         let mut state = self.lock();
         let state = &mut *state;
         let bundle = Arc::clone(state.entry.bundle());
-        let (id, actions) = state.entry.call(self.now(), &mut state.rng, call);
+        let class = SizeClass::of(submission.size);
+        let (id, actions) = state.entry.call_sized(self.now(), &mut state.rng, call, class);
         let weak = Arc::downgrade(self);
         let (sender, reply) = reply(id.to_string(), move || {
             if let Some(shared) = weak.upgrade() {
