--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,308 @@
+//! Measures what the decision core costs: processor time and memory by size.
+//!
+//! Unlike the virtual-time runs, this reads the clocks of the machine it runs on, so two runs differ.
+
+use damaskweir_core::Rng;
+use damaskweir_core::entry::{Call, Entry, EntryAction, EntryEvent, EntrySettings};
+use damaskweir_core::prelude::*;
+use damaskweir_core::side::{Side, SideAction, SideSettings};
+use rand_core::SeedableRng as _;
+use std::fmt;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+/// Bytes per page in `/proc/self/statm`.
+const PAGE: u64 = 4096;
+/// Pipelines, each of four stages, and a pool for each stage.
+const PIPELINES: usize = 20;
+const STAGES: usize = 4;
+/// Requests per measurement of processor time.
+const REQUESTS: u64 = 20_000;
+/// Objects per measurement of memory; the resident size moves in pages, so one object is too small.
+const COPIES: usize = 20;
+
+/// One quantity at several sizes.
+struct Series {
+    name: &'static str,
+    unit: &'static str,
+    per: &'static str,
+    points: Vec<(f64, f64)>,
+}
+
+impl Series {
+    /// Least-squares slope and intercept.
+    fn line(&self) -> (f64, f64) {
+        let n = self.points.len() as f64;
+        let x = self.points.iter().map(|p| p.0).sum::<f64>() / n;
+        let y = self.points.iter().map(|p| p.1).sum::<f64>() / n;
+        let above: f64 = self.points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+        let below: f64 = self.points.iter().map(|p| (p.0 - x).powi(2)).sum();
+        let slope = above / below;
+        (slope, y - slope * x)
+    }
+}
+
+impl fmt::Display for Series {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} ({})", self.name, self.unit)?;
+        for (size, value) in &self.points {
+            writeln!(f, "  {size:>8} {}: {value:.1}", self.per)?;
+        }
+        let (slope, base) = self.line();
+        writeln!(f, "  slope {slope:.4} {} per {}, base {base:.1}", self.unit, self.per)
+    }
+}
+
+/// Runs all measurements and returns the report.
+pub(crate) fn run() -> std::io::Result<String> {
+    let series = [
+        entry_memory_by_servers()?,
+        entry_memory_by_workspaces()?,
+        entry_memory_by_requests()?,
+        entry_time_by_servers()?,
+        entry_time_by_requests()?,
+        side_time_by_queue()?,
+        side_memory_by_ends()?,
+    ];
+    Ok(series.iter().map(ToString::to_string).collect())
+}
+
+fn entry_memory_by_servers() -> std::io::Result<Series> {
+    let mut points = Vec::new();
+    for servers in [1_000, 4_000, 11_000] {
+        let bundle = bundle(servers, 100);
+        let grown = resident_growth(|| {
+            (0..COPIES as u64).map(|i| entry(Incarnation(i), &bundle)).collect::<Vec<_>>()
+        })?;
+        points.push((servers as f64, grown / COPIES as f64 / 1024.0));
+    }
+    Ok(Series { name: "entry: memory by servers", unit: "KiB", per: "servers", points })
+}
+
+fn entry_memory_by_workspaces() -> std::io::Result<Series> {
+    let mut points = Vec::new();
+    for workspaces in [600, 2_000, 6_000] {
+        let grown =
+            resident_growth(|| (0..COPIES).map(|_| bundle(1_000, workspaces)).collect::<Vec<_>>())?;
+        points.push((workspaces as f64, grown / COPIES as f64 / 1024.0));
+    }
+    Ok(Series { name: "bundle: memory by workspaces", unit: "KiB", per: "workspaces", points })
+}
+
+fn entry_memory_by_requests() -> std::io::Result<Series> {
+    let bundle = bundle(1_000, 100);
+    let mut points = Vec::new();
+    for requests in [1_000, 4_000, 16_000] {
+        let mut entry = entry(Incarnation(1), &bundle);
+        let mut rng = Rng::seed_from_u64(1);
+        let grown = resident_growth(|| {
+            (0..requests)
+                .map(|i| entry.call(Time(i), &mut rng, call(i)).1)
+                .filter(|actions| actions.iter().any(|a| matches!(a, EntryAction::Send { .. })))
+                .count()
+        })?;
+        points.push((requests as f64, grown / 1024.0));
+    }
+    Ok(Series { name: "entry: memory by requests", unit: "KiB", per: "in progress", points })
+}
+
+fn entry_time_by_servers() -> std::io::Result<Series> {
+    let mut points = Vec::new();
+    for servers in [1_000, 4_000, 11_000] {
+        let bundle = bundle(servers, 6_000);
+        points.push((servers as f64, time_per_request(&bundle, 0)?));
+    }
+    Ok(Series { name: "entry: time per request of 4 stages", unit: "us", per: "servers", points })
+}
+
+fn entry_time_by_requests() -> std::io::Result<Series> {
+    let bundle = bundle(11_000, 6_000);
+    let mut points = Vec::new();
+    for requests in [100, 400, 1_600] {
+        points.push((requests as f64, time_per_request(&bundle, requests)?));
+    }
+    Ok(Series {
+        name: "entry: time per request of 4 stages",
+        unit: "us",
+        per: "in progress",
+        points,
+    })
+}
+
+/// Processor time of one request from call to answer, while others are in progress.
+fn time_per_request(bundle: &Arc<Bundle>, others: u64) -> std::io::Result<f64> {
+    let mut entry = entry(Incarnation(1), bundle);
+    let mut rng = Rng::seed_from_u64(1);
+    for i in 0..others {
+        entry.call(Time(i), &mut rng, call(i));
+    }
+    let start = thread_time()?;
+    for i in 0..REQUESTS {
+        // Long enough apart that no workspace looks greedy, short enough that no deadline passes.
+        let now = Time(others + i);
+        let (_, mut actions) = entry.call(now, &mut rng, call(i));
+        while let Some(attempt) = sent(&actions) {
+            entry.event(now, &mut rng, EntryEvent::Accepted(attempt));
+            actions = entry.event(now, &mut rng, EntryEvent::Done(attempt, Outcome::Finished));
+        }
+        black_box(&actions);
+    }
+    Ok((thread_time()? - start) / REQUESTS as f64)
+}
+
+fn side_time_by_queue() -> std::io::Result<Series> {
+    let mut points = Vec::new();
+    for queued in [8, 32, 128] {
+        let mut side = Side::new(Incarnation(1), SideSettings::default());
+        for serial in 0..queued {
+            side.dispatch(Time(0), &dispatch(serial, Effect::Idempotent));
+        }
+        let start = thread_time()?;
+        for serial in queued..queued + REQUESTS {
+            let mut actions = side.dispatch(Time(serial), &dispatch(serial, Effect::Idempotent));
+            let oldest = dispatch(serial - queued, Effect::Idempotent).attempt;
+            actions.extend(side.finish(Time(serial), oldest, Outcome::Finished));
+            black_box((actions, side.report(Time(serial))));
+        }
+        points.push((queued as f64, (thread_time()? - start) / REQUESTS as f64));
+    }
+    Ok(Series { name: "side: time per attempt", unit: "us", per: "in progress", points })
+}
+
+fn side_memory_by_ends() -> std::io::Result<Series> {
+    let mut points = Vec::new();
+    for ends in [10_000, 40_000, 160_000] {
+        let mut side = Side::new(Incarnation(1), SideSettings::default());
+        let grown = resident_growth(|| {
+            for serial in 0..ends {
+                let dispatch = dispatch(serial, Effect::Once);
+                let actions = side.dispatch(Time(serial), &dispatch);
+                if actions.contains(&SideAction::Start(dispatch.attempt)) {
+                    side.finish(Time(serial), dispatch.attempt, Outcome::Finished);
+                }
+            }
+        })?;
+        points.push((ends as f64, grown / 1024.0));
+    }
+    Ok(Series { name: "side: memory by kept ends", unit: "KiB", per: "kept ends", points })
+}
+
+fn sent(actions: &[EntryAction]) -> Option<AttemptId> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Send { dispatch, .. } => Some(dispatch.attempt),
+        _ => None,
+    })
+}
+
+/// An entry that is connected to all servers of its subset.
+fn entry(incarnation: Incarnation, bundle: &Arc<Bundle>) -> Entry {
+    let zone = AvailabilityZone::from("zone-0");
+    let mut entry = Entry::new(incarnation, zone, EntrySettings::default(), Arc::clone(bundle));
+    for (id, pool) in &bundle.pools {
+        for server in &pool.servers {
+            entry.connected(Time(0), id, &server.id, true);
+        }
+    }
+    entry
+}
+
+fn bundle(servers: usize, workspaces: usize) -> Arc<Bundle> {
+    let count = PIPELINES * STAGES;
+    let pool = |i: usize| PoolId::from(format!("pool-{i:02}").as_str());
+    let pools = (0..count).map(|i| {
+        let servers = (i..servers).step_by(count).map(server).collect();
+        (pool(i), Pool { kind: PoolKind::Service, servers, resume: false, extra: 100 })
+    });
+    let pipelines = (0..PIPELINES).map(|i| {
+        let stages = (0..STAGES).map(|s| stage(s, pool(i * STAGES + s))).collect();
+        (pipeline(i), Pipeline { deadline: Span::from_secs(3), stages })
+    });
+    let workspaces =
+        (0..workspaces).map(|i| (workspace(i), Workspace { share: 1, limit: 100_000 }));
+    Arc::new(Bundle {
+        version: Version(1),
+        pools: pools.collect(),
+        pipelines: pipelines.collect(),
+        workspaces: workspaces.collect(),
+        operators: std::collections::BTreeMap::new(),
+    })
+}
+
+fn server(i: usize) -> BackendServer {
+    BackendServer {
+        id: ServerId::from(format!("server-{i:05}").as_str()),
+        zone: AvailabilityZone::from(format!("zone-{}", i % 10).as_str()),
+        side: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        slots: 10_000,
+    }
+}
+
+fn stage(i: usize, pool: PoolId) -> Stage {
+    Stage {
+        name: format!("stage-{i}"),
+        pool,
+        effect: Effect::Idempotent,
+        path: "/".to_owned(),
+        expected: Span::from_millis(1),
+    }
+}
+
+fn pipeline(i: usize) -> PipelineId {
+    PipelineId::from(format!("pipeline-{i:02}").as_str())
+}
+
+fn workspace(i: usize) -> WorkspaceId {
+    WorkspaceId::from(format!("workspace-{i:04}").as_str())
+}
+
+fn call(serial: u64) -> Call {
+    Call {
+        pipeline: pipeline(serial as usize % PIPELINES),
+        workspace: workspace(serial as usize % 100),
+        deadline: None,
+        key: None,
+        body: Digest([0; 32]),
+        prefix: None,
+        stream: false,
+    }
+}
+
+fn dispatch(serial: u64, effect: Effect) -> Dispatch {
+    let request = RequestId { entry: Incarnation(7), serial };
+    Dispatch {
+        attempt: AttemptId { request, stage: 0, number: 0 },
+        version: Version(1),
+        workspace: workspace(serial as usize % 100),
+        share: 1,
+        remaining: Span::from_secs(3_600),
+        estimate: Span::from_millis(1),
+        effect,
+        resume: 0,
+        incarnation: (effect == Effect::Once).then_some(Incarnation(1)),
+    }
+}
+
+/// Growth of the resident size, in bytes, while the result lives.
+fn resident_growth<T>(make: impl FnOnce() -> T) -> std::io::Result<f64> {
+    let before = resident()?;
+    let made = make();
+    let after = resident()?;
+    black_box(&made);
+    Ok(after.saturating_sub(before) as f64)
+}
+
+fn resident() -> std::io::Result<u64> {
+    Ok(proc_field("/proc/self/statm", 1)? * PAGE)
+}
+
+/// Processor time of this thread in microseconds.
+fn thread_time() -> std::io::Result<f64> {
+    Ok(proc_field("/proc/thread-self/schedstat", 0)? as f64 / 1e3)
+}
+
+fn proc_field(path: &str, field: usize) -> std::io::Result<u64> {
+    let text = std::fs::read_to_string(path)?;
+    let value = text.split_whitespace().nth(field).and_then(|word| word.parse().ok());
+    value.ok_or_else(|| std::io::Error::other(format!("{path}: field {field} is not a number")))
+}
--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -25,11 +25,13 @@
         /// When to come back.
         retry: Span,
     },
+    /// The stages alone take longer than the deadline; coming back later does not help.
+    TooShort,
 }
 
 /// Share of its budget that a request may be predicted to wait. A longer queue would add no
 /// throughput, only latency, and would leave later stages without time.
-const WAIT_SHARE: f64 = 0.25;
+const WAIT_SHARE: f64 = 0.3;
 /// Time after which admitted work counts for less than half.
 const USAGE_MEMORY: Span = Span::from_secs(2);
 /// Least and greatest part of the usual wait that a workspace is allowed.
@@ -42,6 +44,8 @@
 pub struct Ask {
     /// Predicted service time of all its stages.
     pub work: Span,
+    /// Service time of all its stages that the bundle tells to expect.
+    pub expected: Span,
     /// Predicted wait at all its stages.
     pub wait: Span,
     /// Time until its deadline.
@@ -87,10 +91,13 @@
         ask: Option<Ask>,
     ) -> Result<(), Denial> {
         if let Some(ask) = ask {
+            if ask.work > ask.budget {
+                return Err(too_slow(&ask));
+            }
             let usual = ask.budget.saturating_sub(ask.work).0.min(ask.budget.scale(WAIT_SHARE).0);
             let allowed = Span(usual).scale(self.standing(now, id));
-            if ask.wait > allowed || ask.work > ask.budget {
-                let over = (ask.wait + ask.work).saturating_sub(allowed + ask.work);
+            if ask.wait > allowed {
+                let over = ask.wait.saturating_sub(allowed);
                 return Err(Denial::Overloaded { retry: over.max(HINT_MIN) });
             }
             self.sum_up(now);
@@ -144,3 +151,49 @@
         usage.updated = now;
     }
 }
+
+/// Tells a deadline that is always too short from servers that are slow for the moment.
+fn too_slow(ask: &Ask) -> Denial {
+    if ask.expected > ask.budget {
+        Denial::TooShort
+    } else {
+        Denial::Overloaded { retry: ask.work.saturating_sub(ask.budget).max(HINT_MIN) }
+    }
+}
+
+/// Time without a good answer after which the store counts as down; one lost answer says little.
+const STORE_DOWN_AFTER: Span = Span::from_millis(500);
+/// Time after which the last failure says nothing any more.
+const STORE_DOWN_MEMORY: Span = Span::from_secs(2);
+/// Time between requests that are let through to see whether the store is back.
+const STORE_PROBE_TIME: Span = Span::from_millis(250);
+
+/// What the answers to claims tell about the store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreHealth {
+    /// First and last failure since the last good answer.
+    failures: Option<(Time, Time)>,
+    /// When a request was last let through.
+    probed: Time,
+}
+
+impl StoreHealth {
+    /// A claim was answered, or not.
+    pub fn answered(&mut self, now: Time, good: bool) {
+        let first = self.failures.map_or(now, |(first, _)| first);
+        self.failures = (!good).then_some((first, now));
+    }
+
+    /// Whether a request that needs the store may begin. While the store is down one is let through
+    /// from time to time, since the answer to its claim is the only way to see that the store is back.
+    pub fn allows(&mut self, now: Time) -> bool {
+        let down = self.failures.is_some_and(|(first, last)| {
+            now.since(first) >= STORE_DOWN_AFTER && now.since(last) < STORE_DOWN_MEMORY
+        });
+        let allowed = !down || now.since(self.probed) >= STORE_PROBE_TIME;
+        if allowed {
+            self.probed = now;
+        }
+        allowed
+    }
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,7 +1,7 @@
 //! Decisions of an entry: every request from admission to its one answer.
 
 use crate::Rng;
-use crate::admit::{Admission, Ask, Denial};
+use crate::admit::{Admission, Ask, Denial, StoreHealth};
 use crate::bundle::{Bundle, Effect, Pipeline, Stage};
 use crate::claim::ClaimRecord;
 use crate::ids::{
@@ -201,6 +201,8 @@
         WorkspaceLimit,
         /// The pools can't finish it in time.
         Overloaded,
+        /// The stages take longer than the deadline even when nothing waits.
+        DeadlineTooShort,
         /// No server of a pool can be reached.
         Unavailable,
         /// The entry is shutting down.
@@ -381,6 +383,7 @@
     pub(crate) hedges: BTreeMap<PoolId, WorkBudget>,
     pub(crate) estimators: BTreeMap<(PipelineId, u16, SizeClass), Estimator>,
     pub(crate) admission: Admission,
+    pub(crate) store: StoreHealth,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// One element per request: when its next timer runs out.
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
@@ -409,6 +412,7 @@
             hedges: BTreeMap::new(),
             estimators: BTreeMap::new(),
             admission: Admission::default(),
+            store: StoreHealth::default(),
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             now: Time::default(),
@@ -490,7 +494,10 @@
                 self.done(now, rng, attempt, outcome, &mut actions);
             }
             EntryEvent::Lost(attempt) => self.lost(now, rng, attempt, &mut actions),
-            EntryEvent::Claimed(id, answer) => self.claimed(now, rng, id, answer, &mut actions),
+            EntryEvent::Claimed(id, answer) => {
+                self.store.answered(now, answer != ClaimAnswer::Down);
+                self.claimed(now, rng, id, answer, &mut actions);
+            }
             EntryEvent::Stands(id, standing) => {
                 self.stands(now, rng, id, standing, &mut actions);
             }
@@ -595,15 +602,21 @@
         if once && call.key.is_none() {
             return Err((Code::KeyRequired, None));
         }
+        // Otherwise the stages before the claim would be paid for in vain.
+        if once && self.settings.admission && !self.store.allows(now) {
+            return Err((Code::StoreDown, Some(DEFAULT_RETRY)));
+        }
         let budget = call.deadline.unwrap_or(pipeline.deadline).min(pipeline.deadline);
         let (work, wait) = self
             .predict(now, &call.pipeline, class, pipeline, 0)
             .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
-        let ask = self.settings.admission.then_some(Ask { work, wait, budget });
+        let expected = pipeline.stages.iter().fold(Span::ZERO, |sum, stage| sum + stage.expected);
+        let ask = self.settings.admission.then_some(Ask { work, expected, wait, budget });
         match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
             Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
             Err(Denial::Overloaded { retry }) => Err((Code::Overloaded, Some(retry))),
+            Err(Denial::TooShort) => Err((Code::DeadlineTooShort, None)),
         }
     }
 
@@ -635,7 +648,7 @@
         settings: &Stage,
     ) -> Span {
         let key = (id.clone(), stage, class);
-        self.estimators.get(&key).map_or(settings.expected, Estimator::mean)
+        self.estimators.get(&key).map_or(settings.expected, |estimator| estimator.mean(self.now))
     }
 
     fn new_request(&self, call: Call, class: SizeClass, deadline: Time) -> Request {
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -39,6 +39,8 @@
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
   key new FILE           make an operator's key
+  bench [capacity]       measure the decision core in virtual time, or its own cost
+  model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
   --help                 print help
@@ -101,6 +103,16 @@
   --format text|json     form of the report (default text)
 ";
 
+const MODEL_HELP: &str = "\
+Usage: damaskweir model check [--quick]
+
+Explores every order of messages, timers and faults for small sizes and prints each size, its states, and
+pass or the shortest counterexample. docs/model.md describes the sizes. Exits with 1 on a counterexample.
+
+Options:
+  --quick                only the sizes that run in the tests
+";
+
 /// Why a command ended.
 #[derive(Debug, thiserror::Error)]
 enum CommandError {
@@ -181,12 +193,35 @@
         Some("demo") => demo(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
+        Some("bench") if help => print(out, damaskweir_bench::USAGE),
+        Some("bench") => {
+            let output = damaskweir_bench::run(arguments);
+            print(out, &output.map_err(|error| CommandError::Failure(error.to_string()))?)
+        }
+        Some("model") if help => print(out, MODEL_HELP),
+        Some("model") => model(arguments, out),
         None if help => print(out, HELP),
         Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
         None => Err(CommandError::Usage("a command is required".to_owned())),
     }
 }
 
+fn model(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("check") {
+        return Err(CommandError::Usage("'model check' is the only model command".to_owned()));
+    }
+    let quick = arguments.contains("--quick");
+    finish(arguments)?;
+    for size in damaskweir_model::Size::listed(quick) {
+        let report = damaskweir_model::check(size, None);
+        print(out, &format!("{report}\n"))?;
+        if report.violation.is_some() || !report.complete {
+            return Err(CommandError::Failure(format!("{size}: not passed")));
+        }
+    }
+    Ok(())
+}
+
 fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -16,6 +16,7 @@
     Answer, Call, ClaimAnswer, ClaimWrite, Entry, EntryAction, EntryEvent, EntrySettings, Input,
 };
 use damaskweir_core::epoch::EpochSettings;
+use damaskweir_core::predict::SizeClass;
 use damaskweir_core::prelude::*;
 use damaskweir_core::retry::Backoff;
 use damaskweir_store::{ClaimSettings, ClaimWriter, Client, StoreError};
@@ -695,7 +696,8 @@
         let mut state = self.lock();
         let state = &mut *state;
         let bundle = Arc::clone(state.entry.bundle());
-        let (id, actions) = state.entry.call(self.now(), &mut state.rng, call);
+        let class = SizeClass::of(submission.size);
+        let (id, actions) = state.entry.call_sized(self.now(), &mut state.rng, call, class);
         let weak = Arc::downgrade(self);
         let (sender, reply) = reply(id.to_string(), move || {
             if let Some(shared) = weak.upgrade() {
@@ -835,7 +837,9 @@
     match link.dispatch(&dispatch, work).await {
         Ok(attempt) => follow(&shared, id, attempt).await,
         Err(error) => {
-            debug!(shared.log, "attempt not sent"; "request" => %id.request, "attempt" => %id,
+            let stage = shared.lock().open.get(&id.request).and_then(Open::stage_name);
+            debug!(shared.log, "attempt not sent"; "request" => %id.request,
+                "workspace" => %dispatch.workspace, "stage" => stage, "attempt" => %id,
                 "error" => %error);
             shared.ended(id, "unsent", down);
         }
