Measure the spread of bundles in virtual time; test epochs, leases and fencing

'damaskweir bench spread' drives real nodes, with real signatures, sections and differences, over fakes of the store and of the connections: 40 entries and 400 sides with the store up, down right after acceptance, and with damaged answers; calls at rest at three sizes; the peak after an outage. The reporter moves to the core, which the bench and the daemons share.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 mod experiment;
 mod output;
 mod report;
+mod spread;
 mod store;
 mod summary;
 mod tally;
@@ -56,6 +57,9 @@
         /// What it may be.
         allowed: &'static str,
     },
+    /// The measurement of the spread of bundles can't be set up.
+    #[error("spread: {0}")]
+    Spread(String),
     /// Arguments were left over.
     #[error("unknown argument: {0}")]
     Unknown(String),
@@ -213,6 +217,7 @@
     match args.subcommand()?.as_deref() {
         None => execute(&Args::parse(args)?),
         Some("capacity") => Ok(capacity::run()?),
+        Some("spread") => spread::run(args),
         Some(other) => Err(BenchError::Unknown(other.to_owned())),
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod predict;
 pub mod prelude;
 pub mod queue;
+pub mod report;
 pub mod retry;
 pub mod route;
 pub mod side;
--- a/crates/damaskweir/src/spread.rs
+++ b/crates/damaskweir/src/spread.rs
@@ -4,9 +4,9 @@
 use damaskweir_bundle::{Held, Node, NodeError, NodeStep, PublicKey, Trust, digest};
 use damaskweir_core::epoch::{Epoch, EpochAction, EpochSettings, Source, is_watcher};
 use damaskweir_core::prelude::*;
+use damaskweir_core::report::{ReportAction, Reporter, STATUS_LEASE};
 use damaskweir_operators::{
-    MANIFEST_KEY, ReportAction, Reporter, STATUS_LEASE, STATUS_PREFIX, SideVersion, SourceError,
-    StatusRecord, WATCH_END, load_sections,
+    MANIFEST_KEY, STATUS_PREFIX, SideVersion, SourceError, StatusRecord, WATCH_END, load_sections,
 };
 use damaskweir_store::{Client, StoreError, WatchEvent};
 use damaskweir_wire::{Link, Local, Peer, PullRequest, WireError};
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -22,6 +22,6 @@
 pub use command::{Exit, run};
 pub use history::{Entry, Flaw, History, history};
 pub use layout::{MANIFEST_KEY, SECTION_PREFIX, STATUS_PREFIX, WATCH_END, audit_key, section_key};
-pub use report::{ReportAction, Reporter, STATUS_LEASE, SideVersion, StatusRecord};
+pub use report::{SideVersion, StatusRecord};
 pub use source::{Current, SourceError, current, load_content, load_record, load_sections};
 pub use status::{Standing, Status, status};
--- a/crates/store/tests/gateway.rs
+++ b/crates/store/tests/gateway.rs
@@ -192,3 +192,60 @@
     let keys: Vec<_> = client.list("/a/").await.unwrap().into_iter().map(|s| s.key).collect();
     assert_eq!(keys, ["/a/1", "/a/2"]);
 }
+
+/// Takes a key under a lease; its revision is the fencing number.
+async fn acquire(client: &Client, holder: &[u8]) -> Option<(u64, u64)> {
+    let lease = client.grant(60).await.unwrap();
+    let mut txn = create("/slot", holder);
+    txn.success = vec![Op::Put("/slot".to_owned(), holder.to_vec(), lease.id)];
+    let answer = client.txn(&txn).await.unwrap();
+    answer.succeeded.then_some((lease.id, answer.revision))
+}
+
+/// Guards against a holder that was paused, lost its lease to another one, and writes as if nothing
+/// had happened. Its own clock tells it before it acts, and the fencing number tells the store.
+#[tokio::test]
+async fn paused_holder_is_fenced_off() {
+    use damaskweir_core::lease::{Lease, LeaseState};
+
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    let (lease, fence) = acquire(&client, b"one").await.unwrap();
+    let held = Lease::new(Incarnation(1), Time(0), Span::from_secs(60), fence);
+    assert_eq!(acquire(&client, b"two").await, None);
+    // The first holder is paused; its lease ends and the second takes over.
+    store.lapse(lease);
+    let (_, later) = acquire(&client, b"two").await.unwrap();
+    assert!(later > fence);
+    // It resumes. Its monotonic clock has gone on.
+    assert_eq!(held.state(Time(0) + Span::from_secs(90)), LeaseState::Lapsed);
+    assert_eq!(client.keepalive(lease).await.unwrap(), None);
+    // Were it to act all the same, the number that it holds is too low.
+    let write = Txn {
+        compare: vec![Compare::Revision("/slot".to_owned(), held.fence())],
+        success: vec![Op::Put("/work".to_owned(), b"one".to_vec(), 0)],
+        failure: Vec::new(),
+    };
+    assert!(!client.txn(&write).await.unwrap().succeeded);
+    assert_eq!(store.peek("/work"), None);
+}
+
+/// Guards against a pair of failures: a lost answer, and a store that is slow when the write is
+/// repeated. The repeat must not be taken for another writer's.
+#[tokio::test]
+async fn lost_answer_and_slow_store() {
+    let store = Store::start().await.unwrap();
+    let client = client_at(&store.url());
+    store.set_delay(Duration::from_millis(100));
+    store.lose_answer_to("/a", Some(Outage::Hang));
+    let first = client.txn(&create("/a", b"mine")).await.unwrap_err();
+    assert_eq!(first.effect(), Effect::Maybe);
+    let second = client.txn(&create("/a", b"mine")).await.unwrap_err();
+    assert_eq!(second.effect(), Effect::Maybe);
+    store.set_outage(None);
+    store.set_delay(Duration::ZERO);
+    let answer = client.txn(&create("/a", b"mine")).await.unwrap();
+    assert!(!answer.succeeded);
+    let [OpAnswer::Got(Some(found))] = answer.answers.as_slice() else { panic!("{answer:?}") };
+    assert_eq!(found.value, b"mine");
+}
