--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -15,10 +15,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-const ENTRIES: usize = 40;
-const SIDES: usize = 400;
 const ZONES: usize = 4;
-const WORKSPACES: u32 = 6_000;
 /// Entries that each side is connected to.
 const DEGREE: usize = 10;
 /// One way between a node and the store, which answers in 50 ms.
@@ -31,6 +28,14 @@
 const CHANGE_GAP: Span = Span::from_secs(20);
 const CHANGES: u64 = 5;
 
+/// Size of the deployment.
+#[derive(Clone, Copy)]
+struct Size {
+    entries: usize,
+    sides: usize,
+    workspaces: u32,
+}
+
 /// How a change meets the store.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Weather {
@@ -70,6 +75,7 @@
 }
 
 struct World {
+    size: Size,
     nodes: Vec<Node>,
     peers: Vec<Vec<usize>>,
     watching: Vec<bool>,
@@ -91,7 +97,7 @@
     refused: u64,
 }
 
-fn bundle(share: u32, key: &SecretKey) -> Bundle {
+fn bundle(size: Size, share: u32, key: &SecretKey) -> Bundle {
     let server = |i: usize| BackendServer {
         id: format!("encoder-{i}").as_str().into(),
         zone: format!("zone-{}", i % ZONES).as_str().into(),
@@ -100,7 +106,7 @@
     };
     let pool = Pool {
         kind: PoolKind::Service,
-        servers: (0..SIDES).map(server).collect(),
+        servers: (0..size.sides).map(server).collect(),
         resume: false,
         extra: 100,
     };
@@ -113,20 +119,20 @@
     };
     let pipeline = Pipeline { deadline: Span::from_secs(3), stages: vec![stage] };
     let workspace = |i: u32| {
-        let share = if i == 4_711 { share } else { 1 + i % 5 };
+        let share = if i == size.workspaces / 2 { share } else { 1 + i % 5 };
         (format!("office-{i}").as_str().into(), Workspace { share, limit: 64 })
     };
     Bundle {
         version: Version(0),
         pools: [("encoders".into(), pool)].into(),
         pipelines: [("ask".into(), pipeline)].into(),
-        workspaces: (0..WORKSPACES).map(workspace).collect(),
+        workspaces: (0..size.workspaces).map(workspace).collect(),
         operators: [("asha".to_owned(), OperatorKey { key: key.public().0 })].into(),
     }
 }
 
-fn sign(key: &SecretKey, number: u64) -> Result<(Record, Content), BenchError> {
-    let content = Content::split(&bundle(100 + number as u32, key))
+fn sign(size: Size, key: &SecretKey, number: u64) -> Result<(Record, Content), BenchError> {
+    let content = Content::split(&bundle(size, 100 + number as u32, key))
         .map_err(|error| BenchError::Spread(error.to_string()))?;
     let manifest = Manifest {
         version: Version(number),
@@ -146,22 +152,30 @@
 }
 
 impl World {
-    fn new(seed: u64, weather: Weather, versions: &[(Record, Content)], key: &SecretKey) -> Self {
-        let count = ENTRIES + SIDES;
+    fn new(
+        size: Size,
+        seed: u64,
+        weather: Weather,
+        versions: &[(Record, Content)],
+        key: &SecretKey,
+    ) -> Self {
+        let Size { entries, sides, .. } = size;
+        let count = entries + sides;
         let mut peers = vec![Vec::new(); count];
-        for side in 0..SIDES {
-            for j in 0..DEGREE {
-                let entry = (side + j * 7) % ENTRIES;
-                peers[ENTRIES + side].push(entry);
-                peers[entry].push(ENTRIES + side);
+        for side in 0..sides {
+            for j in 0..DEGREE.min(entries) {
+                let entry = (side + j * 7) % entries;
+                peers[entries + side].push(entry);
+                peers[entry].push(entries + side);
             }
         }
         let nodes = (0..count).map(|i| {
-            let settings = if i < ENTRIES { EpochSettings::ENTRY } else { EpochSettings::SIDE };
+            let settings = if i < entries { EpochSettings::ENTRY } else { EpochSettings::SIDE };
             let epoch = Epoch::new(Time(0), Incarnation(i as u64), settings);
             Node::new(epoch, Trust::from_settings([key.public()]))
         });
         let mut world = Self {
+            size,
             nodes: nodes.collect(),
             peers,
             watching: vec![false; count],
@@ -182,12 +196,12 @@
             refused: 0,
         };
         let names: Vec<InstanceId> =
-            (0..ENTRIES).map(|i| format!("entry-{i}").as_str().into()).collect();
+            (0..entries).map(|i| format!("entry-{i}").as_str().into()).collect();
         for i in 0..count {
             for peer in world.peers[i].clone() {
                 world.nodes[i].epoch_mut().connected(Incarnation(peer as u64));
             }
-            if i < ENTRIES {
+            if i < entries {
                 let zone = names.iter().skip(i % ZONES).step_by(ZONES);
                 world.watching[i] = is_watcher(&names[i], zone);
                 let watcher = world.watching[i];
@@ -410,7 +424,7 @@
         sections.extend(fresh.map(|(_, bytes)| bytes.clone()));
         let last = change + 1 == CHANGES;
         let mut told = 0;
-        for i in (0..ENTRIES).filter(|i| self.watching[*i]).collect::<Vec<_>>() {
+        for i in (0..self.size.entries).filter(|i| self.watching[*i]).collect::<Vec<_>>() {
             // The sections were written one call before, so their event comes at the latest now.
             self.push(now, Event::Ahead(i, sections.clone()));
             if last && self.weather == Weather::OneEvent && told == 1 {
@@ -435,10 +449,14 @@
     refused: u64,
 }
 
-fn measure(seeds: std::ops::Range<u64>, weather: Weather) -> Result<Findings, BenchError> {
+fn measure(
+    size: Size,
+    seeds: std::ops::Range<u64>,
+    weather: Weather,
+) -> Result<Findings, BenchError> {
     let key = SecretKey::new(&[7; 32]);
     let versions: Vec<(Record, Content)> =
-        (1..=CHANGES + 1).map(|number| sign(&key, number)).collect::<Result<_, _>>()?;
+        (1..=CHANGES + 1).map(|number| sign(size, &key, number)).collect::<Result<_, _>>()?;
     let mut findings = Findings {
         spans: Vec::new(),
         missing: 0,
@@ -449,7 +467,7 @@
         refused: 0,
     };
     for seed in seeds {
-        let mut world = World::new(seed, weather, &versions, &key);
+        let mut world = World::new(size, seed, weather, &versions, &key);
         // The first pulls bring the whole bundle and are not counted.
         let start = Time(0) + CHANGE_GAP;
         while let Some(Reverse((now, serial))) = world.queue.peek().copied() {
@@ -463,7 +481,7 @@
         }
         world.bytes.fill(0);
         world.run();
-        let nodes = ENTRIES + SIDES;
+        let nodes = size.entries + size.sides;
         findings.missing += nodes * CHANGES as usize - world.spans.len();
         let most = world.bytes.iter().max().copied().unwrap_or_default();
         findings.bytes = findings.bytes.max(most.div_ceil(CHANGES as usize));
@@ -559,16 +577,22 @@
     (peak(during), peak(after))
 }
 
-/// Runs `bench spread [--seed N] [--runs N]`.
+/// Runs `bench spread [--seed N] [--runs N] [--entries N] [--sides N] [--workspaces N]`.
 pub(crate) fn run(mut args: Arguments) -> Result<String, BenchError> {
     let seed: u64 = args.opt_value_from_str("--seed")?.unwrap_or(1);
     let runs: u64 = args.opt_value_from_str("--runs")?.unwrap_or(10);
+    let size = Size {
+        entries: args.opt_value_from_str("--entries")?.unwrap_or(40).max(1),
+        sides: args.opt_value_from_str("--sides")?.unwrap_or(400),
+        workspaces: args.opt_value_from_str("--workspaces")?.unwrap_or(6_000),
+    };
     if let Some(first) = args.finish().first() {
         return Err(BenchError::Unknown(first.to_string_lossy().into_owned()));
     }
     let mut text = format!(
-        "{ENTRIES} entries, {SIDES} sides, {WORKSPACES} workspaces, store answers in 50 ms; seed \
-         {seed}, {runs} runs of {CHANGES} changes of one workspace\n"
+        "{} entries, {} sides, {} workspaces, store answers in 50 ms; seed {seed}, {runs} runs of \
+         {CHANGES} changes of one workspace\n",
+        size.entries, size.sides, size.workspaces
     );
     let weathers = [
         ("store up", Weather::Fair),
@@ -577,7 +601,7 @@
         ("2% of answers damaged", Weather::Damage),
     ];
     for (name, weather) in weathers {
-        let findings = measure(seed..seed.saturating_add(runs), weather)?;
+        let findings = measure(size, seed..seed.saturating_add(runs), weather)?;
         let at = |share: f64| {
             let last = findings.spans.len().saturating_sub(1);
             let index = (findings.spans.len() as f64 * share) as usize;
--- /dev/null
+++ b/crates/bench/tests/spread.rs
@@ -0,0 +1,23 @@
+//! Spread of bundles at a small size, for each fault that the measurement has.
+
+use damaskweir_bench::run;
+use pico_args::Arguments;
+
+/// Guards against a node that never gets an accepted version, goes back to an older one, or puts an
+/// unsigned or partial bundle into force, with the store down and with damaged answers.
+#[test]
+fn every_node_gets_whole_bundles_only() {
+    let words = "spread --seed 3 --runs 2 --entries 8 --sides 24 --workspaces 60";
+    let words = words.split(' ').map(Into::into).collect();
+    let text = run(Arguments::from_vec(words)).unwrap();
+    let lines: Vec<&str> = text.lines().filter(|line| line.contains("in force p50")).collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    for line in lines {
+        assert!(line.contains("; not in force 0;"), "{line}");
+        assert!(line.contains("; reversions 0; unsigned or partial 0"), "{line}");
+        let most = line.split("most ").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
+        assert!(most.parse::<u64>().unwrap() <= 4_000, "{line}");
+    }
+    let damaged = text.lines().find(|line| line.contains("damaged")).unwrap();
+    assert!(!damaged.contains("refused 0;"), "nothing was damaged: {damaged}");
+}
