Test the limits of drains and kept answers; give a retry hint when the server gives none

Cause: the limits had no test, and a backend server's 429 without Retry-After became a hint of 0 ms. Change: tests for a drain that a hanging call would hold up and for the oldest kept answer making room; the hint is 100 ms then.

--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -27,6 +27,8 @@
 
 /// Failed health checks in a row after which the backend server counts as down.
 const FAILED_CHECKS: u32 = 2;
+/// Retry hint when a backend server that refuses an attempt gives none.
+const DEFAULT_RETRY: Span = Span::from_millis(100);
 /// Bytes of a frame that are not the answer: the report and the lengths.
 const OVERHEAD: usize = 1 << 10;
 /// Deadlines beyond this are as good as none, and instants can't lie arbitrarily far ahead.
@@ -418,7 +420,7 @@
         match error {
             EngineError::Unreachable(_) => End::Unsent(Refusal::Down, reason),
             EngineError::Refused { retry, .. } => {
-                let retry = retry.unwrap_or(Span::ZERO);
+                let retry = retry.unwrap_or(DEFAULT_RETRY);
                 End::Unsent(Refusal::Overloaded { retry }, reason)
             }
             EngineError::Failed(_) => End::Failed(Failure::Backend, reason),
@@ -433,7 +435,7 @@
         match error {
             ServiceError::Unreachable(_) => End::Unsent(Refusal::Down, reason),
             ServiceError::Refused(_) => {
-                End::Unsent(Refusal::Overloaded { retry: Span::ZERO }, reason)
+                End::Unsent(Refusal::Overloaded { retry: DEFAULT_RETRY }, reason)
             }
             ServiceError::Failed(_) => End::Failed(Failure::Backend, reason),
             ServiceError::Unknown(_) => End::Failed(Failure::Interrupted, reason),
--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -235,6 +235,45 @@
     within(drain).await.unwrap();
 }
 
+/// Guards against a shutdown that never ends because of a call that hangs.
+#[tokio::test]
+async fn drain_ends_at_its_limit() {
+    let service = service::Service::start().await.unwrap();
+    service.set(|behaviour| behaviour.delay = LONG);
+    let limit = Duration::from_millis(50);
+    let rig = Rig::start_with(service_backend(&service), |o| o.drain_limit = limit).await;
+    let entry = rig.connect().await;
+    let mut attempt = entry.dispatch(&rig.once(0)).await;
+    until(|| service.runs().total() == 1).await;
+    within(rig.daemon.drain()).await;
+    assert_eq!(rest(&mut attempt).await.1, None);
+}
+
+/// Guards against kept answers that fill the memory, and against forgetting that a call ran together
+/// with its answer.
+#[tokio::test]
+async fn oldest_kept_answer_makes_room() {
+    let service = service::Service::start().await.unwrap();
+    // Room for one answer, which repeats the body of the call.
+    let rig = Rig::start_with(service_backend(&service), |o| o.kept_limit = 1500).await;
+    let entry = rig.connect().await;
+    let body = serde_json::json!({ "input": "x".repeat(1000) }).to_string();
+    for number in 0..2 {
+        let mut attempt = entry.dispatch_body(&rig.once(number), body.clone().into()).await;
+        assert_eq!(rest(&mut attempt).await.1, Some(FINISHED));
+    }
+    let ended = Standing::Ended(Outcome::Finished);
+    let first = entry.link.ask(rig.once(0).attempt, rig.incarnation);
+    assert_eq!(within(first).await.unwrap(), (ended, None));
+    let second = entry.link.ask(rig.once(1).attempt, rig.incarnation);
+    let (standing, answer) = within(second).await.unwrap();
+    assert_eq!(standing, ended);
+    assert!(answer.is_some());
+    let mut copy = entry.dispatch(&rig.once(0)).await;
+    assert_eq!(rest(&mut copy).await.1, Some(ToEntry::Refused(Refusal::Duplicate)));
+    assert_eq!(service.runs().total(), 2);
+}
+
 /// Guards against an attempt that hangs, or looks finished, when its side dies in the middle of it.
 #[tokio::test]
 async fn killed_side_breaks_its_streams() {
--- a/crates/damaskweir/tests/side/support.rs
+++ b/crates/damaskweir/tests/side/support.rs
@@ -6,7 +6,6 @@
 use damaskweir::logs::quiet_logger;
 use damaskweir::side::{Backend, SideDaemon, SideOptions};
 use damaskweir_core::prelude::*;
-use damaskweir_core::side::SideSettings;
 use damaskweir_engines::EngineSettings;
 use damaskweir_services::ServiceSettings;
 use damaskweir_standins::{engine, service};
@@ -54,10 +53,17 @@
 
 impl Rig {
     pub(crate) async fn start(backend: Backend, slots: u32) -> Self {
+        Self::start_with(backend, |options| options.core.slots = slots).await
+    }
+
+    pub(crate) async fn start_with(
+        backend: Backend,
+        change: impl FnOnce(&mut SideOptions),
+    ) -> Self {
         let keys = make_keys();
         let mut options = SideOptions::new("server-1".into(), "a".into(), keys.clone(), backend);
-        options.core = SideSettings { slots, ..SideSettings::default() };
         options.check = Duration::from_millis(10);
+        change(&mut options);
         let daemon = SideDaemon::start(options, quiet_logger()).await.unwrap();
         let incarnation = daemon.incarnation();
         Self { daemon, incarnation, keys }
@@ -69,8 +75,7 @@
     }
 
     pub(crate) async fn for_service(service: &service::Service, slots: u32) -> Self {
-        let settings = ServiceSettings { url: service.url(), ..Default::default() };
-        Self::start(Backend::Service(settings), slots).await
+        Self::start(service_backend(service), slots).await
     }
 
     /// Connects as an entry.
@@ -89,6 +94,10 @@
     }
 }
 
+pub(crate) fn service_backend(service: &service::Service) -> Backend {
+    Backend::Service(ServiceSettings { url: service.url(), ..Default::default() })
+}
+
 /// An entry's end of a connection.
 pub(crate) struct Entry {
     pub(crate) link: Link,
