Open the stand-ins' sockets with TCP_NODELAY

Cause: small writes of a stream of tokens waited for the acknowledgement of the one before. Change: the stand-ins of engine, service, instance list and weight store share one listening function that sets the option, which accepted connections inherit. Conclusion: not measured in this commit; all tests pass.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a model engine: streamed completions, load reports, cache events and orders.
 
 use crate::runs::Runs;
+use crate::socket::listen;
 use futures::{Stream, stream};
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::prelude::*;
@@ -124,9 +124,7 @@
 impl Engine {
     /// Starts on a free loopback port with streams for `limit` answers at once.
     pub async fn start(limit: u32) -> io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::try_from(listener)?;
+        let (address, acceptor) = listen()?;
         let state = State {
             behaviour: Behaviour::default(),
             runs: Runs::default(),
--- a/crates/standins/src/instances.rs
+++ b/crates/standins/src/instances.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the platform's instance list.
 
-use salvo::conn::tcp::TcpAcceptor;
+use crate::socket::listen;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::{Value, json};
@@ -38,9 +38,7 @@
 impl Instances {
     /// Starts on a free loopback port with an empty list.
     pub async fn start() -> io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::try_from(listener)?;
+        let (address, acceptor) = listen()?;
         let shared = Arc::new(Shared::default());
         shared.lock().shown = json!({ "revision": 0, "instances": [] });
         let router = Router::with_path("instances").get(Show(Arc::clone(&shared)));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! speak the peers' published protocols.
 
 mod runs;
+mod socket;
 
 pub mod engine;
 pub mod instances;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a plain service: answers JSON after a delay.
 
 use crate::runs::Runs;
+use crate::socket::listen;
 use futures::stream;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::{Value, json};
@@ -61,9 +61,7 @@
 impl Service {
     /// Starts on a free loopback port.
     pub async fn start() -> io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::try_from(listener)?;
+        let (address, acceptor) = listen()?;
         let shared = Arc::new(Shared::default());
         let router = Router::new()
             .push(Router::with_path("health").get(Health(Arc::clone(&shared))))
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the weight store.
 
-use salvo::conn::tcp::TcpAcceptor;
+use crate::socket::listen;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::json;
@@ -40,9 +40,7 @@
 impl Weights {
     /// Starts on a free loopback port, empty and without a rate limit.
     pub async fn start() -> io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::try_from(listener)?;
+        let (address, acceptor) = listen()?;
         let shared = Arc::new(Shared::default());
         let show = Show(Arc::clone(&shared));
         let router = Router::with_path("weights/{model}/{version}").get(show);
