Add the scenario language, its runner and the scenario files

Cause: the guarantees are to be proved by scripted failures of the whole system, for both deployments.

Change: crates/scenario parses scenarios with winnow and runs them on the core in virtual time; 25 files for each deployment; damaskweir scenario run; docs/scenarios.md. Six expectations are shown to fail under a fault that makes them unmeetable.

The expectations 'no untrue refusal', 'never reverts', 'nothing cut off' and 'answered at once' have no test yet that shows them failing.

--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -37,6 +37,7 @@
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
   key new FILE           make an operator's key
   bench [capacity]       measure the decision core in virtual time, or its own cost
+  scenario run FILE...   run scripted scenarios in virtual time
   model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
@@ -100,6 +101,18 @@
   --format text|json     form of the report (default text)
 ";
 
+const SCENARIO_HELP: &str = "\
+Usage: damaskweir scenario run FILE... [OPTIONS]
+
+Runs scenarios on the decision core in virtual time and prints pass, or what was not met with the seed, the
+command to repeat and a trace. docs/scenarios.md describes the language. Exits with 1 if a run fails and
+with 3 if a file can't be read.
+
+Options:
+  --seed N               seed (default 1)
+  --seeds A..B           all seeds from A to B, both included
+";
+
 const MODEL_HELP: &str = "\
 Usage: damaskweir model check [--quick]
 
@@ -195,6 +208,8 @@
             let output = damaskweir_bench::run(arguments);
             print(out, &output.map_err(|error| CommandError::Failure(error.to_string()))?)
         }
+        Some("scenario") if help => print(out, SCENARIO_HELP),
+        Some("scenario") => scenario(arguments, out),
         Some("model") if help => print(out, MODEL_HELP),
         Some("model") => model(arguments, out),
         None if help => print(out, HELP),
@@ -203,6 +218,41 @@
     }
 }
 
+fn scenario(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("run") {
+        return Err(CommandError::Usage("'scenario run' is the only scenario command".to_owned()));
+    }
+    let seed: Option<u64> = arguments.opt_value_from_str("--seed")?;
+    let range = |text: &str| {
+        let (from, to) = text.split_once("..").ok_or("a range is written A..B")?;
+        let parse = |text: &str| text.parse::<u64>().map_err(|_| "a seed is a number");
+        Ok::<_, &str>((parse(from)?, parse(to)?))
+    };
+    let seeds = arguments.opt_value_from_fn("--seeds", range)?;
+    let (from, to) = seeds.unwrap_or((seed.unwrap_or(1), seed.unwrap_or(1)));
+    let mut failed = 0;
+    for file in arguments.finish() {
+        let name = file.to_string_lossy();
+        let fault = |reason: String| CommandError::Bundle(format!("{name}: {reason}"));
+        let text = std::fs::read_to_string(&file).map_err(|error| fault(error.to_string()))?;
+        let scenario =
+            damaskweir_scenario::parse(&text).map_err(|error| fault(error.to_string()))?;
+        for seed in from..=to {
+            let report = damaskweir_scenario::run(&scenario, seed);
+            print(out, &format!("{name}: {report}\n"))?;
+            if !report.failures.is_empty() {
+                failed += 1;
+                let repeat = format!("damaskweir scenario run {name} --seed {seed}");
+                print(out, &format!("  repeat with: {repeat}\n"))?;
+            }
+        }
+    }
+    if failed > 0 {
+        return Err(CommandError::Failure(format!("{failed} runs failed")));
+    }
+    Ok(())
+}
+
 fn model(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     if arguments.subcommand()?.as_deref() != Some("check") {
         return Err(CommandError::Usage("'model check' is the only model command".to_owned()));
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,1 +1,27 @@
-//! Scenario language and runner on the decision core.
+//! Scripted scenarios: a small language for topology, traffic, faults and expectations, and a runner
+//! that drives the decision core in virtual time. docs/scenarios.md describes the language.
+//!
+//! ```
+//! let text = "pool readers servers 2 slots 4 time 20ms
+//! pipeline read deadline 1s stages readers
+//! traffic read 20 per second for 2s
+//! at 1s kill readers-0 for 5s
+//! expect nothing lost
+//! ";
+//! let scenario = damaskweir_scenario::parse(text).expect("it is well formed");
+//! let report = damaskweir_scenario::run(&scenario, 1);
+//! assert!(report.failures.is_empty(), "{report}");
+//! ```
+
+mod language;
+mod node;
+mod verdict;
+mod world;
+
+pub use language::{Scenario, ScenarioError, parse};
+pub use verdict::Report;
+
+/// Runs a scenario with a seed.
+pub fn run(scenario: &Scenario, seed: u64) -> Report {
+    world::World::new(scenario, seed).run()
+}
--- /dev/null
+++ b/crates/scenario/src/node.rs
@@ -0,0 +1,114 @@
+//! Processes of a run, and small fakes of the backend servers and the store.
+
+use damaskweir_core::claim::ClaimRecord;
+use damaskweir_core::entry::{ClaimAnswer, ClaimWrite, Entry};
+use damaskweir_core::epoch::Epoch;
+use damaskweir_core::prelude::*;
+use damaskweir_core::side::Side;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What an entry or a side has in common.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) epoch: Epoch,
+    pub(crate) alive: bool,
+    /// Counts the runs of the process.
+    pub(crate) life: u64,
+    pub(crate) paused: Option<Time>,
+    /// Last time that it was paused, dead or cut off.
+    pub(crate) disturbed: Time,
+    /// Highest version under which it took work.
+    pub(crate) worked: Version,
+    pub(crate) tick: Option<Time>,
+}
+
+/// An entry and what its daemon keeps.
+pub(crate) struct Host {
+    pub(crate) entry: Entry,
+    pub(crate) calls: BTreeMap<RequestId, usize>,
+    pub(crate) outputs: BTreeMap<AttemptId, u64>,
+    /// Attempts and questions that a broken connection ends, by server.
+    pub(crate) open: Vec<BTreeSet<AttemptId>>,
+    pub(crate) asked: Vec<BTreeSet<RequestId>>,
+    /// Number of the connection to each server.
+    pub(crate) links: Vec<Option<u64>>,
+    pub(crate) cut: Vec<bool>,
+    pub(crate) tick: Option<Time>,
+}
+
+/// A backend server with its side.
+pub(crate) struct Server {
+    pub(crate) side: Side,
+    pub(crate) pool: usize,
+    pub(crate) tick: Option<Time>,
+    pub(crate) slow: u64,
+    /// Answers with the output of other work.
+    pub(crate) garbles: bool,
+    pub(crate) leaving: bool,
+    pub(crate) jobs: BTreeMap<AttemptId, Job>,
+    /// Outputs of non-idempotent attempts that ended.
+    pub(crate) kept: BTreeMap<AttemptId, u64>,
+}
+
+/// An attempt at a side.
+#[derive(Clone, Copy)]
+pub(crate) struct Job {
+    pub(crate) host: usize,
+    pub(crate) link: u64,
+    pub(crate) call: usize,
+    pub(crate) input: u64,
+    pub(crate) running: bool,
+}
+
+/// What the backend servers themselves counted.
+#[derive(Default)]
+pub(crate) struct Ledger {
+    /// Runs by pool and caller's call, of non-idempotent pools.
+    pub(crate) runs: BTreeMap<(usize, usize), u32>,
+    pub(crate) requests: BTreeSet<RequestId>,
+    /// Start times by server.
+    pub(crate) starts: Vec<Vec<Time>>,
+}
+
+/// The platform's store.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) down: bool,
+    pub(crate) delay: Span,
+    /// The answer to the next write is lost.
+    pub(crate) loses: bool,
+    /// Writes whatever the condition.
+    pub(crate) blind: bool,
+    pub(crate) records: BTreeMap<Digest, (ClaimRecord, u64)>,
+    pub(crate) revision: u64,
+    pub(crate) manifest: Version,
+    /// Who wrote each version.
+    pub(crate) authors: BTreeMap<Version, String>,
+}
+
+impl Store {
+    pub(crate) fn claim(
+        &mut self,
+        key: Digest,
+        record: &ClaimRecord,
+        write: ClaimWrite,
+    ) -> ClaimAnswer {
+        match (self.records.get(&key), write) {
+            (Some((_, stands)), ClaimWrite::Replace(revision)) if *stands == revision => {}
+            (Some((found, revision)), _) if !self.blind => {
+                return ClaimAnswer::Found(found.clone(), *revision);
+            }
+            _ => {}
+        }
+        self.revision += 1;
+        self.records.insert(key, (record.clone(), self.revision));
+        ClaimAnswer::Won(self.revision)
+    }
+
+    pub(crate) fn settle(&mut self, key: Digest, record: ClaimRecord, revision: u64) {
+        if let Some(found) = self.records.get_mut(&key).filter(|(_, stands)| *stands == revision) {
+            self.revision += 1;
+            *found = (record, self.revision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/verdict.rs
@@ -0,0 +1,47 @@
+//! What the callers and the stand-ins saw, and whether it meets the expectations.
+
+use damaskweir_core::time::{Span, Time};
+use std::fmt;
+
+/// Steps shown after a failure.
+const TRACE: usize = 40;
+
+/// Result of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Calls that callers made; repeats not counted.
+    pub calls: usize,
+    /// Calls that were answered completely within their deadline.
+    pub complete: usize,
+    /// Expectations that do not hold.
+    pub failures: Vec<String>,
+    /// Faults and what was seen, in order.
+    pub trace: Vec<(Time, String)>,
+}
+
+impl Report {
+    /// Share of calls that were answered completely and in time, in percent.
+    pub fn attainment(&self) -> f64 {
+        if self.calls == 0 { 100.0 } else { 100.0 * self.complete as f64 / self.calls as f64 }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, calls, failures, trace, .. } = self;
+        write!(f, "seed {seed}: {calls} calls, attainment {:.2}%: ", self.attainment())?;
+        if failures.is_empty() {
+            return f.write_str("pass");
+        }
+        f.write_str("fail")?;
+        for failure in failures {
+            write!(f, "\n  not met: {failure}")?;
+        }
+        for (at, step) in trace.iter().skip(trace.len().saturating_sub(TRACE)) {
+            write!(f, "\n  {:>10.6} {step}", Span(at.0).as_secs_f64())?;
+        }
+        Ok(())
+    }
+}
