--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod order;
 pub mod settings;
 pub mod side;
+pub mod spread;
