--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -544,6 +544,11 @@
         }
     }
 
+    /// Attempts that were sent and have not ended, at all pools; zero without requests in progress.
+    pub fn attempts(&self) -> usize {
+        self.routers.values().map(Router::open).sum()
+    }
+
     /// The servers of a pool that this entry uses; it needs connections to these only.
     pub fn servers(&self, pool: &PoolId) -> impl Iterator<Item = &ServerId> {
         self.routers.get(pool).into_iter().flat_map(Router::servers)
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -235,6 +235,11 @@
         self.targets.get(server).map_or(Span::ZERO, |target| target.wait(estimate))
     }
 
+    /// Attempts sent from here that have not ended, at all servers.
+    pub fn open(&self) -> usize {
+        self.targets.values().map(|target| target.open.len()).sum()
+    }
+
     /// Whether a server is ejected, so that an attempt there is a probe.
     pub fn is_ejected(&self, server: &ServerId) -> bool {
         self.targets.get(server).is_some_and(|target| target.ejection.is_some())
