Let two entries of a zone watch the store, by the names of the status records

Each entry watched the store, which would be 630 watches at the size of two years from now instead of 20. An entry now reads the names of its zone's status records with each poll; their leases end with their entries.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -24,6 +24,8 @@
 const PEER_WAY: Span = Span(500);
 /// Bytes around each message: frame, report, and QUIC and UDP headers.
 const FRAME_BYTES: usize = 90;
+/// Time between heartbeats of an idle connection.
+const BEAT: Span = Span::from_secs(1);
 /// Time between changes within a run.
 const CHANGE_GAP: Span = Span::from_secs(20);
 const CHANGES: u64 = 5;
@@ -58,6 +60,8 @@
     Watched(usize, Bytes),
     /// A watch shows sections.
     Ahead(usize, Vec<Bytes>),
+    /// Heartbeats of a node show its version to its peers.
+    Beat(usize),
     /// A peer's version arrives.
     Shown(usize, usize, Version),
     /// A record that was asked for arrives.
@@ -208,6 +212,8 @@
                 world.nodes[i].epoch_mut().set_watcher(watcher);
             }
             world.push(Time(0), Event::Tick(i));
+            let phase = Span(world.rng.next_u64() % BEAT.0);
+            world.push(Time(0) + phase, Event::Beat(i));
         }
         for change in 0..CHANGES {
             let jitter = Span(world.rng.next_u64() % 5_000_000);
@@ -243,6 +249,17 @@
                 let next = self.nodes[i].epoch().next_tick().max(now + Span::from_millis(50));
                 self.push(next, Event::Tick(i));
             }
+            Event::Beat(i) => {
+                let version = self.reached[i];
+                for peer in self.peers[i].clone() {
+                    // Most show nothing new, and those need no event of their own.
+                    if version > self.reached[peer] {
+                        let at = now + self.peer_way();
+                        self.push(at, Event::Shown(peer, i, version));
+                    }
+                }
+                self.push(now + BEAT, Event::Beat(i));
+            }
             Event::Polled(i) => {
                 let bytes = self.versions[self.accepted - 1].0.bytes().clone();
                 self.show_record(now, i, &bytes);
@@ -513,7 +530,9 @@
         while now < end {
             for action in epoch.tick(now, rng) {
                 if action == EpochAction::Poll {
-                    reads += u64::from(counted(now));
+                    // An entry also reads the names of the entries of its zone.
+                    let calls = if i < entries { 2 } else { 1 };
+                    reads += if counted(now) { calls } else { 0 };
                     epoch.polled(now, rng);
                 }
             }
--- a/crates/damaskweir/src/spread.rs
+++ b/crates/damaskweir/src/spread.rs
@@ -6,7 +6,7 @@
 use damaskweir_core::prelude::*;
 use damaskweir_core::report::{ReportAction, Reporter, STATUS_LEASE};
 use damaskweir_operators::{
-    MANIFEST_KEY, STATUS_PREFIX, SideVersion, SourceError, StatusRecord, WATCH_END, load_sections,
+    MANIFEST_KEY, SideVersion, SourceError, StatusRecord, WATCH_END, load_sections, status_key,
 };
 use damaskweir_store::{Client, StoreError, WatchEvent};
 use damaskweir_wire::{Link, Local, Peer, PullRequest, WireError};
@@ -163,7 +163,7 @@
     }
 
     /// Lets peers pull from this node and be told of its versions, and starts it on the current tokio
-    /// runtime. An entry watches the store until it knows the other entries of its zone.
+    /// runtime. An entry watches the store until its first poll shows the other entries of its zone.
     pub fn attach(&self, local: Local) -> Local {
         let weak = Arc::downgrade(&self.0);
         let local = local.with_sections(move |request| weak.upgrade()?.answer(request));
@@ -178,7 +178,7 @@
     }
 
     /// The live entries of this entry's zone, itself included.
-    pub fn set_live(&self, live: &[InstanceId]) {
+    fn set_live(&self, live: &[InstanceId]) {
         let Some((me, _)) = &self.0.entry else { return };
         let mut state = self.0.lock();
         let action = state.node.epoch_mut().set_watcher(is_watcher(me, live));
@@ -448,7 +448,7 @@
                 *lease = Some(id);
                 let Some(record) = inner.status_record() else { return Ok(()) };
                 let value = serde_json::to_vec(&record).unwrap_or_default();
-                store.put(&format!("{STATUS_PREFIX}{}", record.entry), &value, id).await?;
+                store.put(&status_key(&record.zone, &record.entry), &value, id).await?;
             }
         }
         Ok::<_, StoreError>(())
@@ -460,6 +460,18 @@
     }
 }
 
+/// Looks up which entries of the zone live, by the status records that end with them.
+async fn find_live(inner: &Arc<Inner>) {
+    let (Some(store), Some((me, zone))) = (&inner.store, &inner.entry) else { return };
+    let prefix = status_key(zone.as_str(), "");
+    // Without an answer the last view stays.
+    let Ok(keys) = store.list_keys(&prefix).await else { return };
+    let names = keys.iter().filter_map(|key| key.strip_prefix(&prefix));
+    let mut live: Vec<InstanceId> = names.map(InstanceId::from).collect();
+    live.push(me.clone());
+    Spread(Arc::clone(inner)).set_live(&live);
+}
+
 async fn poll(inner: Arc<Inner>) {
     let found = match &inner.store {
         Some(store) => store.get(MANIFEST_KEY).await,
@@ -470,10 +482,13 @@
             if let Some(stored) = found {
                 inner.show_record(&stored.value.into());
             }
-            let mut state = inner.lock();
-            let state = &mut *state;
-            state.node.epoch_mut().polled(inner.now(), &mut state.rng);
-            inner.carry_out(state, None);
+            {
+                let mut state = inner.lock();
+                let state = &mut *state;
+                state.node.epoch_mut().polled(inner.now(), &mut state.rng);
+                inner.carry_out(state, None);
+            }
+            find_live(&inner).await;
         }
         Err(_) => {
             let mut state = inner.lock();
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -21,7 +21,9 @@
 pub use approve::{Accepted, ApproveError, Request, approve, rollback};
 pub use command::{Exit, run};
 pub use history::{Entry, Flaw, History, history};
-pub use layout::{MANIFEST_KEY, SECTION_PREFIX, STATUS_PREFIX, WATCH_END, audit_key, section_key};
+pub use layout::{
+    MANIFEST_KEY, SECTION_PREFIX, STATUS_PREFIX, WATCH_END, audit_key, section_key, status_key,
+};
 pub use report::{SideVersion, StatusRecord};
 pub use source::{Current, SourceError, current, load_content, load_record, load_sections};
 pub use status::{Standing, Status, status};
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -265,6 +265,10 @@
                 items.map(|(k, i)| pair(k, i)).collect()
             }
         };
+        let mut found = found;
+        if body.get("keys_only").and_then(Value::as_bool).unwrap_or_default() {
+            found.iter_mut().for_each(|pair| pair["value"] = json!(""));
+        }
         let count = found.len().to_string();
         Ok(json!({ "header": self.header(), "kvs": found, "count": count }))
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -130,6 +130,13 @@
         answer.kvs.into_iter().map(Stored::try_from).collect()
     }
 
+    /// Reads the names of all keys with a prefix.
+    pub async fn list_keys(&self, prefix: &str) -> Result<Vec<String>, StoreError> {
+        let body = Range { keys_only: true, ..Range::prefix(prefix) };
+        let answer: RangeAnswer = self.repeat(Kind::Read, "kv/range", &body).await?;
+        answer.kvs.into_iter().map(|kv| Ok(Stored::try_from(kv)?.key)).collect()
+    }
+
     /// Reads several keys, a page in each call. Each page is read at one revision.
     pub async fn get_many(&self, keys: &[String]) -> Result<Vec<Option<Stored>>, StoreError> {
         let mut found = Vec::with_capacity(keys.len());
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -212,19 +212,21 @@
     pub(crate) key: String,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) range_end: Option<String>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) keys_only: bool,
 }
 
 impl Range {
     pub(crate) fn key(key: &str) -> Self {
-        Self { key: encode(key), range_end: None }
+        Self { key: encode(key), range_end: None, keys_only: false }
     }
 
     pub(crate) fn between(key: &str, end: &str) -> Self {
-        Self { key: encode(key), range_end: Some(encode(end)) }
+        Self { key: encode(key), range_end: Some(encode(end)), keys_only: false }
     }
 
     pub(crate) fn prefix(prefix: &str) -> Self {
-        Self { key: encode(prefix), range_end: Some(encode(prefix_end(prefix))) }
+        Self { key: encode(prefix), range_end: Some(encode(prefix_end(prefix))), keys_only: false }
     }
 }
 
