Count the bytes of watches in the measurement of the spread

Watch events were left out of the bytes per node, so the figure was too good for the entries that watch.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -265,8 +265,12 @@
                 self.show_record(now, i, &bytes);
                 self.nodes[i].epoch_mut().polled(now, &mut self.rng);
             }
-            Event::Watched(i, bytes) => self.show_record(now, i, &bytes),
+            Event::Watched(i, bytes) => {
+                self.bytes[i] += bytes.len() + FRAME_BYTES;
+                self.show_record(now, i, &bytes);
+            }
             Event::Ahead(i, sections) => {
+                self.bytes[i] += sections.iter().map(|s| s.len() + FRAME_BYTES).sum::<usize>();
                 sections.into_iter().for_each(|bytes| self.nodes[i].ahead(bytes));
             }
             Event::Shown(i, peer, version) => {
@@ -459,7 +463,8 @@
 struct Findings {
     spans: Vec<Span>,
     missing: usize,
-    bytes: usize,
+    /// Most bytes of a node, divided by the number of changes: watchers, and all others.
+    bytes: [usize; 2],
     whole: usize,
     reversions: u64,
     wrong: u64,
@@ -477,7 +482,7 @@
     let mut findings = Findings {
         spans: Vec::new(),
         missing: 0,
-        bytes: 0,
+        bytes: [0; 2],
         whole: versions[0].1.bytes(),
         reversions: 0,
         wrong: 0,
@@ -500,8 +505,10 @@
         world.run();
         let nodes = size.entries + size.sides;
         findings.missing += nodes * CHANGES as usize - world.spans.len();
-        let most = world.bytes.iter().max().copied().unwrap_or_default();
-        findings.bytes = findings.bytes.max(most.div_ceil(CHANGES as usize));
+        for (bytes, watching) in world.bytes.iter().zip(&world.watching) {
+            let most = &mut findings.bytes[usize::from(!watching)];
+            *most = (*most).max(bytes.div_ceil(CHANGES as usize));
+        }
         findings.spans.append(&mut world.spans);
         findings.reversions += world.reversions;
         findings.wrong += world.wrong;
@@ -626,18 +633,20 @@
             let index = (findings.spans.len() as f64 * share) as usize;
             findings.spans.get(index.min(last)).map_or(0, |span| span.as_millis())
         };
-        let percent = 100.0 * findings.bytes as f64 / findings.whole as f64;
+        let percent = |bytes: usize| 100.0 * bytes as f64 / findings.whole as f64;
+        let [watchers, others] = findings.bytes;
         // Writing to a string can't fail.
         let _ = writeln!(
             text,
             "{name}: accepted to in force p50 {} ms, p99 {} ms, most {} ms; not in force {}; most \
-             bytes per node and change {} of {} ({percent:.2}%); refused {}; reversions {}; \
-             unsigned or partial {}",
+             bytes per node and change {others} ({:.2}%), of a watcher {watchers} ({:.2}%), whole \
+             bundle {}; refused {}; reversions {}; unsigned or partial {}",
             at(0.5),
             at(0.99),
             at(1.0),
             findings.missing,
-            findings.bytes,
+            percent(others),
+            percent(watchers),
             findings.whole,
             findings.refused,
             findings.reversions,
