--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,11 +23,10 @@
 use output::{Document, PolicyFindings};
 use pico_args::Arguments;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 /// Options of the command, for its help text.
 pub const USAGE: &str = "\
-damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
+Usage: damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
     [--without hedging|admission|jitter]
 experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
@@ -67,6 +66,13 @@
     Report(String),
 }
 
+impl BenchError {
+    /// Whether the command line can't be read.
+    pub fn is_usage(&self) -> bool {
+        matches!(self, Self::Option(_) | Self::Value { .. } | Self::Unknown(_))
+    }
+}
+
 /// Format of the output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -202,18 +208,9 @@
     }
 }
 
-/// Runs the command; the arguments are those after `bench`.
-pub fn run(args: Arguments) -> ExitCode {
-    match Args::parse(args).and_then(|args| execute(&args)) {
-        Ok(output) => {
-            print!("{output}");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("damaskweir bench: {error}\n{USAGE}");
-            ExitCode::FAILURE
-        }
-    }
+/// Runs the command and returns its output; the arguments are those after `bench`.
+pub fn run(args: Arguments) -> Result<String, BenchError> {
+    Args::parse(args).and_then(|args| execute(&args))
 }
 
 /// Runs the experiments, writes the report if asked for and returns the output.
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -386,7 +386,8 @@
     fn learn_slack(&mut self, dispatch: &Dispatch) {
         if dispatch.estimate <= self.queue.long_limit() {
             let slack = dispatch.remaining.saturating_sub(dispatch.estimate);
-            self.slack = Span((self.slack * SLACK_MEMORY + slack).0 / (SLACK_MEMORY + 1));
+            let sum = self.slack * SLACK_MEMORY + slack;
+            self.slack = Span(sum.0 / (SLACK_MEMORY + 1));
         }
     }
 
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -33,9 +33,11 @@
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
   demo [--serve]         run a whole deployment with stand-ins in this process
+  bench                  measure the policies in virtual time
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
   key new FILE           make an operator's key
+  model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
   --help                 print help
@@ -98,6 +100,16 @@
   --format text|json     form of the report (default text)
 ";
 
+const MODEL_HELP: &str = "\
+Usage: damaskweir model check [--quick]
+
+Explores every order of messages, timers and faults for small sizes and prints each size, its states, and
+pass or the shortest counterexample. docs/model.md describes the sizes. Exits with 1 on a counterexample.
+
+Options:
+  --quick                only the sizes that run in the tests
+";
+
 /// Why a command ended.
 #[derive(Debug, thiserror::Error)]
 enum CommandError {
@@ -138,9 +150,9 @@
 }
 
 /// Runs the command that the arguments name and returns its exit code.
-pub fn run(arguments: Vec<OsString>, out: &mut (impl Write + Send), err: &mut impl Write) -> u8 {
+pub fn run(arguments: Vec<OsString>, out: &mut impl Write, err: &mut impl Write) -> u8 {
     let ended = if arguments.first().is_some_and(|word| word == "bundle" || word == "key") {
-        operate(arguments, out)
+        operate(arguments, out, err)
     } else {
         dispatch(Arguments::from_vec(arguments), out).map(|()| 0)
     };
@@ -155,11 +167,15 @@
 }
 
 /// Operators' commands, which have exit codes of their own.
-fn operate(arguments: Vec<OsString>, out: &mut (impl Write + Send)) -> Result<u8, CommandError> {
-    block_on(async { Ok(damaskweir_operators::run(arguments, out).await as u8) })
+fn operate(
+    arguments: Vec<OsString>,
+    out: &mut impl Write,
+    err: &mut impl Write,
+) -> Result<u8, CommandError> {
+    block_on(async { Ok(damaskweir_operators::run(arguments, out, err).await as u8) })
 }
 
-fn dispatch(mut arguments: Arguments, out: &mut (impl Write + Send)) -> Result<(), CommandError> {
+fn dispatch(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let command = arguments.subcommand()?;
     if arguments.contains("--version") {
         return print(out, &format!("damaskweir {}\n", env!("CARGO_PKG_VERSION")));
@@ -172,14 +188,34 @@
         Some("side") => side(arguments),
         Some("demo") if help => print(out, DEMO_HELP),
         Some("demo") => demo(arguments, out),
+        Some("bench") if help => print(out, damaskweir_bench::USAGE),
+        Some("bench") => bench(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
+        Some("model") if help => print(out, MODEL_HELP),
+        Some("model") => model(arguments, out),
         None if help => print(out, HELP),
         Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
         None => Err(CommandError::Usage("a command is required".to_owned())),
     }
 }
 
+fn model(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("check") {
+        return Err(CommandError::Usage("'model check' is the only model command".to_owned()));
+    }
+    let quick = arguments.contains("--quick");
+    finish(arguments)?;
+    for size in damaskweir_model::Size::listed(quick) {
+        let report = damaskweir_model::check(size, None);
+        print(out, &format!("{report}\n"))?;
+        if report.violation.is_some() || !report.complete {
+            return Err(CommandError::Failure(format!("{size}: not passed")));
+        }
+    }
+    Ok(())
+}
+
 fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
@@ -242,6 +278,14 @@
     })
 }
 
+fn bench(arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    let output = damaskweir_bench::run(arguments).map_err(|error| match error.is_usage() {
+        true => CommandError::Usage(error.to_string()),
+        false => CommandError::Failure(format!("bench: {error}")),
+    })?;
+    print(out, &output)
+}
+
 fn demo(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let defaults = DemoOptions::default();
     let serve = arguments.contains("--serve");
