--- /dev/null
+++ b/crates/bench/tests/bench.rs
@@ -0,0 +1,150 @@
+//! The bench as a whole, and the targets of the design page for one seed.
+
+use damaskweir_bench::{Args, BenchError, Contender, Deployment, Experiment, Format, execute};
+use pico_args::Arguments;
+use rstest::rstest;
+use serde_json::Value;
+
+fn args(deployment: &str, experiment: Experiment, seconds: u64) -> Args {
+    Args {
+        deployment: deployment.to_owned(),
+        experiments: vec![experiment],
+        contenders: vec![Contender::damaskweir()],
+        seed: 1,
+        seconds,
+        format: Format::Json,
+        report: None,
+    }
+}
+
+fn run(args: &Args) -> Value {
+    serde_json::from_str(&execute(args).unwrap()).unwrap()
+}
+
+fn measures(document: &Value) -> &Vec<Value> {
+    document["policies"][0]["experiments"][0]["measures"].as_array().unwrap()
+}
+
+/// Guards against output that depends on anything but the seed: hash order, clock or addresses.
+#[rstest]
+#[case("board", Experiment::Storm)]
+#[case("teranga", Experiment::Overload)]
+fn same_seed_same_bytes(#[case] deployment: &str, #[case] experiment: Experiment) {
+    for format in [Format::Json, Format::Text] {
+        let args = Args { format, ..args(deployment, experiment, 15) };
+        assert_eq!(execute(&args).unwrap(), execute(&args).unwrap());
+    }
+    let other = Args { seed: 2, ..args(deployment, experiment, 15) };
+    assert_ne!(execute(&other).unwrap(), execute(&args(deployment, experiment, 15)).unwrap());
+}
+
+/// Guards against policies that are compared on different arrivals.
+#[rstest]
+fn contenders_see_the_same_calls() {
+    let contenders = vec![Contender::damaskweir(), Contender::baseline()];
+    let document = run(&Args { contenders, ..args("board", Experiment::Steady, 10) });
+    let calls = |i: usize| &document["policies"][i]["experiments"][0]["run"]["calls"];
+    assert_eq!(calls(0), calls(1));
+    assert_ne!(document["policies"][0]["experiments"], document["policies"][1]["experiments"]);
+    assert!(!document["ratios"].as_array().unwrap().is_empty());
+}
+
+/// Guards against policies that miss a target of the design page, and against results that are lost,
+/// doubled, misdelivered or untruly refused.
+#[rstest]
+fn targets_are_met(
+    #[values("board", "teranga")] deployment: &str,
+    #[values(
+        Experiment::Steady,
+        Experiment::LongMix,
+        Experiment::Overload,
+        Experiment::Slowed,
+        Experiment::Dying,
+        Experiment::Storm
+    )]
+    experiment: Experiment,
+) {
+    let document = run(&args(deployment, experiment, 60));
+    for measure in measures(&document) {
+        assert_eq!(measure["met"], true, "{measure}");
+    }
+    let names: Vec<_> = measures(&document).iter().map(|m| m["name"].as_str().unwrap()).collect();
+    for name in ["doubled", "lost", "misdelivered", "untrue refusals"] {
+        assert!(names.contains(&name), "{name} is not measured");
+    }
+}
+
+/// Guards against one workspace that takes the others' capacity in a surge of its own.
+#[rstest]
+fn others_are_served_beside_a_greedy_workspace(#[values("board", "teranga")] deployment: &str) {
+    let document = run(&args(deployment, Experiment::Greedy, 60));
+    let others = measures(&document).iter().find(|m| m["name"] == "others' attainment").unwrap();
+    assert!(others["value"].as_f64().unwrap() >= 0.98, "{others}");
+}
+
+/// Guards against a side that trusts the configured slots when the backend server can do less or more.
+#[rstest]
+fn wrong_slots_cost_little(#[values("board", "teranga")] deployment: &str) {
+    let document = run(&args(deployment, Experiment::Misfit, 60));
+    for measure in measures(&document) {
+        if measure["name"].as_str().unwrap().starts_with("yield") {
+            assert!(measure["value"].as_f64().unwrap() >= 0.92, "{measure}");
+        }
+    }
+}
+
+/// Guards against a baseline that is no worse: then the experiments would not tell policies apart.
+#[rstest]
+#[case(Experiment::Overload)]
+#[case(Experiment::Slowed)]
+fn baseline_misses_targets(#[case] experiment: Experiment) {
+    let contenders = vec![Contender::baseline()];
+    let document = run(&Args { contenders, ..args("board", experiment, 60) });
+    assert!(measures(&document).iter().any(|m| m["met"] == false));
+}
+
+/// Guards against a report without plots, or one that can't be written.
+#[rstest]
+fn report_has_plots() {
+    let directory = std::env::temp_dir().join(format!("damaskweir-bench-{}", std::process::id()));
+    let report = Some(directory.clone());
+    execute(&Args { report, ..args("board", Experiment::Steady, 6) }).unwrap();
+    let page = std::fs::read_to_string(directory.join("index.html")).unwrap();
+    std::fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(page.matches("<svg").count(), 2);
+    assert!(page.contains("attainment"));
+}
+
+/// Guards against a faulty deployment file that is used with guessed values.
+#[rstest]
+#[case::no_file(None, "No such file")]
+#[case::missing_key(Some(("load = 0.7\n", "")), "key load is missing")]
+#[case::not_a_number(Some(("entries = 4", "entries = four")), "entries = four")]
+#[case::zero(Some(("entries = 4", "entries = 0")), "entries = 0")]
+#[case::unknown_pool(Some(("print orders once", "print nowhere once")), "not usable")]
+#[case::unknown_effect(Some(("print orders once", "print orders twice")), "not usable")]
+fn deployment_faults_are_told(#[case] change: Option<(&str, &str)>, #[case] expected: &str) {
+    let board = include_str!("../deployments/board.ini");
+    let error = match change {
+        None => Deployment::load("/nowhere/at/all.ini").unwrap_err(),
+        Some((from, to)) => {
+            assert!(board.contains(from), "{from} is not in the file");
+            Deployment::parse(&board.replace(from, to)).unwrap_err()
+        }
+    };
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
+/// Guards against options that are ignored.
+#[rstest]
+#[case(&["--experiment", "none"])]
+#[case(&["--policy", "none"])]
+#[case(&["--format", "none"])]
+#[case(&["--without", "none"])]
+#[case(&["--seed", "-1"])]
+#[case(&["more"])]
+fn bad_options_are_refused(#[case] words: &[&str]) {
+    let words = words.iter().map(Into::into).collect();
+    let error: BenchError = Args::parse(Arguments::from_vec(words)).unwrap_err();
+    assert!(error.is_usage(), "{error}");
+}
--- /dev/null
+++ b/crates/core/tests/admit.rs
@@ -0,0 +1,103 @@
+//! Admission at the entry.
+
+use damaskweir_core::admit::{Admission, Ask, Denial, StoreHealth};
+use damaskweir_core::prelude::*;
+use rstest::rstest;
+
+fn workspace(share: u32, limit: u32) -> Workspace {
+    Workspace { share, limit }
+}
+
+fn ask(work: u64, wait: u64, budget: u64) -> Option<Ask> {
+    let [work, wait, budget] = [work, wait, budget].map(Span::from_millis);
+    Some(Ask { work, wait, budget })
+}
+
+/// Guards against requests that are admitted although they are predicted to be late, and against
+/// refusals of those that have time.
+#[rstest]
+#[case::idle(100, 0, 3_000, true)]
+#[case::short_queue(100, 500, 3_000, true)]
+#[case::long_queue(100, 2_000, 3_000, false)]
+#[case::work_fills_the_budget(2_900, 200, 3_000, false)]
+#[case::work_exceeds_the_budget(3_100, 0, 3_000, false)]
+fn predicted_completion_decides(
+    #[case] work: u64,
+    #[case] wait: u64,
+    #[case] budget: u64,
+    #[case] admitted: bool,
+) {
+    let mut admission = Admission::default();
+    let got = admission.admit(Time(0), &"a".into(), &workspace(1, 9), ask(work, wait, budget));
+    assert_eq!(got.is_ok(), admitted, "{got:?}");
+}
+
+/// Guards against a retry hint that is too early to help, or far too late: the queue needs about the
+/// excess over the allowed wait to drain.
+#[rstest]
+fn hint_is_the_excess() {
+    let mut admission = Admission::default();
+    let got = admission.admit(Time(0), &"a".into(), &workspace(1, 9), ask(100, 2_600, 3_000));
+    let Err(Denial::Overloaded { retry }) = got else { panic!("{got:?}") };
+    assert!(retry >= Span::from_millis(1_000) && retry <= Span::from_millis(2_600), "{retry:?}");
+}
+
+/// Guards against a workspace that crowds out others: at the peak the one above its share is refused
+/// while the one below it still gets in.
+#[rstest]
+fn the_greedy_one_is_refused_first() {
+    let mut admission = Admission::default();
+    let (greedy, modest) = ("greedy".into(), "modest".into());
+    let same = workspace(1, 1_000);
+    for i in 0..100 {
+        let now = Time(i * 10_000);
+        admission.admit(now, &greedy, &same, ask(100, 0, 3_000)).unwrap();
+        if i % 10 == 0 {
+            admission.admit(now, &modest, &same, ask(100, 0, 3_000)).unwrap();
+        }
+    }
+    let now = Time(1_000_000);
+    assert!(admission.admit(now, &greedy, &same, ask(100, 800, 3_000)).is_err());
+    assert!(admission.admit(now, &modest, &same, ask(100, 800, 3_000)).is_ok());
+}
+
+/// Guards against a share that is held against a workspace for ever, and against unused shares that
+/// keep others out.
+#[rstest]
+fn use_is_forgotten() {
+    let mut admission = Admission::default();
+    let greedy = "greedy".into();
+    let same = workspace(1, 1_000);
+    for i in 0..100 {
+        admission.admit(Time(i * 10_000), &greedy, &same, ask(100, 0, 3_000)).unwrap();
+    }
+    let later = Time(1_000_000) + Span::from_secs(20);
+    assert!(admission.admit(later, &greedy, &same, ask(100, 800, 3_000)).is_ok());
+}
+
+/// Guards against requests in progress above the limit, and against a limit that is not freed.
+#[rstest]
+fn limit_counts_requests_in_progress() {
+    let mut admission = Admission::default();
+    let (id, limited) = ("a".into(), workspace(1, 1));
+    assert!(admission.admit(Time(0), &id, &limited, None).is_ok());
+    let got = admission.admit(Time(0), &id, &limited, None);
+    assert!(matches!(got, Err(Denial::WorkspaceLimit { .. })), "{got:?}");
+    admission.release(&id);
+    assert!(admission.admit(Time(0), &id, &limited, None).is_ok());
+}
+
+/// Guards against calls that are refused because one store answer was lost, calls that go on to be
+/// refused late in an outage, and an entry that never notices that the store is back.
+#[rstest]
+fn store_outage_is_noticed_and_forgotten() {
+    let mut store = StoreHealth::default();
+    let at = |ms| Time(0) + Span::from_millis(ms);
+    store.answered(at(1_000), false);
+    assert!(store.allows(at(1_001)) && store.allows(at(1_002)), "one lost answer says little");
+    store.answered(at(1_600), false);
+    let probes = (1_610..2_610).step_by(10).filter(|ms| store.allows(at(*ms))).count();
+    assert!((2..=5).contains(&probes), "{probes} probes in a second of outage");
+    store.answered(at(2_700), true);
+    assert!((2_701..2_710).all(|ms| store.allows(at(ms))), "the store is back");
+}
--- /dev/null
+++ b/crates/core/tests/flow.rs
@@ -0,0 +1,218 @@
+//! Attempts, refusals, hedges and early stops of idempotent stages.
+
+mod common;
+
+use common::{attempt, bundle, dispatch, rng};
+use damaskweir_core::entry::{
+    Answer, Call, Code, Entry, EntryAction, EntryEvent, EntrySettings, Execution,
+};
+use damaskweir_core::prelude::*;
+use damaskweir_core::side::{Side, SideAction, SideSettings};
+use rstest::rstest;
+use std::sync::Arc;
+
+fn report(server: u64, wait: Span, running: u32) -> Report {
+    Report {
+        incarnation: Incarnation(100 + server),
+        serial: 1,
+        version: Version(1),
+        queued: 0,
+        running,
+        limit: 2,
+        wait,
+        draining: false,
+    }
+}
+
+fn entry(servers: u16, wait: Span, running: u32) -> Entry {
+    let settings = EntrySettings::default();
+    let bundle = Arc::new(bundle(servers));
+    let mut entry = Entry::new(Incarnation(7), "kerala-south-1".into(), settings, bundle);
+    for i in 0..servers {
+        for pool in ["readers", "orders"] {
+            let id = ServerId::from(format!("{pool}-{i}").as_str());
+            entry.connected(Time(0), &pool.into(), &id, true);
+            entry.report(&pool.into(), &id, report(u64::from(i), wait, running));
+        }
+    }
+    entry
+}
+
+fn call(deadline: Span) -> Call {
+    Call {
+        pipeline: "read".into(),
+        workspace: "kollam".into(),
+        deadline: Some(deadline),
+        key: None,
+        body: Digest([1; 32]),
+        prefix: None,
+        stream: false,
+    }
+}
+
+fn sends(actions: &[EntryAction]) -> Vec<(ServerId, AttemptId)> {
+    let send = |action: &EntryAction| match action {
+        EntryAction::Send { server, dispatch, .. } => Some((server.clone(), dispatch.attempt)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn answers(actions: &[EntryAction]) -> Vec<Answer> {
+    let answer = |action: &EntryAction| match action {
+        EntryAction::Answer(_, answer) => Some(answer.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
+
+/// Guards against a request that is bounced from server to server until its deadline, and against a
+/// final answer that is held back or has no true hint.
+#[rstest]
+fn refused_attempts_end_soon_with_the_hint() {
+    let mut entry = entry(8, Span::ZERO, 0);
+    let mut rng = rng(1);
+    let now = Time(0);
+    let (_, mut actions) = entry.call(now, &mut rng, call(Span::from_secs(3)));
+    let retry = Span::from_millis(700);
+    let mut used = Vec::new();
+    while let [(server, attempt)] = &sends(&actions)[..] {
+        assert!(!used.contains(server), "{server} was tried twice");
+        used.push(server.clone());
+        let event = EntryEvent::Refused(*attempt, Refusal::Overloaded { retry });
+        actions = entry.event(now, &mut rng, event);
+    }
+    assert_eq!(used.len(), 3);
+    let expected =
+        Answer::Error { code: Code::Overloaded, execution: Execution::NotRun, retry: Some(retry) };
+    assert_eq!(answers(&actions), [expected]);
+    assert_eq!(entry.progress(), 0);
+}
+
+/// Guards against requests that are admitted into a queue that eats their time.
+#[rstest]
+fn full_pools_refuse_at_once() {
+    let mut entry = entry(4, Span::from_secs(2), 2);
+    let (_, actions) = entry.call(Time(0), &mut rng(1), call(Span::from_secs(3)));
+    let [Answer::Error { code, execution, retry }] = &answers(&actions)[..] else {
+        panic!("{actions:?}")
+    };
+    assert_eq!((*code, *execution), (Code::Overloaded, Execution::NotRun));
+    assert!(retry.is_some_and(|retry| retry >= Span::from_millis(500)), "{retry:?}");
+}
+
+/// Guards against a slow attempt that is not hedged, a hedge on the same server, a second hedge, and
+/// a loser that is not cancelled.
+#[rstest]
+fn slow_attempt_is_hedged_once() {
+    let mut entry = entry(4, Span::ZERO, 0);
+    let mut rng = rng(1);
+    let (_, actions) = entry.call(Time(0), &mut rng, call(Span::from_secs(3)));
+    let first = sends(&actions).remove(0);
+    let at = entry.next_tick().unwrap();
+    assert!(at < Time(0) + Span::from_secs(1), "{at:?}");
+    let second = sends(&entry.tick(at, &mut rng)).remove(0);
+    assert_ne!(first.0, second.0);
+    assert_eq!(entry.next_tick(), Some(Time(0) + Span::from_secs(3)));
+    let done = EntryEvent::Done(second.1, Outcome::Finished);
+    let actions = entry.event(at + Span(1), &mut rng, done);
+    assert!(actions.contains(&EntryAction::Cancel(first.0, first.1)), "{actions:?}");
+    assert_eq!(answers(&actions), [Answer::Complete(second.1)]);
+}
+
+/// Guards against hedges that take the turn of first attempts where all servers have a queue.
+#[rstest]
+fn queues_are_not_hedged_into() {
+    let mut entry = entry(4, Span::from_millis(100), 2);
+    let mut rng = rng(1);
+    entry.call(Time(0), &mut rng, call(Span::from_secs(3)));
+    let at = entry.next_tick().unwrap();
+    assert!(sends(&entry.tick(at, &mut rng)).is_empty());
+}
+
+/// Guards against predictions that are mixed over size classes.
+#[rstest]
+fn size_classes_are_predicted_apart() {
+    let mut entry = entry(1, Span::ZERO, 0);
+    let mut rng = rng(1);
+    let estimate = |actions: &[EntryAction]| match &actions[0] {
+        EntryAction::Send { dispatch, .. } => dispatch.estimate,
+        other => panic!("{other:?}"),
+    };
+    for i in 0..200 {
+        let now = Time(i * 1_000_000);
+        for (class, ms) in [(1, 10), (2, 400)] {
+            let request = call(Span::from_secs(3));
+            let (_, actions) = entry.call_sized(now, &mut rng, request, SizeClass(class));
+            let (_, id) = sends(&actions).remove(0);
+            entry.served(id, Span::from_millis(ms));
+            let done = EntryEvent::Done(id, Outcome::Finished);
+            entry.event(now + Span::from_millis(ms), &mut rng, done);
+        }
+    }
+    let now = Time(300_000_000);
+    let deadline = Span::from_secs(3);
+    let (_, small) = entry.call_sized(now, &mut rng, call(deadline), SizeClass(1));
+    let (_, large) = entry.call_sized(now, &mut rng, call(deadline), SizeClass(2));
+    assert!(estimate(&small).as_millis() <= 12, "{:?}", estimate(&small));
+    assert!(estimate(&large).as_millis() >= 350, "{:?}", estimate(&large));
+}
+
+/// Guards against long work that takes all slots of a side, also when it was predicted to be short.
+#[rstest]
+#[case::predicted(Span::from_secs(4))]
+#[case::mispredicted(Span::from_millis(40))]
+fn slots_stay_free_from_long_work(#[case] predicted: Span) {
+    let settings = SideSettings { slots: 8, ..SideSettings::default() };
+    let mut side = Side::new(Incarnation(100), settings);
+    let mut now = Time(0);
+    for serial in 0..50 {
+        side.dispatch(now, &dispatch(attempt(serial, 0), Effect::Idempotent));
+        now = now + Span::from_millis(40);
+        side.finish(now, attempt(serial, 0), Outcome::Finished);
+    }
+    let mut started = 0;
+    for serial in 100..108 {
+        let mut long = dispatch(attempt(serial, 0), Effect::Idempotent);
+        (long.estimate, long.remaining) = (predicted, Span::from_secs(30));
+        let actions = side.dispatch(now, &long);
+        started += usize::from(actions.contains(&SideAction::Start(attempt(serial, 0))));
+        now = now + Span::from_secs(1);
+    }
+    let short = side.dispatch(now, &dispatch(attempt(200, 0), Effect::Idempotent));
+    if predicted > Span::from_secs(1) {
+        assert!(started <= 4, "{started} of 8 slots hold long work");
+        assert_eq!(short, [SideAction::Start(attempt(200, 0))]);
+    } else {
+        // What looks short is started; once it is seen to run long, further long work has to wait.
+        let mut long = dispatch(attempt(300, 0), Effect::Idempotent);
+        (long.estimate, long.remaining) = (Span::from_secs(4), Span::from_secs(30));
+        for serial in 100..104 {
+            side.finish(now, attempt(serial, 0), Outcome::Finished);
+        }
+        let actions = side.dispatch(now, &long);
+        assert!(!actions.contains(&SideAction::Start(attempt(300, 0))), "{actions:?}");
+    }
+}
+
+/// Guards against a limit that stays above what the backend server can run, falls without need, or
+/// never rises again.
+#[rstest]
+fn limit_follows_the_backend_server() {
+    let settings = SideSettings { slots: 16, ..SideSettings::default() };
+    let mut side = Side::new(Incarnation(100), settings);
+    for serial in 0..40 {
+        side.dispatch(Time(0), &dispatch(attempt(serial, 0), Effect::Idempotent));
+    }
+    side.load(Time(1), 6);
+    assert_eq!(side.report(Time(1)).limit, 10);
+    side.load(Time(2), 6);
+    assert_eq!(side.report(Time(2)).limit, 10, "the report does not show the change yet");
+    for serial in 0..8 {
+        side.finish(Time(3), attempt(serial, 0), Outcome::Finished);
+    }
+    let later = Time(0) + Span::from_millis(1_500);
+    let actions = side.load(later, 0);
+    assert_eq!(side.report(later).limit, 11);
+    assert_eq!(actions.len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,78 @@
+//! Budgets and delays of retries and hedges.
+
+use damaskweir_core::prelude::*;
+use damaskweir_core::retry::{Backoff, Budget, Spread, WorkBudget};
+use rand_core::SeedableRng as _;
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+/// Guards against a failing pool that sees more retries than its share allows.
+#[rstest]
+#[case(100)]
+#[case(200)]
+fn retries_stay_within_their_share(#[case] share: u32) {
+    let mut budget = Budget::new(share);
+    let firsts = 10_000;
+    let mut extra = 0;
+    for _ in 0..firsts {
+        budget.deposit();
+        extra += u32::from(budget.withdraw());
+    }
+    let allowed = firsts * share / 1_000;
+    assert!(extra <= allowed + 10, "{extra} extra attempts, {allowed} allowed");
+    assert!(extra >= allowed, "{extra} extra attempts of {allowed} allowed");
+}
+
+/// Guards against hedges of long work that cost many times their share although they are few.
+#[rstest]
+fn hedges_are_counted_by_work() {
+    let mut budget = WorkBudget::new(30);
+    let (mut first, mut extra) = (Span::ZERO, Span::ZERO);
+    for i in 0..10_000 {
+        let work = Span::from_millis(if i % 50 == 0 { 4_000 } else { 100 });
+        first += work;
+        budget.deposit(work);
+        if budget.withdraw(work) {
+            extra += work;
+        }
+    }
+    let burst = Span::from_secs(12).as_secs_f64();
+    let allowed = first.as_secs_f64() * 0.03 + burst;
+    assert!(extra.as_secs_f64() <= allowed, "{extra:?} of {allowed} s allowed");
+}
+
+/// Guards against work of any length that wraps the budget's count.
+#[rstest]
+fn endless_work_is_not_allowed() {
+    let mut budget = WorkBudget::new(30);
+    budget.deposit(Span(u64::MAX));
+    assert!(!budget.withdraw(Span(u64::MAX)));
+}
+
+/// Guards against callers that come back at the same moments, delays below the base or above the cap,
+/// and an endless loop of zero delays.
+#[rstest]
+fn delays_are_spread_between_base_and_cap() {
+    let (base, cap) = (Span::from_millis(5), Span::from_millis(250));
+    let mut rng = Rng::seed_from_u64(7);
+    let mut seen = BTreeSet::new();
+    for _ in 0..100 {
+        let mut backoff = Backoff::new(base, cap);
+        for _ in 0..8 {
+            let delay = backoff.next_delay(&mut rng);
+            assert!(delay >= base && delay <= cap, "{delay:?}");
+            seen.insert(delay);
+        }
+    }
+    assert!(seen.len() > 300, "{} different delays of 800", seen.len());
+}
+
+/// Guards against a comparison with jitter where there should be none.
+#[rstest]
+fn exponential_has_no_jitter() {
+    let mut rng = Rng::seed_from_u64(7);
+    let mut backoff =
+        Backoff::with_spread(Span::from_millis(5), Span::from_millis(250), Spread::Exponential);
+    let delays: Vec<_> = (0..7).map(|_| backoff.next_delay(&mut rng).as_millis()).collect();
+    assert_eq!(delays, [10, 20, 40, 80, 160, 250, 250]);
+}
