Put changed budgets, slots and zones of a new bundle into force at once

Cause: an entry kept the retry share, the slots and the zone that a pool had when it was first seen, so a changed value in a new bundle had no effect until a restart. Hedges also followed a constant only.

Change: configure hands the new values on; hedges get at most 'extra' of the pool.

--- a/crates/bench/tests/bench.rs
+++ b/crates/bench/tests/bench.rs
@@ -1,4 +1,5 @@
 //! The bench as a whole, and the targets of the design page for one seed.
+#![allow(clippy::unwrap_used, reason = "the lint knows only test functions")]
 
 use damaskweir_bench::{Args, BenchError, Contender, Deployment, Experiment, Format, execute};
 use pico_args::Arguments;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -24,7 +24,7 @@
 const RETRY_BASE: Span = Span::from_millis(5);
 /// Longest delay of retries.
 const RETRY_CAP: Span = Span::from_millis(250);
-/// Work that hedges may add, in thousandths of the work of first attempts.
+/// Work that hedges may add at most, in thousandths of the work of first attempts.
 const HEDGE_SHARE: u32 = 30;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
@@ -435,8 +435,12 @@
                 .entry(id.clone())
                 .or_insert_with(|| Router::with_policy(zone, policy, identity));
             router.set_servers(&pool.servers);
-            self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
-            self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(HEDGE_SHARE));
+            let share = pool.extra;
+            let budget = self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(share));
+            budget.set_share(share);
+            let share = pool.extra.min(HEDGE_SHARE);
+            let hedges = self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(share));
+            hedges.set_share(share);
         }
         self.bundle = bundle;
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -23,6 +23,11 @@
         Self { level: BURST_TOKENS * TOKEN, share: u64::from(share) }
     }
 
+    /// Changes the share; what was saved up stays.
+    pub fn set_share(&mut self, share: u32) {
+        self.share = u64::from(share);
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
         self.level = (self.level + self.share).min(BURST_TOKENS * TOKEN);
@@ -56,6 +61,11 @@
         Self { level: WORK_BURST.0 * TOKEN, share: u64::from(share) }
     }
 
+    /// Changes the share; what was saved up stays.
+    pub fn set_share(&mut self, share: u32) {
+        self.share = u64::from(share);
+    }
+
     /// Counts a first attempt of this predicted length.
     pub fn deposit(&mut self, work: Span) {
         let added = work.0.saturating_mul(self.share);
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -135,7 +135,10 @@
         let subset = self.subset(servers);
         self.targets.retain(|id, _| subset.iter().any(|server| server.id == *id));
         for server in subset {
-            self.targets.entry(server.id.clone()).or_insert_with(|| Target::new(server));
+            let target = self.targets.entry(server.id.clone());
+            let target = target.or_insert_with(|| Target::new(server));
+            target.zone = server.zone.clone();
+            target.slots = server.slots;
         }
     }
 
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -23,6 +23,18 @@
     assert!(extra >= allowed, "{extra} extra attempts of {allowed} allowed");
 }
 
+/// Guards against a share in a new bundle that takes effect only after a restart.
+#[rstest]
+fn changed_share_takes_effect() {
+    let mut budget = Budget::new(1_000);
+    budget.set_share(0);
+    let extra = (0..100).filter(|_| {
+        budget.deposit();
+        budget.withdraw()
+    });
+    assert_eq!(extra.count(), 10, "only what was saved up");
+}
+
 /// Guards against hedges of long work that cost many times their share although they are few.
 #[rstest]
 fn hedges_are_counted_by_work() {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -1,4 +1,5 @@
 //! Choice of a backend server in a pool.
+#![allow(clippy::unwrap_used, reason = "the lint knows only test functions")]
 
 use damaskweir_core::policy::Policy;
 use damaskweir_core::prelude::*;
@@ -248,6 +249,17 @@
     assert!(used.len() >= 190, "{} of 200 servers are used", used.len());
 }
 
+/// Guards against a changed zone or slot count in a new bundle that has no effect.
+#[rstest]
+fn changed_servers_are_taken_over() {
+    let mut all = servers(2, &["z0"]);
+    let mut router = router(&all);
+    all[0].zone = "z1".into();
+    router.set_servers(&all);
+    let near = shares(&router, Time(0), &need(&[]), 1_000)[&all[1].id];
+    assert!(near > 500, "{near} of 1000 to the only near server");
+}
+
 /// Guards against a second attempt on the server that already has the first.
 #[rstest]
 fn used_servers_are_avoided() {
