--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod backend;
+mod capacity;
 mod deployment;
 mod experiment;
 mod output;
@@ -31,6 +32,9 @@
     [--without hedging|admission|jitter]
 experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
 when none is named. --without turns one policy off, to measure what it brings
+
+damaskweir bench capacity
+    processor time and memory of the decision core by size, on this machine
 ";
 
 /// Shortest run; the overload and slowdown windows are a third of it.
@@ -58,6 +62,9 @@
     /// The deployment can't be used.
     #[error("deployment: {0}")]
     Deployment(#[from] DeploymentError),
+    /// The sizes of this process can't be read.
+    #[error("capacity: {0}")]
+    Capacity(#[from] std::io::Error),
     /// JSON can't be written.
     #[error("output: {0}")]
     Json(#[from] serde_json::Error),
@@ -209,8 +216,12 @@
 }
 
 /// Runs the command and returns its output; the arguments are those after `bench`.
-pub fn run(args: Arguments) -> Result<String, BenchError> {
-    Args::parse(args).and_then(|args| execute(&args))
+pub fn run(mut args: Arguments) -> Result<String, BenchError> {
+    match args.subcommand()?.as_deref() {
+        None => execute(&Args::parse(args)?),
+        Some("capacity") => Ok(capacity::run()?),
+        Some(other) => Err(BenchError::Unknown(other.to_owned())),
+    }
 }
 
 /// Runs the experiments, writes the report if asked for and returns the output.
--- a/crates/callers/tests/api.rs
+++ b/crates/callers/tests/api.rs
@@ -169,6 +169,18 @@
     assert!(submission.key.is_some() && submission.prefix.is_some() && !submission.stream);
 }
 
+/// Guards against long drafts being predicted like short questions.
+#[rstest]
+#[case(r#"{"prompt":"p","max_tokens":900}"#, 900)]
+#[case(r#"{"prompt":"pppppppp"}"#, 5)]
+#[case(r#"{"max_tokens":"many"}"#, 5)]
+#[tokio::test]
+async fn size_of_the_request(#[case] body: &'static str, #[case] want: u64) {
+    let bed = Bed::start(Script::Events(vec![finished("{}", Form::Json)])).await;
+    assert_eq!(bed.post(body).send().await.unwrap().status(), 200);
+    assert_eq!(bed.fake.submissions.lock().unwrap()[0].size, want);
+}
+
 /// Guards against text of an engine that looks like JSON being given another type.
 #[rstest]
 #[case("42", Form::Text, r#""42""#)]
@@ -286,6 +298,7 @@
         entry::Code::KeyReused,
         entry::Code::WorkspaceLimit,
         entry::Code::Overloaded,
+        entry::Code::DeadlineTooShort,
         entry::Code::Unavailable,
         entry::Code::Draining,
         entry::Code::StoreDown,
@@ -537,7 +550,8 @@
     if std::env::var_os("UPDATE").is_some() {
         std::fs::write(&path, &text).unwrap();
     }
-    assert_eq!(std::fs::read_to_string(&path).unwrap(), text);
+    let committed = std::fs::read_to_string(&path).unwrap();
+    assert!(committed == text, "docs/openapi.json differs from the API; rewrite it with UPDATE=1");
     for code in ErrorCode::ALL {
         assert!(text.contains(&format!("\"{code}\"")), "{code} is not described");
     }
--- a/crates/core/tests/admit.rs
+++ b/crates/core/tests/admit.rs
@@ -10,7 +10,7 @@
 
 fn ask(work: u64, wait: u64, budget: u64) -> Option<Ask> {
     let [work, wait, budget] = [work, wait, budget].map(Span::from_millis);
-    Some(Ask { work, wait, budget })
+    Some(Ask { work, expected: work, wait, budget })
 }
 
 /// Guards against requests that are admitted although they are predicted to be late, and against
@@ -42,6 +42,19 @@
     assert!(retry >= Span::from_millis(1_000) && retry <= Span::from_millis(2_600), "{retry:?}");
 }
 
+/// Guards against a retry hint where coming back never helps, and against none where it does.
+#[rstest]
+#[case::always_too_short(3_100, false)]
+#[case::slow_for_the_moment(100, true)]
+fn too_short_deadline_is_told_apart(#[case] expected: u64, #[case] hint: bool) {
+    let mut admission = Admission::default();
+    let expected = Span::from_millis(expected);
+    let ask = ask(3_100, 0, 3_000).map(|ask| Ask { expected, ..ask });
+    let got = admission.admit(Time(0), &"a".into(), &workspace(1, 9), ask);
+    assert_eq!(matches!(got, Err(Denial::Overloaded { .. })), hint, "{got:?}");
+    assert_eq!(matches!(got, Err(Denial::TooShort)), !hint, "{got:?}");
+}
+
 /// Guards against a workspace that crowds out others: at the peak the one above its share is refused
 /// while the one below it still gets in.
 #[rstest]
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -1,14 +1,17 @@
 //! The command line.
 
 use crate::demo::{Demo, DemoError, DemoOptions};
-use crate::entry::{EntryDaemon, EntryError, EntryOptions};
+use crate::entry::{EntryDaemon, EntryError, EntryOptions, seeded_rng};
 use crate::load::{LoadError, LoadOptions, run_load};
 use crate::logs::{LogForm, LogSettings, new_logger, quiet_logger};
 use crate::settings::{EntryFile, SettingsError, SideFile};
 use crate::side::{SideDaemon, SideError};
+use crate::spread::SpreadSetup;
 use damaskweir_core::prelude::*;
+use damaskweir_store::Client;
 use pico_args::Arguments;
 use slog::Level;
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::future::Future;
 use std::io::Write;
@@ -33,10 +36,11 @@
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
   demo [--serve]         run a whole deployment with stand-ins in this process
-  bench                  measure the policies in virtual time
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
   key new FILE           make an operator's key
+  bench [capacity]       measure the decision core in virtual time, or its own cost
+  scenario run FILE...   run scripted scenarios in virtual time
   model check [--quick]  explore the core protocol exhaustively for small sizes
 
 Options of every command:
@@ -100,6 +104,18 @@
   --format text|json     form of the report (default text)
 ";
 
+const SCENARIO_HELP: &str = "\
+Usage: damaskweir scenario run FILE... [OPTIONS]
+
+Runs scenarios on the decision core in virtual time and prints pass, or what was not met with the seed, the
+command to repeat and a trace. docs/scenarios.md describes the language. Exits with 1 if a run fails and
+with 3 if a file can't be read.
+
+Options:
+  --seed N               seed (default 1)
+  --seeds A..B           all seeds from A to B, both included
+";
+
 const MODEL_HELP: &str = "\
 Usage: damaskweir model check [--quick]
 
@@ -192,6 +208,8 @@
         Some("bench") => bench(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
+        Some("scenario") if help => print(out, SCENARIO_HELP),
+        Some("scenario") => scenario(arguments, out),
         Some("model") if help => print(out, MODEL_HELP),
         Some("model") => model(arguments, out),
         None if help => print(out, HELP),
@@ -200,6 +218,41 @@
     }
 }
 
+fn scenario(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("run") {
+        return Err(CommandError::Usage("'scenario run' is the only scenario command".to_owned()));
+    }
+    let seed: Option<u64> = arguments.opt_value_from_str("--seed")?;
+    let range = |text: &str| {
+        let (from, to) = text.split_once("..").ok_or("a range is written A..B")?;
+        let parse = |text: &str| text.parse::<u64>().map_err(|_| "a seed is a number");
+        Ok::<_, &str>((parse(from)?, parse(to)?))
+    };
+    let seeds = arguments.opt_value_from_fn("--seeds", range)?;
+    let (from, to) = seeds.unwrap_or((seed.unwrap_or(1), seed.unwrap_or(1)));
+    let mut failed = 0;
+    for file in arguments.finish() {
+        let name = file.to_string_lossy();
+        let fault = |reason: String| CommandError::Bundle(format!("{name}: {reason}"));
+        let text = std::fs::read_to_string(&file).map_err(|error| fault(error.to_string()))?;
+        let scenario =
+            damaskweir_scenario::parse(&text).map_err(|error| fault(error.to_string()))?;
+        for seed in from..=to {
+            let report = damaskweir_scenario::run(&scenario, seed);
+            print(out, &format!("{name}: {report}\n"))?;
+            if !report.failures.is_empty() {
+                failed += 1;
+                let repeat = format!("damaskweir scenario run {name} --seed {seed}");
+                print(out, &format!("  repeat with: {repeat}\n"))?;
+            }
+        }
+    }
+    if failed > 0 {
+        return Err(CommandError::Failure(format!("{failed} runs failed")));
+    }
+    Ok(())
+}
+
 fn model(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     if arguments.subcommand()?.as_deref() != Some("check") {
         return Err(CommandError::Usage("'model check' is the only model command".to_owned()));
@@ -257,9 +310,20 @@
     let file = EntryFile::read(&path)?;
     let log = new_logger(file.logs, file.instance.as_str());
     block_on(async {
-        let bundle = read_bundle(&file.bundle)?;
+        let (bundle, spread) = match &file.bundle {
+            Some(path) => (read_bundle(path)?, None),
+            None => {
+                let store = file.store.clone().map(new_client).transpose()?;
+                let (keys, seeds) = (file.operators.clone(), file.seeds.clone());
+                (Arc::new(empty_bundle()), Some(SpreadSetup { keys, store, seeds }))
+            }
+        };
         let options = EntryOptions::from_file(file, bundle)?;
-        let daemon = EntryDaemon::start(options, log).await?;
+        let daemon = tokio::select! {
+            daemon = EntryDaemon::start_spread(options, spread, log) => daemon?,
+            // It may wait for a bundle.
+            stopped = wait_for_stop() => return stopped,
+        };
         wait_for_stop().await?;
         Ok(daemon.drain().await?)
     })
@@ -271,7 +335,14 @@
     let file = SideFile::read(&path)?;
     let log = new_logger(file.logs, file.server.as_str());
     block_on(async {
-        let daemon = SideDaemon::start(file.options().map_err(SideError::from)?, log).await?;
+        let spread = if file.operators.is_empty() {
+            None
+        } else {
+            let store = file.store.clone().map(new_client).transpose()?;
+            Some(SpreadSetup { keys: file.operators.clone(), store, seeds: BTreeMap::new() })
+        };
+        let options = file.options().map_err(SideError::from)?;
+        let daemon = SideDaemon::start_spread(options, spread, log).await?;
         wait_for_stop().await?;
         daemon.drain().await;
         Ok(())
@@ -351,6 +422,21 @@
     }
 }
 
+fn new_client(settings: damaskweir_store::Settings) -> Result<Client, CommandError> {
+    Ok(Client::new(settings, seeded_rng()?).map_err(EntryError::from)?)
+}
+
+/// What an entry has before its first bundle.
+fn empty_bundle() -> Bundle {
+    Bundle {
+        version: Version(0),
+        pools: BTreeMap::new(),
+        pipelines: BTreeMap::new(),
+        workspaces: BTreeMap::new(),
+        operators: BTreeMap::new(),
+    }
+}
+
 fn read_bundle(path: &Path) -> Result<Arc<Bundle>, CommandError> {
     let text = std::fs::read_to_string(path)
         .map_err(|error| CommandError::Failure(format!("{}: {error}", path.display())))?;
--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -3,14 +3,16 @@
 //! One lock owns the core. Actions are carried out under it, in their order; calls to the backend
 //! server and messages to entries are tasks of their own.
 
+use crate::spread::{Spread, SpreadSetup};
 use bytes::{Bytes, BytesMut};
+use damaskweir_core::epoch::EpochSettings;
 use damaskweir_core::prelude::*;
 use damaskweir_core::side::{Side, SideAction, SideSettings};
 use damaskweir_engines::{Engine, EngineError, EngineSettings};
 use damaskweir_services::{Service, ServiceError, ServiceSettings};
 use damaskweir_wire::{
-    AskReply, Connection, Keys, Limits, Listener, Local, PeerId, Rejected, Reply, Request, Ticket,
-    ToEntry, WireError, Work,
+    AskReply, Connection, Keys, Limits, Listener, Local, Peer, PeerId, Rejected, Reply, Request,
+    Ticket, ToEntry, WireError, Work,
 };
 use slog::{FnValue, Logger, debug, info, o, warn};
 use std::collections::{HashMap, VecDeque};
@@ -27,8 +29,13 @@
 
 /// Failed health checks in a row after which the backend server counts as down.
 const FAILED_CHECKS: u32 = 2;
+/// Retry hint when a backend server that refuses an attempt gives none.
+const DEFAULT_RETRY: Span = Span::from_millis(100);
 /// Bytes of a frame that are not the answer: the report and the lengths.
 const OVERHEAD: usize = 1 << 10;
+/// Time that a dispatch waits at most for the version that it runs under. It carries all that its
+/// attempt needs, so after that it is run.
+const REACH_LIMIT: Duration = Duration::from_millis(500);
 /// Deadlines beyond this are as good as none, and instants can't lie arbitrarily far ahead.
 const FAR: Duration = Duration::from_secs(24 * 3600);
 
@@ -49,7 +56,7 @@
     pub backend: Backend,
     /// Settings of the core.
     pub core: SideSettings,
-    /// Time between health checks of the backend server.
+    /// Time between health checks of the backend server, and between readings of its load.
     pub check: Duration,
     /// Bytes of an answer. Lowered if need be, so that an answer fits into a frame.
     pub answer_limit: usize,
@@ -152,9 +159,27 @@
 impl SideDaemon {
     /// Starts a side on the current tokio runtime. It takes work once the backend server is healthy.
     pub async fn start(options: SideOptions, log: Logger) -> Result<Self, SideError> {
+        Self::start_spread(options, None, log).await
+    }
+
+    /// Starts a side that puts bundles into force. It takes work once it has caught up, too.
+    pub async fn start_spread(
+        options: SideOptions,
+        spread: Option<SpreadSetup>,
+        log: Logger,
+    ) -> Result<Self, SideError> {
         let incarnation = Incarnation(getrandom::u64().map_err(SideError::Random)?);
+        let server = options.server.clone();
+        let spread = spread
+            .map(|setup| setup.start(incarnation, EpochSettings::SIDE, None, &log))
+            .transpose()
+            .map_err(SideError::Random)?;
         let log = log.new(o!("server" => options.server.to_string()));
         let local = Local::new(PeerId::Side(options.server), options.zone, incarnation);
+        let local = match &spread {
+            Some(spread) => spread.attach(local),
+            None => local,
+        };
         let answer_limit = options.answer_limit.min(options.wire.frame.saturating_sub(OVERHEAD));
         let client = match options.backend {
             Backend::Engine(settings) => Client::Engine(Engine::new(settings)?),
@@ -163,7 +188,7 @@
             }
         };
         let mut side = Side::new(incarnation, options.core);
-        let healthy = client.healthy().await;
+        let healthy = client.healthy().await && spread.is_none();
         side.set_down(Time(0), !healthy);
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
@@ -174,6 +199,7 @@
             }),
             start: Instant::now(),
             client,
+            spread,
             local: local.clone(),
             answer_limit,
             timer: Notify::new(),
@@ -192,6 +218,9 @@
         shared.spawn(run_timers(Arc::clone(&shared)));
         shared.spawn(run_checks(Arc::clone(&shared), options.check, healthy));
         shared.tasks.spawn(accept(Arc::clone(&shared), listener));
+        if let Some(spread) = &shared.spread {
+            shared.spawn(follow_bundles(Arc::clone(&shared), spread.clone(), server));
+        }
         info!(shared.log, "side started"; "address" => %address, "incarnation" => %incarnation,
             "healthy" => healthy);
         Ok(Self { shared, address, drain_limit: options.drain_limit })
@@ -202,6 +231,11 @@
         self.address
     }
 
+    /// The bundle in force, when the side puts bundles into force.
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.shared.spread.as_ref()?.bundles().borrow().clone()
+    }
+
     /// What the side tells its peers about itself.
     pub fn local(&self) -> &Local {
         &self.shared.local
@@ -258,6 +292,9 @@
         let left = shared.lock().side.running();
         shared.abort_jobs();
         shared.stop.cancel();
+        if let Some(spread) = &shared.spread {
+            spread.stop();
+        }
         shared.tasks.close();
         shared.tasks.wait().await;
         if finished && delivered {
@@ -269,8 +306,17 @@
 
     /// Stops at once, as a process that dies does: nothing is finished and no end is told.
     pub fn abort(self) {
+        drop(self);
+    }
+}
+
+impl Drop for SideDaemon {
+    fn drop(&mut self) {
         self.shared.abort_jobs();
         self.shared.stop.cancel();
+        if let Some(spread) = &self.shared.spread {
+            spread.stop();
+        }
     }
 }
 
@@ -280,6 +326,7 @@
     state: Mutex<State>,
     start: Instant,
     client: Client,
+    spread: Option<Spread>,
     local: Local,
     answer_limit: usize,
     /// Tells the timer task that a timer is earlier than the one it waits for.
@@ -305,13 +352,29 @@
     armed: Option<Time>,
 }
 
+/// Messages of one attempt on their way to its entry.
+type Outbox = mpsc::UnboundedSender<Message>;
+
+#[derive(Debug)]
+enum Message {
+    Attempt(ToEntry),
+    /// The end, and the time that the backend server took.
+    Ended(Outcome, Span),
+}
+
+impl From<ToEntry> for Message {
+    fn from(message: ToEntry) -> Self {
+        Self::Attempt(message)
+    }
+}
+
 /// An attempt that waits or runs.
 #[derive(Debug)]
 struct Job {
     /// Taken when the attempt starts.
     order: Option<(Box<Dispatch>, Work)>,
     deadline: Instant,
-    messages: mpsc::UnboundedSender<ToEntry>,
+    messages: Outbox,
     ticket: Ticket,
     task: Option<AbortHandle>,
 }
@@ -369,6 +432,14 @@
             Client::Service(service) => service.healthy().await,
         }
     }
+
+    /// Attempts that wait inside the backend server, if it tells.
+    async fn waiting(&self) -> Option<u32> {
+        match self {
+            Client::Engine(engine) => engine.load().await.ok().map(|load| load.waiting),
+            Client::Service(service) => service.load().await.ok()?.map(|load| load.waiting),
+        }
+    }
 }
 
 /// How a call to the backend server ended.
@@ -388,7 +459,7 @@
         match error {
             EngineError::Unreachable(_) => End::Unsent(Refusal::Down, reason),
             EngineError::Refused { retry, .. } => {
-                let retry = retry.unwrap_or(Span::ZERO);
+                let retry = retry.unwrap_or(DEFAULT_RETRY);
                 End::Unsent(Refusal::Overloaded { retry }, reason)
             }
             EngineError::Failed(_) => End::Failed(Failure::Backend, reason),
@@ -403,7 +474,7 @@
         match error {
             ServiceError::Unreachable(_) => End::Unsent(Refusal::Down, reason),
             ServiceError::Refused(_) => {
-                End::Unsent(Refusal::Overloaded { retry: Span::ZERO }, reason)
+                End::Unsent(Refusal::Overloaded { retry: DEFAULT_RETRY }, reason)
             }
             ServiceError::Failed(_) => End::Failed(Failure::Backend, reason),
             ServiceError::Unknown(_) => End::Failed(Failure::Interrupted, reason),
@@ -420,6 +491,12 @@
         Time(0) + Span::from(self.start.elapsed())
     }
 
+    /// Whether work can be taken: the node has caught up and the backend server is healthy.
+    async fn usable(&self) -> bool {
+        let caught_up = self.spread.as_ref().is_none_or(|spread| *spread.readiness().borrow());
+        caught_up && self.client.healthy().await
+    }
+
     /// Spawns a task that ends when the side stops.
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
@@ -451,10 +528,10 @@
             // The job of this attempt, if there is one, belongs to an earlier copy of the message.
             self.count(&self.counters.refused);
             debug!(self.log_of(attempt), "attempt refused"; "reason" => ?refusal);
-            let _ = messages.send(ToEntry::Refused(*refusal));
+            let _ = messages.send(ToEntry::Refused(*refusal).into());
             return;
         }
-        let _ = messages.send(ToEntry::Accepted);
+        let _ = messages.send(ToEntry::Accepted.into());
         let order = Some((dispatch, work));
         state.jobs.insert(attempt, Job { order, deadline, messages, ticket, task: None });
         self.carry_out(&mut state, actions);
@@ -519,9 +596,10 @@
             self.count(&self.counters.failed);
             warn!(log, "attempt failed"; "outcome" => ?outcome, "reason" => reason);
         }
+        let served = state.side.elapsed(now, attempt).unwrap_or_default();
         let actions = state.side.finish(now, attempt, outcome);
         // The core and the kept answer are up to date before the entry hears of the end.
-        let _ = job.messages.send(ToEntry::Done(outcome));
+        let _ = job.messages.send(Message::Ended(outcome, served));
         self.carry_out(&mut state, actions);
     }
 
@@ -541,7 +619,7 @@
                     self.count(&self.counters.refused);
                     debug!(self.log_of(attempt), "attempt handed back"; "reason" => ?refusal);
                     if let Some(job) = state.jobs.remove(&attempt) {
-                        let _ = job.messages.send(ToEntry::Refused(refusal));
+                        let _ = job.messages.send(ToEntry::Refused(refusal).into());
                     }
                 }
                 SideAction::Abort(attempt) => {
@@ -553,7 +631,7 @@
                             task.abort();
                         }
                         let aborted = Outcome::Failed(Failure::Aborted);
-                        let _ = job.messages.send(ToEntry::Done(aborted));
+                        let _ = job.messages.send(ToEntry::Done(aborted).into());
                     }
                 }
                 SideAction::Drained => {
@@ -566,6 +644,12 @@
         }
     }
 
+    fn set_load(self: &Arc<Self>, waiting: u32) {
+        let mut state = self.lock();
+        let actions = state.side.load(self.now(), waiting);
+        self.carry_out(&mut state, actions);
+    }
+
     fn set_down(self: &Arc<Self>, down: bool) {
         let mut state = self.lock();
         let actions = state.side.set_down(self.now(), down);
@@ -606,9 +690,16 @@
     let hello = peer.hello();
     let log = shared.log.new(o!("peer" => hello.id.to_string()));
     info!(log, "entry connected"; "incarnation" => %hello.incarnation);
+    let spread = shared.spread.clone();
+    let spread = spread.map(|spread| Shown::new(spread, &peer));
     while let Some(request) = connection.next().await {
         match request {
-            Request::Dispatch { dispatch, work, reply } => shared.dispatch(dispatch, work, reply),
+            Request::Dispatch { dispatch, work, reply } => {
+                if let Some(shown) = &spread {
+                    shown.reach(&dispatch).await;
+                }
+                shared.dispatch(dispatch, work, reply);
+            }
             Request::Cancel(attempt, ticket) => shared.cancel(attempt, ticket),
             Request::Ask { attempt, incarnation, reply } => shared.ask(attempt, incarnation, reply),
         }
@@ -617,16 +708,92 @@
     info!(log, "entry disconnected"; "kind" => error.kind(), "error" => %error);
 }
 
+/// An entry among the peers of the node, until it is dropped.
+struct Shown {
+    spread: Spread,
+    peer: Incarnation,
+    task: AbortHandle,
+}
+
+impl Shown {
+    fn new(spread: Spread, peer: &Peer) -> Self {
+        spread.add_entry(peer);
+        let incarnation = peer.hello().incarnation;
+        let (mut versions, shown) = (peer.versions(), spread.clone());
+        let task = tokio::spawn(async move {
+            while versions.changed().await.is_ok() {
+                let version = *versions.borrow_and_update();
+                shown.show(incarnation, version);
+            }
+        });
+        Self { spread, peer: incarnation, task: task.abort_handle() }
+    }
+
+    /// Pulls the version of a dispatch before it is looked at. The requests behind it wait as well,
+    /// so that a cancel never comes before its dispatch.
+    async fn reach(&self, dispatch: &Dispatch) {
+        let force = self.spread.bundles().borrow().as_ref().map(|bundle| bundle.version);
+        if force.is_some_and(|force| force >= dispatch.version) {
+            return;
+        }
+        self.spread.show(self.peer, dispatch.version);
+        let patience = Duration::from(dispatch.remaining).min(REACH_LIMIT);
+        self.spread.reach(dispatch.version, patience).await;
+    }
+}
+
+impl Drop for Shown {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.spread.remove(self.peer);
+    }
+}
+
+/// Tells the core and the entries of each bundle that comes into force.
+async fn follow_bundles(shared: Arc<Shared>, spread: Spread, server: ServerId) {
+    let mut bundles = spread.bundles();
+    let mut ready = spread.readiness();
+    loop {
+        let bundle = bundles.borrow_and_update().clone();
+        if let Some(bundle) = bundle {
+            let mut state = shared.lock();
+            state.side.set_version(bundle.version);
+            let mut servers = bundle.pools.values().flat_map(|pool| &pool.servers);
+            if let Some(found) = servers.find(|found| found.id == server) {
+                let actions = state.side.set_slots(shared.now(), found.slots);
+                shared.carry_out(&mut state, actions);
+            }
+        }
+        // The next check finds that the node has caught up.
+        shared.check.notify_one();
+        tokio::select! {
+            changed = bundles.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            changed = ready.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Sends the messages of one attempt.
 async fn send_messages(
     shared: Arc<Shared>,
     mut reply: Reply,
-    mut messages: mpsc::UnboundedReceiver<ToEntry>,
+    mut messages: mpsc::UnboundedReceiver<Message>,
     attempt: AttemptId,
 ) {
     while let Some(message) = messages.recv().await {
-        let last = message.is_last();
-        if let Err(error) = reply.send(message).await {
+        let (last, sent) = match message {
+            Message::Attempt(message) => (message.is_last(), reply.send(message).await),
+            Message::Ended(outcome, served) => (true, reply.finish(outcome, served).await),
+        };
+        if let Err(error) = sent {
             debug!(shared.log_of(attempt), "message to the entry not sent"; "error" => %error);
             return;
         }
@@ -641,7 +808,7 @@
     shared: Arc<Shared>,
     dispatch: Box<Dispatch>,
     work: Work,
-    messages: mpsc::UnboundedSender<ToEntry>,
+    messages: Outbox,
     deadline: Instant,
 ) {
     let (attempt, effect) = (dispatch.attempt, dispatch.effect);
@@ -668,7 +835,7 @@
     engine: &Engine,
     dispatch: &Dispatch,
     work: &Work,
-    messages: &mpsc::UnboundedSender<ToEntry>,
+    messages: &Outbox,
     deadline: Instant,
     limit: usize,
 ) -> End {
@@ -701,7 +868,7 @@
                 }
                 let data = Bytes::from(token.text);
                 // Non-idempotent work goes on without a listener.
-                let _ = messages.send(ToEntry::Chunk { index: token.index, data });
+                let _ = messages.send(ToEntry::Chunk { index: token.index, data }.into());
             }
             Ok(None) => return End::Finished(whole.freeze()),
             // Tokens were generated, so the call ran even if the engine now refuses.
@@ -719,7 +886,7 @@
     service: &Service,
     dispatch: &Dispatch,
     work: Work,
-    messages: &mpsc::UnboundedSender<ToEntry>,
+    messages: &Outbox,
 ) -> End {
     let call = damaskweir_services::Call {
         path: &work.path,
@@ -731,7 +898,7 @@
     match service.call(call).await {
         Ok(answer) => {
             if dispatch.resume == 0 {
-                let _ = messages.send(ToEntry::Chunk { index: 0, data: answer.clone() });
+                let _ = messages.send(ToEntry::Chunk { index: 0, data: answer.clone() }.into());
             }
             End::Finished(answer)
         }
@@ -762,14 +929,17 @@
     }
 }
 
-/// Checks the backend server's health.
+/// Checks the backend server's health and reads its load.
 async fn run_checks(shared: Arc<Shared>, period: Duration, mut healthy: bool) {
     let mut failed = 0;
     loop {
         // A call that could not connect asks for a check at once.
         let _ = timeout(period, shared.check.notified()).await;
-        if shared.client.healthy().await {
+        if shared.usable().await {
             failed = 0;
+            if let Some(waiting) = shared.client.waiting().await {
+                shared.set_load(waiting);
+            }
             if !healthy {
                 info!(shared.log, "backend server is up");
                 healthy = true;
--- a/crates/damaskweir/tests/side/main.rs
+++ b/crates/damaskweir/tests/side/main.rs
@@ -1,6 +1,7 @@
 //! Failures around a side: the daemon between an entry's connection and the stand-in of a backend
 //! server.
 
+mod storm;
 mod support;
 
 use damaskweir_core::prelude::*;
@@ -27,6 +28,7 @@
     let (text, last) = rest(&mut attempt).await;
     assert_eq!(last, Some(FINISHED));
     assert_eq!(text, engine::answer("labels", 8));
+    assert!(attempt.served().is_some());
     assert_eq!(engine.runs().keys.get(&Digest([4; 32]).to_string()), Some(&1));
 }
 
@@ -233,6 +235,45 @@
     within(drain).await.unwrap();
 }
 
+/// Guards against a shutdown that never ends because of a call that hangs.
+#[tokio::test]
+async fn drain_ends_at_its_limit() {
+    let service = service::Service::start().await.unwrap();
+    service.set(|behaviour| behaviour.delay = LONG);
+    let limit = Duration::from_millis(50);
+    let rig = Rig::start_with(service_backend(&service), |o| o.drain_limit = limit).await;
+    let entry = rig.connect().await;
+    let mut attempt = entry.dispatch(&rig.once(0)).await;
+    until(|| service.runs().total() == 1).await;
+    within(rig.daemon.drain()).await;
+    assert_eq!(rest(&mut attempt).await.1, None);
+}
+
+/// Guards against kept answers that fill the memory, and against forgetting that a call ran together
+/// with its answer.
+#[tokio::test]
+async fn oldest_kept_answer_makes_room() {
+    let service = service::Service::start().await.unwrap();
+    // Room for one answer, which repeats the body of the call.
+    let rig = Rig::start_with(service_backend(&service), |o| o.kept_limit = 1500).await;
+    let entry = rig.connect().await;
+    let body = serde_json::json!({ "input": "x".repeat(1000) }).to_string();
+    for number in 0..2 {
+        let mut attempt = entry.dispatch_body(&rig.once(number), body.clone().into()).await;
+        assert_eq!(rest(&mut attempt).await.1, Some(FINISHED));
+    }
+    let ended = Standing::Ended(Outcome::Finished);
+    let first = entry.link.ask(rig.once(0).attempt, rig.incarnation);
+    assert_eq!(within(first).await.unwrap(), (ended, None));
+    let second = entry.link.ask(rig.once(1).attempt, rig.incarnation);
+    let (standing, answer) = within(second).await.unwrap();
+    assert_eq!(standing, ended);
+    assert!(answer.is_some());
+    let mut copy = entry.dispatch(&rig.once(0)).await;
+    assert_eq!(rest(&mut copy).await.1, Some(ToEntry::Refused(Refusal::Duplicate)));
+    assert_eq!(service.runs().total(), 2);
+}
+
 /// Guards against an attempt that hangs, or looks finished, when its side dies in the middle of it.
 #[tokio::test]
 async fn killed_side_breaks_its_streams() {
@@ -278,6 +319,23 @@
     assert_eq!(engine.runs().total(), 1);
 }
 
+/// Guards against attempts that wait inside the engine, out of reach for order and deadlines.
+#[tokio::test]
+async fn load_report_of_the_engine_lowers_the_limit() {
+    let engine = engine::Engine::start(1).await.unwrap();
+    engine.set(|behaviour| behaviour.hold = Some(0));
+    let rig = Rig::for_engine(&engine, 4).await;
+    let entry = rig.connect().await;
+    let _attempts = [
+        entry.dispatch(&idempotent(0)).await,
+        entry.dispatch(&idempotent(1)).await,
+        entry.dispatch(&idempotent(2)).await,
+    ];
+    let mut reports = entry.link.reports();
+    let lowered = |report: &Option<Report>| report.is_some_and(|report| report.limit < 4);
+    within(reports.wait_for(lowered)).await.unwrap();
+}
+
 /// Guards against "outcome unknown" for a call that the service refused before it ran, and against a
 /// late copy that still runs.
 #[tokio::test]
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a plain service: answers JSON after a delay.
 
 use crate::runs::Runs;
+use crate::socket::listen;
 use futures::stream;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::prelude::*;
 use serde_json::{Value, json};
@@ -55,17 +55,17 @@
 struct State {
     behaviour: Behaviour,
     runs: Runs,
+    running: u32,
 }
 
 impl Service {
     /// Starts on a free loopback port.
     pub async fn start() -> io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let acceptor = TcpAcceptor::try_from(listener)?;
+        let (address, acceptor) = listen()?;
         let shared = Arc::new(Shared::default());
         let router = Router::new()
             .push(Router::with_path("health").get(Health(Arc::clone(&shared))))
+            .push(Router::with_path("load").get(ShowLoad(Arc::clone(&shared))))
             .push(Router::with_path("{**path}").post(Work(Arc::clone(&shared))));
         let server = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
         Ok(Self { address, shared, server })
@@ -107,6 +107,7 @@
 impl Drop for Job<'_> {
     fn drop(&mut self) {
         let mut state = self.shared.lock();
+        state.running -= 1;
         if self.finished {
             state.runs.finished += 1;
         } else {
@@ -133,7 +134,11 @@
                 return;
             }
         };
-        self.0.lock().runs.count(request);
+        {
+            let mut state = self.0.lock();
+            state.runs.count(request);
+            state.running += 1;
+        }
         let mut job = Job { shared: &self.0, finished: false };
         sleep(behaviour.delay).await;
         job.finished = true;
@@ -151,6 +156,16 @@
     }
 }
 
+struct ShowLoad(Arc<Shared>);
+
+#[handler]
+impl ShowLoad {
+    async fn handle(&self, response: &mut Response) {
+        let running = self.0.lock().running;
+        response.render(Json(json!({ "running": running, "waiting": 0 })));
+    }
+}
+
 struct Health(Arc<Shared>);
 
 #[handler]
