--- a/crates/scenario/src/language.rs
+++ b/crates/scenario/src/language.rs
@@ -73,6 +73,10 @@
     LoseAnswer,
     /// Breaks the store's promise, to show that `never doubled` can fail.
     StoreBlind,
+    /// Lowers the version in the store, to show that `never reverts` can fail.
+    StoreReverts,
+    /// Has a side report ends as refusals, to show that `no untrue refusal` can fail.
+    Lie(String),
     /// Breaks a backend server, to show that `nothing lost` can fail.
     Garble(String),
     Approve {
@@ -162,6 +166,7 @@
                 let names = match &fault {
                     Fault::Pause(a, _) | Fault::Kill(a, _) | Fault::Slow(a, ..) => vec![a],
                     Fault::Fail(a, _) | Fault::Stop(a) | Fault::Garble(a) => vec![a],
+                    Fault::Lie(a) => vec![a],
                     Fault::Cut(a, b, _) => vec![a, b],
                     _ => Vec::new(),
                 };
@@ -340,11 +345,16 @@
         (word("loses"), word("answer"), word("of"), word("next"), word("write"))
             .value(Fault::LoseAnswer),
         (word("ignores"), word("conditions")).value(Fault::StoreBlind),
+        word("reverts").value(Fault::StoreReverts),
     ))
-    .context(expected("down, slow, ignores conditions or loses answer of next write"));
+    .context(expected("down, slow, ignores conditions, reverts or loses answer of next write"));
     let twice = opt((word("by"), word("two"), word("operators")));
     let cut = (name, preceded(word("from"), name), length);
     let slow = (name, preceded(word("by"), number), length);
+    let broken = alt((
+        preceded(word("garble"), cut_err(name)).map(Fault::Garble),
+        preceded(word("lie"), cut_err(name)).map(Fault::Lie),
+    ));
     let fault = alt((
         preceded(word("pause"), cut_err((name, length))).map(|(who, l)| Fault::Pause(who, l)),
         preceded(word("kill"), cut_err((name, length))).map(|(who, l)| Fault::Kill(who, l)),
@@ -352,12 +362,12 @@
         preceded(word("cut"), cut_err(cut)).map(|(a, b, l)| Fault::Cut(a, b, l)),
         preceded(word("slow"), cut_err(slow)).map(|(who, by, l)| Fault::Slow(who, by, l)),
         preceded(word("stop"), cut_err(name)).map(Fault::Stop),
-        preceded(word("garble"), cut_err(name)).map(Fault::Garble),
+        broken,
         preceded(word("store"), cut_err(store)),
         preceded(word("approve"), cut_err((name, twice)))
             .map(|(bundle, twice)| Fault::Approve { bundle, twice: twice.is_some() }),
     ))
-    .context(expected("pause, kill, fail, cut, slow, stop, garble, burst, store or approve"));
+    .context(expected("pause, kill, fail, cut, slow, stop, garble, lie, burst, store or approve"));
     alt((preceded(word("burst"), cut_err(traffic)).map(Event::Burst), fault.map(Event::Fault)))
         .parse_next(input)
 }
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -44,6 +44,8 @@
     pub(crate) slow: u64,
     /// Answers with the output of other work.
     pub(crate) garbles: bool,
+    /// Reports ends as refusals.
+    pub(crate) lies: bool,
     pub(crate) leaving: bool,
     pub(crate) jobs: BTreeMap<AttemptId, Job>,
     /// Outputs of non-idempotent attempts that ended.
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -472,6 +472,12 @@
             }
             Fault::LoseAnswer => self.store.loses = true,
             Fault::StoreBlind => self.store.blind = true,
+            Fault::StoreReverts => self.store.manifest = Version(1),
+            Fault::Lie(name) => {
+                if let Some(server) = self.scenario.server(name) {
+                    self.servers[server].lies = true;
+                }
+            }
             Fault::Garble(name) => {
                 if let Some(server) = self.scenario.server(name) {
                     self.servers[server].garbles = true;
@@ -1112,7 +1118,12 @@
         }
         let actions = self.servers[server].side.finish(self.now, attempt, outcome);
         if self.hosts[job.host].links[server] == Some(job.link) {
-            self.send_entry(server, job.host, ToEntry::Done(attempt, outcome, output));
+            let told = if self.servers[server].lies {
+                ToEntry::Refused(attempt, Refusal::Expired)
+            } else {
+                ToEntry::Done(attempt, outcome, output)
+            };
+            self.send_entry(server, job.host, told);
         }
         self.side_actions(server, actions);
     }
@@ -1218,6 +1229,7 @@
         tick: None,
         slow: 1,
         garbles: false,
+        lies: false,
         leaving: false,
         jobs: BTreeMap::new(),
         kept: BTreeMap::new(),
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -44,6 +44,11 @@
 #[case::force("at 1s approve b", "in force everywhere within 10us")]
 #[case::wins("at 1s approve b\nat 2s approve c", "one approval wins")]
 #[case::lost("at 1s garble readers-0", "nothing lost")]
+#[case::untrue("at 0s lie orders-0\nat 0s lie orders-1", "no untrue refusal")]
+#[case::reverts(
+    "at 1s approve b\nat 2s store reverts\nat 2s kill readers-0 for 100ms",
+    "never reverts"
+)]
 #[case::doubled("at 0s store ignores conditions", "never doubled")]
 fn expectation_can_fail(#[case] faults: &str, #[case] expectation: &str) {
     let traffic =
