Give no new work to servers on leaving instances

Cause: the client of the instance list was not used by any daemon, so only a signal to the side drained a backend server. Change: section [instances] of the entry's settings; a server whose id is the name of a leaving instance is not chosen, and is again once it is listed as live. A failed poll leaves the last list in force. Conclusion: with polls of 1 s on average the platform's own lag decides how soon a leaving server is left alone.

--- a/crates/damaskweir/src/demo.rs
+++ b/crates/damaskweir/src/demo.rs
@@ -360,6 +360,7 @@
             wire: damaskweir_wire::Limits::default(),
             bundle: Arc::clone(bundle),
             claims: Some(ClaimWriter::spawn(client, ClaimSettings::default())),
+            instances: None,
             drain_grace: Duration::ZERO,
             drain_limit: REQUEST_LIMIT,
         };
--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -19,11 +19,12 @@
 use damaskweir_core::predict::SizeClass;
 use damaskweir_core::prelude::*;
 use damaskweir_core::retry::Backoff;
+use damaskweir_instances::{Instances, InstancesError, InstancesSettings, State as InstanceState};
 use damaskweir_store::{ClaimSettings, ClaimWriter, Client, StoreError};
 use damaskweir_wire::{Attempt, Dialer, Keys, Link, Local, PeerId, ToEntry, WireError, Work};
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Logger, debug, info, o, warn};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -69,6 +70,8 @@
     pub bundle: Arc<Bundle>,
     /// Writes claims; without it non-idempotent calls are refused.
     pub claims: Option<ClaimWriter>,
+    /// The platform's instance list, if it is to be followed.
+    pub instances: Option<InstancesSettings>,
     /// Time between the start of a drain and the earliest exit, for balancers to notice.
     pub drain_grace: Duration,
     /// Time after which a drain ends with requests still in progress.
@@ -99,6 +102,7 @@
             wire: wire.limits,
             bundle,
             claims,
+            instances: file.instances,
             drain_grace: file.drain_grace,
             drain_limit: file.drain_limit,
         })
@@ -129,6 +133,9 @@
     /// The store's settings can't be used.
     #[error(transparent)]
     Store(#[from] StoreError),
+    /// The instance list's settings can't be used.
+    #[error(transparent)]
+    Instances(#[from] InstancesError),
     /// Metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -193,6 +200,7 @@
                 running: HashMap::new(),
                 links: BTreeMap::new(),
                 armed: None,
+                leaving: BTreeSet::new(),
             }),
             start: Instant::now(),
             timer: Notify::new(),
@@ -207,6 +215,10 @@
             log,
         });
         let mut tasks = vec![spawn(run_timers(Arc::clone(&shared)))];
+        if let Some(settings) = options.instances {
+            let instances = poll_instances(settings, &shared.log)?;
+            tasks.push(spawn(follow_instances(Arc::clone(&shared), instances)));
+        }
         let mut links = Links::new(Arc::clone(&shared));
         match spread {
             Some(spread) => {
@@ -316,6 +328,35 @@
     links: BTreeMap<ServerId, Link>,
     /// What the timer task waits for.
     armed: Option<Time>,
+    /// Servers on instances that are leaving.
+    leaving: BTreeSet<ServerId>,
+}
+
+impl State {
+    fn configure(&mut self, bundle: Arc<Bundle>) {
+        self.entry.configure(bundle);
+        // Servers that the bundle brings back or adds may be leaving already.
+        self.mark_leaving(&self.leaving.clone(), true);
+    }
+
+    fn leave(&mut self, leaving: BTreeSet<ServerId>, log: &Logger) {
+        let old = std::mem::replace(&mut self.leaving, leaving);
+        let back: BTreeSet<_> = old.difference(&self.leaving).cloned().collect();
+        for server in self.leaving.difference(&old) {
+            info!(log, "instance is leaving; no new work for its server"; "server" => %server);
+        }
+        self.mark_leaving(&back, false);
+        self.mark_leaving(&self.leaving.clone(), true);
+    }
+
+    fn mark_leaving(&mut self, servers: &BTreeSet<ServerId>, leaving: bool) {
+        let bundle = Arc::clone(self.entry.bundle());
+        for (id, pool) in &bundle.pools {
+            for server in pool.servers.iter().filter(|server| servers.contains(&server.id)) {
+                self.entry.leaving(id, &server.id, leaving);
+            }
+        }
+    }
 }
 
 /// A request that has no final answer yet.
@@ -1041,13 +1082,38 @@
     }
 }
 
+fn poll_instances(settings: InstancesSettings, log: &Logger) -> Result<Instances, EntryError> {
+    let log = log.clone();
+    let failed = move |error: &InstancesError| {
+        warn!(log, "poll failed; the last list stays in force"; "error" => %error);
+    };
+    Ok(Instances::spawn(settings, seeded_rng()?, failed)?)
+}
+
+/// Gives no new work to backend servers on instances that are leaving. A server's id is the name of its
+/// instance.
+async fn follow_instances(shared: Arc<Shared>, instances: Instances) {
+    let mut lists = instances.lists();
+    loop {
+        let list = Arc::clone(&lists.borrow_and_update());
+        let leaving =
+            list.instances.values().filter(|instance| instance.state == InstanceState::Leaving);
+        let leaving: BTreeSet<_> =
+            leaving.map(|instance| ServerId::from(instance.id.as_str())).collect();
+        shared.lock().leave(leaving, &shared.log);
+        if lists.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Puts each bundle that comes into force to use.
 async fn follow_bundles(mut links: Links, spread: Spread) {
     let mut bundles = spread.bundles();
     loop {
         let bundle = bundles.borrow_and_update().clone();
         if let Some(bundle) = bundle {
-            links.shared.lock().entry.configure(Arc::clone(&bundle));
+            links.shared.lock().configure(Arc::clone(&bundle));
             links.follow(&bundle);
             links.shared.configured.send_replace(true);
         }
--- a/crates/damaskweir/src/settings.rs
+++ b/crates/damaskweir/src/settings.rs
@@ -8,6 +8,7 @@
 use damaskweir_core::prelude::*;
 use damaskweir_core::side::SideSettings;
 use damaskweir_engines::EngineSettings;
+use damaskweir_instances::InstancesSettings;
 use damaskweir_services::ServiceSettings;
 use damaskweir_wire::{Keys, WireError};
 use ini::{Ini, ParseOption, Properties};
@@ -101,6 +102,8 @@
     pub seeds: BTreeMap<ServerId, SocketAddr>,
     /// The store; without it non-idempotent calls are refused.
     pub store: Option<damaskweir_store::Settings>,
+    /// The platform's instance list.
+    pub instances: Option<InstancesSettings>,
     /// Time between the start of a drain and the earliest exit.
     pub drain_grace: Duration,
     /// Time after which a drain ends with requests still in progress.
@@ -136,6 +139,7 @@
             bundle,
             seeds: read_seeds(&mut reader),
             store: read_store(&mut reader),
+            instances: read_instances(&mut reader),
             drain_grace: reader.millis("drain", "grace-ms", 0..=60_000, 500),
             drain_limit: reader.millis("drain", "limit-ms", 100..=600_000, 30_000),
             logs: read_logs(&mut reader),
@@ -376,6 +380,14 @@
     Some(settings)
 }
 
+fn read_instances(reader: &mut Reader) -> Option<InstancesSettings> {
+    let urls = reader.urls("instances", "url");
+    let period = reader.millis("instances", "period-ms", 100..=60_000, 1_000);
+    let timeout = reader.millis("instances", "timeout-ms", 10..=10_000, 1_000);
+    let url = urls.into_iter().next()?;
+    Some(InstancesSettings { url, period, timeout })
+}
+
 pub(crate) fn read_logs(reader: &mut Reader) -> LogSettings {
     let forms = [("json", LogForm::Json), ("terminal", LogForm::Terminal)];
     let levels = [
--- a/crates/damaskweir/tests/common/mod.rs
+++ b/crates/damaskweir/tests/common/mod.rs
@@ -362,6 +362,7 @@
         wire: damaskweir_wire::Limits::default(),
         bundle: Arc::new(bundle),
         claims: None,
+        instances: None,
         drain_grace: Duration::ZERO,
         drain_limit: HANG,
     }
--- a/crates/damaskweir/tests/entry.rs
+++ b/crates/damaskweir/tests/entry.rs
@@ -5,12 +5,16 @@
 mod common;
 
 use common::*;
+use damaskweir::entry::EntryOptions;
 use damaskweir_callers::{ErrorCode, Execution};
 use damaskweir_core::prelude::*;
+use damaskweir_instances::InstancesSettings;
+use damaskweir_standins::instances::Instances;
 use damaskweir_standins::store::{Outage, Store};
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// Guards against a stage that gets another input than the output of the stage before.
@@ -50,6 +54,38 @@
     assert_eq!(got.last().unwrap()["chunks"], 5);
 }
 
+/// Guards against new work for a server whose instance is leaving, and against a server that stays out
+/// after its instance is listed as live again.
+#[rstest]
+#[tokio::test]
+async fn leaving_instances_get_no_new_work() {
+    let list = |revision: u64, state: &str| {
+        let instance = json!({
+            "id": "enc-1", "zone": "zone-a", "address": "127.0.0.1:1", "state": state
+        });
+        json!({ "revision": revision, "instances": [instance] })
+    };
+    let instances = Instances::start().await.unwrap();
+    instances.show(list(1, "live"));
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo(""));
+    let bundle = bundle(&[("draft", vec![stage("encode", &[&side])])]);
+    let period = Duration::from_millis(10);
+    let settings = InstancesSettings { url: instances.url(), period, ..Default::default() };
+    let options = EntryOptions { instances: Some(settings), ..options(authority.keys(), bundle) };
+    let bed = Bed::ready(options).await;
+    let status = async || bed.post("draft", "{}").send().await.unwrap().status().as_u16();
+    assert_eq!(status().await, 200);
+    instances.show(list(2, "leaving"));
+    within(async { while status().await != 503 {} }).await;
+    let before = side.dispatches().len();
+    let (code, error) = error_of(bed.post("draft", "{}")).await;
+    assert_eq!((code, error.code), (503, ErrorCode::Unavailable));
+    assert_eq!(side.dispatches().len(), before);
+    instances.show(list(3, "live"));
+    within(async { while status().await != 200 {} }).await;
+}
+
 /// Guards against a stream that goes on with another generation after its side broke.
 #[rstest]
 #[tokio::test]
--- a/crates/damaskweir/tests/settings.rs
+++ b/crates/damaskweir/tests/settings.rs
@@ -71,7 +71,7 @@
         "[drain] limit-ms: '5' is not accepted; expected a whole number from 100 to 600000",
         "[logs] form: 'xml' is not accepted; expected one of json, terminal",
         "[bundle] colour: unknown key; known are file",
-        "[extra] unknown section; known are bundle, callers, credentials, drain, entry, logs, operators, seeds, store, wire",
+        "[extra] unknown section; known are bundle, callers, credentials, drain, entry, instances, logs, operators, seeds, store, wire",
     ];
     let wanted: Vec<_> = wanted.iter().map(|line| format!("{file}: {line}")).collect();
     assert_eq!(problems, wanted);
--- a/crates/damaskweir/tests/spread.rs
+++ b/crates/damaskweir/tests/spread.rs
@@ -89,6 +89,7 @@
                 operators: BTreeMap::new(),
             }),
             claims: None,
+            instances: None,
             drain_grace: Duration::ZERO,
             drain_limit: Duration::from_secs(1),
         }
