--- a/crates/damaskweir/src/demo.rs
+++ b/crates/damaskweir/src/demo.rs
@@ -184,17 +184,15 @@
     pub fn print_help(&self, out: &mut impl Write) -> Result<(), DemoError> {
         let urls = self.urls();
         let mut text = String::from("\nTry:\n");
+        let headers = "-H 'x-workspace: kollam' -H 'content-type: application/json'";
         let body = r#"{"prompt": "two columns, A4"}"#;
         for url in &urls {
-            text += &format!(
-                "  curl -s {url}/v1/pipelines/draft -H 'x-workspace: kollam' -d '{body}'\n"
-            );
+            text += &format!("  curl -s {url}/v1/pipelines/draft {headers} -d '{body}'\n");
         }
         if let Some(url) = urls.first() {
             text += &format!(
-                "  curl -sN {url}/v1/pipelines/draft -H 'x-workspace: kollam' \
-                 -H 'accept: text/event-stream' -d '{body}'\n  \
-                 curl -s {url}/v1/pipelines/order -H 'x-workspace: kollam' \
+                "  curl -sN {url}/v1/pipelines/draft {headers} -H 'accept: text/event-stream' \
+                 -d '{body}'\n  curl -s {url}/v1/pipelines/order {headers} \
                  -H 'idempotency-key: order-1' -d '{{\"copies\": 2}}'\n  curl -s {url}/metrics\n"
             );
         }
--- a/crates/damaskweir/tests/demo.rs
+++ b/crates/damaskweir/tests/demo.rs
@@ -6,6 +6,7 @@
 use damaskweir::load::{LoadError, LoadOptions, run_load};
 use damaskweir::logs::quiet_logger;
 use rstest::rstest;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A hang is a failure; no verdict depends on how long anything takes.
@@ -30,6 +31,43 @@
     tokio::time::timeout(HANG, run).await.expect("the test hangs");
 }
 
+/// Guards against printed lines that don't work: each is sent as curl would send it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn printed_lines_work() {
+    let run = async {
+        let demo = Demo::start(DemoOptions::default(), &quiet_logger()).await.unwrap();
+        let mut out = Vec::new();
+        demo.print_help(&mut out).unwrap();
+        let text = String::from_utf8(out).unwrap();
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let lines: Vec<_> = text.lines().filter(|line| line.contains("curl")).collect();
+        assert_eq!(lines.len(), 5, "{text}");
+        for line in lines {
+            let (command, body) = line.split_once(" -d '").unwrap_or((line, ""));
+            let url = command.split(' ').find(|word| word.starts_with("http://")).unwrap();
+            let mut request = match body.strip_suffix('\'') {
+                // curl's own content type, unless the line has another.
+                Some(body) => client.post(url).body(body.to_owned()),
+                None => client.get(url),
+            };
+            let mut headers: BTreeMap<_, _> = command
+                .split(" -H '")
+                .skip(1)
+                .filter_map(|part| part.split('\'').next()?.split_once(": "))
+                .collect();
+            headers.entry("content-type").or_insert("application/x-www-form-urlencoded");
+            for (name, value) in headers {
+                request = request.header(name, value);
+            }
+            let response = request.send().await.unwrap();
+            assert_eq!(response.status(), 200, "{line}");
+        }
+        demo.stop().await.unwrap();
+    };
+    tokio::time::timeout(HANG, run).await.expect("the test hangs");
+}
+
 fn options(target: &str) -> LoadOptions {
     LoadOptions {
         target: target.parse().unwrap(),
