--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -24,7 +24,7 @@
 const RETRY_BASE: Span = Span::from_millis(5);
 /// Longest delay of retries.
 const RETRY_CAP: Span = Span::from_millis(250);
-/// Work that hedges may add, in thousandths of the work of first attempts.
+/// Work that hedges may add at most, in thousandths of the work of first attempts.
 const HEDGE_SHARE: u32 = 30;
 /// Retry hint when nothing better is known.
 const DEFAULT_RETRY: Span = Span::from_secs(1);
@@ -437,8 +437,12 @@
                 .entry(id.clone())
                 .or_insert_with(|| Router::with_policy(zone, policy, identity));
             router.set_servers(&pool.servers);
-            self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(pool.extra));
-            self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(HEDGE_SHARE));
+            let share = pool.extra;
+            let budget = self.budgets.entry(id.clone()).or_insert_with(|| Budget::new(share));
+            budget.set_share(share);
+            let share = pool.extra.min(HEDGE_SHARE);
+            let hedges = self.hedges.entry(id.clone()).or_insert_with(|| WorkBudget::new(share));
+            hedges.set_share(share);
         }
         self.bundle = bundle;
     }
@@ -546,6 +550,11 @@
         }
     }
 
+    /// Attempts that were sent and have not ended, at all pools; zero without requests in progress.
+    pub fn attempts(&self) -> usize {
+        self.routers.values().map(Router::open).sum()
+    }
+
     /// The servers of a pool that this entry uses; it needs connections to these only.
     pub fn servers(&self, pool: &PoolId) -> impl Iterator<Item = &ServerId> {
         self.routers.get(pool).into_iter().flat_map(Router::servers)
@@ -612,6 +621,9 @@
             .ok_or((Code::Unavailable, Some(DEFAULT_RETRY)))?;
         let expected = pipeline.stages.iter().fold(Span::ZERO, |sum, stage| sum + stage.expected);
         let ask = self.settings.admission.then_some(Ask { work, expected, wait, budget });
+        if work > budget && expected <= budget {
+            self.doubt(now, &call.pipeline, class);
+        }
         match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
             Err(Denial::WorkspaceLimit { retry }) => Err((Code::WorkspaceLimit, Some(retry))),
@@ -620,6 +632,11 @@
         }
     }
 
+    fn doubt(&mut self, now: Time, pipeline: &PipelineId, class: SizeClass) {
+        let of = |key: &(PipelineId, u16, SizeClass)| key.0 == *pipeline && key.2 == class;
+        self.estimators.iter_mut().filter(|(key, _)| of(key)).for_each(|(_, e)| e.doubt(now));
+    }
+
     /// Predicted service time and wait of the stages from `first` on. `None`: a pool has no server
     /// that can take work.
     pub(crate) fn predict(
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -135,7 +135,10 @@
         let subset = self.subset(servers);
         self.targets.retain(|id, _| subset.iter().any(|server| server.id == *id));
         for server in subset {
-            self.targets.entry(server.id.clone()).or_insert_with(|| Target::new(server));
+            let target = self.targets.entry(server.id.clone());
+            let target = target.or_insert_with(|| Target::new(server));
+            target.zone = server.zone.clone();
+            target.slots = server.slots;
         }
     }
 
@@ -235,6 +238,11 @@
         self.targets.get(server).map_or(Span::ZERO, |target| target.wait(estimate))
     }
 
+    /// Attempts sent from here that have not ended, at all servers.
+    pub fn open(&self) -> usize {
+        self.targets.values().map(|target| target.open.len()).sum()
+    }
+
     /// Whether a server is ejected, so that an attempt there is a probe.
     pub fn is_ejected(&self, server: &ServerId) -> bool {
         self.targets.get(server).is_some_and(|target| target.ejection.is_some())
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -204,13 +204,10 @@
         Some("side") => side(arguments),
         Some("demo") if help => print(out, DEMO_HELP),
         Some("demo") => demo(arguments, out),
+        Some("bench") if help => print(out, damaskweir_bench::USAGE),
+        Some("bench") => bench(arguments, out),
         Some("load") if help => print(out, LOAD_HELP),
         Some("load") => load(arguments, out),
-        Some("bench") if help => print(out, damaskweir_bench::USAGE),
-        Some("bench") => {
-            let output = damaskweir_bench::run(arguments);
-            print(out, &output.map_err(|error| CommandError::Failure(error.to_string()))?)
-        }
         Some("scenario") if help => print(out, SCENARIO_HELP),
         Some("scenario") => scenario(arguments, out),
         Some("model") if help => print(out, MODEL_HELP),
@@ -352,6 +349,14 @@
     })
 }
 
+fn bench(arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    let output = damaskweir_bench::run(arguments).map_err(|error| match error.is_usage() {
+        true => CommandError::Usage(error.to_string()),
+        false => CommandError::Failure(format!("bench: {error}")),
+    })?;
+    print(out, &output)
+}
+
 fn demo(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     let defaults = DemoOptions::default();
     let serve = arguments.contains("--serve");
