Connect only to the servers that the core uses; split the entry daemon

Change: links follow the router's part of each pool; a side that a claim names and that this entry does not use is dialled for the question alone. entry.rs is now daemon, requests.rs, attempts.rs, links.rs. Figures: 30 servers in a pool: 24 connections, was 30; 8 calls repeated through another entry ran once each and all got the first answer. Conclusion: connections of an entry are bounded by 24 per pool.

--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -111,3 +111,10 @@
         pub limit: u32,
     }
 }
+
+impl Bundle {
+    /// The server with this id, in whatever pool.
+    pub fn server(&self, id: &ServerId) -> Option<&BackendServer> {
+        self.pools.values().flat_map(|pool| &pool.servers).find(|server| server.id == *id)
+    }
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -447,6 +447,12 @@
         self.bundle = bundle;
     }
 
+    /// Whether this entry sends attempts to a server. In a large pool it uses a part of the servers, and
+    /// needs no connection to the others.
+    pub fn uses(&self, pool: &PoolId, server: &ServerId) -> bool {
+        self.routers.get(pool).is_some_and(|router| router.servers().any(|id| id == server))
+    }
+
     /// Takes a request. The first action may already be its answer.
     pub fn call(&mut self, now: Time, rng: &mut Rng, call: Call) -> (RequestId, Vec<EntryAction>) {
         self.call_sized(now, rng, call, SizeClass::default())
--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -1,12 +1,15 @@
 //! The daemons and commands of damaskweir.
 
+mod attempts;
 pub mod command;
 pub mod demo;
 pub mod entry;
+mod links;
 pub mod load;
 pub mod logs;
 pub mod metrics;
 pub mod order;
+mod requests;
 pub mod settings;
 pub mod side;
 pub mod spread;
--- a/crates/damaskweir/tests/entry.rs
+++ b/crates/damaskweir/tests/entry.rs
@@ -365,6 +365,52 @@
     assert_eq!(side.started(), 1);
 }
 
+/// Guards against connections that grow with the pool, and against a repeat whose first call runs at a
+/// side that this entry does not use: it must be asked all the same, and the call runs once.
+#[rstest]
+#[tokio::test]
+async fn large_pool() {
+    const CALLS: usize = 8;
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let script = Script::Hold(vec!["{\"n\":1}"]);
+    let start = |i| ScriptedSide::start(&authority.keys(), &format!("order-{i}"), script.clone());
+    let sides: Vec<_> = (0..30).map(start).collect();
+    let mut beds = Vec::new();
+    for _ in 0..2 {
+        let stages = vec![stage("print", &sides.iter().collect::<Vec<_>>()).once()];
+        let mut options = options(authority.keys(), bundle(&[("order", stages)]));
+        options.claims = Some(claims(&store));
+        beds.push(Bed::ready(options).await);
+    }
+    let links = async || {
+        let (_, text) = beds[0].get("/metrics").await;
+        let line = text.lines().find(|line| line.starts_with("damaskweir_links"));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<usize>().ok()).unwrap()
+    };
+    within(async { while links().await < 24 {} }).await;
+    let send = |bed: &Bed, call: usize| {
+        let request = bed.post("order", "{}").header("idempotency-key", format!("k-{call}"));
+        tokio::spawn(async move { request.send().await.unwrap().text().await.unwrap() })
+    };
+    let started = || sides.iter().map(ScriptedSide::started).sum::<usize>();
+    let first: Vec<_> = (0..CALLS).map(|call| send(&beds[0], call)).collect();
+    within(async {
+        while started() < CALLS {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    let repeats: Vec<_> = (0..CALLS).map(|call| send(&beds[1], call)).collect();
+    sides.iter().for_each(ScriptedSide::release);
+    for answer in first.into_iter().chain(repeats) {
+        let text = within(answer).await.unwrap();
+        let answer: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(answer["output"]["n"], 1, "{text}");
+    }
+    assert_eq!((started(), links().await), (CALLS, 24));
+}
+
 /// Guards against a call without a claim being sent, and against idempotent work that needs the store.
 #[rstest]
 #[tokio::test]
