Show a new bundle version with its announcement

Cause: a new version reaches the connections before the core of the side, so the heartbeat that announces it could still show the old version, and entries learned of it up to 1 s later. Change: a report shows at least the version that the connections announce. Conclusion: found by reading; the tests of side, spread and demo pass, none of them forces the order.

--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -212,7 +212,11 @@
             log,
         });
         let reporter = Arc::clone(&shared);
-        let report = move || reporter.lock().side.report(reporter.now());
+        let report = move || {
+            let report = reporter.lock().side.report(reporter.now());
+            // A new bundle reaches the connections first; its announcement must not show the old one.
+            Report { version: report.version.max(reporter.local.version()), ..report }
+        };
         let listener = Listener::bind(options.listen, &options.keys, local, options.wire, report)?;
         let address = listener.address();
         shared.spawn(run_timers(Arc::clone(&shared)));
