Drain a server that the bundle no longer names; learn service times without waits

Cause: the design says that a bundle that removes a server drains it, but its side only looked at bundles that name it. The entry daemon did not pass on the service time that sides tell, so waits in queues counted as service. Change: Side::set_listed refuses new work and hands back what waits while the bundle in force does not name the server; attempts report the time that the side told. Conclusion: removal and return of a server take effect with the bundle.

--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -90,6 +90,8 @@
     /// Time of the last event.
     now: Time,
     draining: bool,
+    /// The bundle in force does not name the backend server.
+    unlisted: bool,
     down: bool,
     serial: u64,
     /// Service times against their estimates.
@@ -118,6 +120,7 @@
             forgotten: BTreeMap::new(),
             now: Time::default(),
             draining: false,
+            unlisted: false,
             down: false,
             serial: 0,
             pace: Pace::default(),
@@ -237,6 +240,14 @@
         if down { self.hand_back(Refusal::Down) } else { self.start(now) }
     }
 
+    /// The bundle in force names the backend server, or no longer does. While it does not, the side takes
+    /// no work and hands back what waits; a later bundle may bring the server back.
+    pub fn set_listed(&mut self, now: Time, listed: bool) -> Vec<SideAction> {
+        self.now = self.now.max(now);
+        self.unlisted = !listed;
+        if listed { self.start(now) } else { self.hand_back(Refusal::Draining) }
+    }
+
     /// The bundle version in force changed.
     pub fn set_version(&mut self, version: Version) {
         self.version = self.version.max(version);
@@ -306,7 +317,7 @@
             running: self.running.len() as u32,
             limit: self.limit,
             wait: self.wait(now),
-            draining: self.draining || self.down,
+            draining: self.draining || self.unlisted || self.down,
         }
     }
 
@@ -408,7 +419,7 @@
         {
             return Some(Refusal::Duplicate);
         }
-        if self.draining {
+        if self.draining || self.unlisted {
             return Some(Refusal::Draining);
         }
         if self.down {
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -56,3 +56,21 @@
     side.finish(Time(1), attempt(1, 0), Outcome::Finished);
     assert_eq!(side.forbid(attempt(1, 0), RUN), Standing::Ended(Outcome::Finished));
 }
+
+/// Guards against work for a server that the bundle no longer names, against running work that is cut
+/// off by that, and against a server that stays out after a later bundle names it again.
+#[rstest]
+fn unlisted_side_takes_no_work() {
+    let mut side = side(1);
+    side.dispatch(Time(0), &dispatch(attempt(1, 0), Effect::Idempotent));
+    side.dispatch(Time(0), &dispatch(attempt(2, 0), Effect::Idempotent));
+    let handed_back = SideAction::Refuse(attempt(2, 0), Refusal::Draining);
+    assert_eq!(side.set_listed(Time(1), false), [handed_back]);
+    assert!(side.report(Time(1)).draining);
+    let refused = SideAction::Refuse(attempt(3, 0), Refusal::Draining);
+    assert_eq!(side.dispatch(Time(1), &dispatch(attempt(3, 0), Effect::Idempotent)), [refused]);
+    assert_eq!(side.finish(Time(2), attempt(1, 0), Outcome::Finished), []);
+    assert_eq!(side.set_listed(Time(3), true), []);
+    let started = SideAction::Start(attempt(4, 0));
+    assert_eq!(side.dispatch(Time(3), &dispatch(attempt(4, 0), Effect::Idempotent)), [started]);
+}
--- a/crates/damaskweir/src/attempts.rs
+++ b/crates/damaskweir/src/attempts.rs
@@ -58,6 +58,9 @@
                     Outcome::Finished => "finished",
                     Outcome::Failed(_) => "failed",
                 };
+                if let Some(time) = attempt.served() {
+                    shared.lock().entry.served(id, time);
+                }
                 shared.ended(id, end, EntryEvent::Done(id, outcome));
                 return;
             }
--- a/crates/damaskweir/src/side.rs
+++ b/crates/damaskweir/src/side.rs
@@ -250,6 +250,11 @@
         self.shared.lock().side.incarnation()
     }
 
+    /// Whether the side takes new work.
+    pub fn takes_work(&self) -> bool {
+        !self.shared.lock().side.report(self.shared.now()).draining
+    }
+
     /// Counts since the start.
     pub fn counts(&self) -> SideCounts {
         let counters = &self.shared.counters;
@@ -762,11 +767,15 @@
         if let Some(bundle) = bundle {
             let mut state = shared.lock();
             state.side.set_version(bundle.version);
-            let mut servers = bundle.pools.values().flat_map(|pool| &pool.servers);
-            if let Some(found) = servers.find(|found| found.id == server) {
-                let actions = state.side.set_slots(shared.now(), found.slots);
-                shared.carry_out(&mut state, actions);
+            let found = bundle.server(&server);
+            let mut actions = state.side.set_listed(shared.now(), found.is_some());
+            if let Some(found) = found {
+                actions.extend(state.side.set_slots(shared.now(), found.slots));
+            } else {
+                info!(shared.log, "the bundle does not name this server; no new work";
+                    "version" => %bundle.version);
             }
+            shared.carry_out(&mut state, actions);
         }
         // The next check finds that the node has caught up.
         shared.check.notify_one();
--- a/crates/damaskweir/tests/spread.rs
+++ b/crates/damaskweir/tests/spread.rs
@@ -176,6 +176,26 @@
     two.abort();
 }
 
+/// Guards against a server that goes on to get work after a bundle without it is in force, and against
+/// one that stays out after a later bundle brings it back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removed_server_takes_no_work() {
+    let bed = Bed::new().await;
+    let (one, two) = (bed.side("enc-1").await, bed.side("enc-2").await);
+    let sides = [("enc-1", one.address()), ("enc-2", two.address())];
+    bed.approve(0, 1, &sides).await;
+    let entry = bed.entry("entry-1", &[]).await;
+    until(|| entry.is_ready() && one.takes_work() && two.takes_work()).await;
+    bed.approve(1, 1, &sides[..1]).await;
+    until(|| version(&two) == 2 && !two.takes_work()).await;
+    assert!(one.takes_work());
+    bed.approve(2, 1, &sides).await;
+    until(|| version(&two) == 3 && two.takes_work()).await;
+    entry.abort();
+    one.abort();
+    two.abort();
+}
+
 /// Guards against a restart during a store outage that takes work under an old or no bundle, or that
 /// waits for the store. Pair of failures: the store is down and an entry and a side are restarted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
