Tell a failed stage from an unavailable pool

Cause: when the backoff passed the deadline, or the retry budget was empty, the code depended on which of the two came first and not on what had happened. Change: 'stage_failed' when an attempt at the stage failed or was lost, else 'unavailable'. Conclusion: the code is the same whichever limit ends the request.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -316,6 +316,8 @@
     pub(crate) claim: Option<Claim>,
     /// Attempts at the current stage that were refused without having run.
     pub(crate) bounces: u32,
+    /// An attempt at the current stage failed or was lost.
+    pub(crate) failed: bool,
     pub(crate) backoff: Backoff,
     pub(crate) retry_at: Option<Time>,
     pub(crate) hedge_at: Option<Time>,
@@ -338,6 +340,17 @@
         [self.retry_at, self.hedge_at].into_iter().flatten().fold(self.deadline, Time::min)
     }
 
+    /// Why the current stage has no answer although its deadline has not passed.
+    pub(crate) fn shortfall(&self) -> Code {
+        if self.claim.is_some() && self.execution() == Execution::Unknown {
+            Code::OutcomeUnknown
+        } else if self.failed {
+            Code::StageFailed
+        } else {
+            Code::Unavailable
+        }
+    }
+
     /// What happened to the work so far.
     pub(crate) fn execution(&self) -> Execution {
         if self.ran {
@@ -691,6 +704,7 @@
             armed: deadline,
             claim: None,
             bounces: 0,
+            failed: false,
             backoff: Backoff::with_spread(RETRY_BASE, RETRY_CAP, self.settings.spread),
             retry_at: None,
             hedge_at: None,
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -42,6 +42,7 @@
         request.used.clear();
         request.number = 0;
         request.bounces = 0;
+        request.failed = false;
         match effect {
             Effect::Idempotent => {
                 if let Some(budget) = self.budgets.get_mut(&pool) {
@@ -348,6 +349,7 @@
             self.pause(now, id, &ended.server);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
+        request.failed = true;
         if request.streaming == Some(ended.id) {
             request.streaming = None;
             if request.emitted > 0 && !request.resumes() {
@@ -364,12 +366,12 @@
     fn retry(&mut self, now: Time, rng: &mut Rng, id: RequestId, actions: &mut Vec<EntryAction>) {
         let Some(request) = self.requests.get(&id) else { return };
         let Some(stage) = request.stage() else { return };
-        let pool = stage.pool.clone();
+        let (pool, code) = (stage.pool.clone(), request.shortfall());
         let free = self.settings.policy == Policy::Baseline;
         if free || self.budgets.get_mut(&pool).is_some_and(|budget| budget.withdraw()) {
             self.retry_later(now, rng, id, actions);
         } else {
-            self.give_up(id, Code::StageFailed, Some(DEFAULT_RETRY), actions);
+            self.give_up(id, code, Some(DEFAULT_RETRY), actions);
         }
     }
 
@@ -390,8 +392,7 @@
             };
         // Without a further attempt number, waiting brings nothing.
         if at >= request.deadline || request.number == u16::MAX {
-            let unknown = request.claim.is_some() && request.execution() == Execution::Unknown;
-            let code = if unknown { Code::OutcomeUnknown } else { Code::Unavailable };
+            let code = request.shortfall();
             self.give_up(id, code, Some(DEFAULT_RETRY), actions);
             return;
         }
--- a/crates/core/tests/flow.rs
+++ b/crates/core/tests/flow.rs
@@ -234,3 +234,30 @@
     let (_, actions) = entry.call(now + Span::from_secs(20), &mut rng, call(Span::from_secs(3)));
     assert_eq!(sends(&actions).len(), 1);
 }
+
+/// Guards against 'unavailable' for a stage whose attempts ran and failed, and against 'stage_failed'
+/// where no attempt was started.
+#[rstest]
+#[case::failed(true, Code::StageFailed)]
+#[case::refused(false, Code::Unavailable)]
+fn code_tells_failed_from_unavailable(#[case] ran: bool, #[case] want: Code) {
+    let mut entry = entry(3, Span::ZERO, 0);
+    let mut rng = rng(1);
+    let mut now = Time(0);
+    let (_, mut actions) = entry.call(now, &mut rng, call(Span::from_secs(3)));
+    while answers(&actions).is_empty() {
+        actions = match sends(&actions).pop() {
+            Some((_, id)) if ran => {
+                let failed = Outcome::Failed(Failure::Backend);
+                entry.event(now, &mut rng, EntryEvent::Done(id, failed))
+            }
+            Some((_, id)) => entry.event(now, &mut rng, EntryEvent::Refused(id, Refusal::Down)),
+            None => {
+                now = entry.next_tick().unwrap();
+                entry.tick(now, &mut rng)
+            }
+        };
+    }
+    let answer = answers(&actions).remove(0);
+    assert!(matches!(answer, Answer::Error { code, .. } if code == want), "{answer:?}");
+}
