--- a/crates/scenario/src/language.rs
+++ b/crates/scenario/src/language.rs
@@ -75,8 +75,11 @@
     StoreBlind,
     /// Lowers the version in the store, to show that `never reverts` can fail.
     StoreReverts,
-    /// Has a side report ends as refusals, to show that `no untrue refusal` can fail.
+    /// Has a side report ends as refusals, and itself as drained when it stops, to show that
+    /// `no untrue refusal` and `nothing cut off` can fail.
     Lie(String),
+    /// Runs an entry's timers late, to show that `answered at once` can fail.
+    Dull(String),
     /// Breaks a backend server, to show that `nothing lost` can fail.
     Garble(String),
     Approve {
@@ -166,7 +169,7 @@
                 let names = match &fault {
                     Fault::Pause(a, _) | Fault::Kill(a, _) | Fault::Slow(a, ..) => vec![a],
                     Fault::Fail(a, _) | Fault::Stop(a) | Fault::Garble(a) => vec![a],
-                    Fault::Lie(a) => vec![a],
+                    Fault::Lie(a) | Fault::Dull(a) => vec![a],
                     Fault::Cut(a, b, _) => vec![a, b],
                     _ => Vec::new(),
                 };
@@ -354,6 +357,7 @@
     let broken = alt((
         preceded(word("garble"), cut_err(name)).map(Fault::Garble),
         preceded(word("lie"), cut_err(name)).map(Fault::Lie),
+        preceded(word("dull"), cut_err(name)).map(Fault::Dull),
     ));
     let fault = alt((
         preceded(word("pause"), cut_err((name, length))).map(|(who, l)| Fault::Pause(who, l)),
@@ -367,7 +371,9 @@
         preceded(word("approve"), cut_err((name, twice)))
             .map(|(bundle, twice)| Fault::Approve { bundle, twice: twice.is_some() }),
     ))
-    .context(expected("pause, kill, fail, cut, slow, stop, garble, lie, burst, store or approve"));
+    .context(expected(
+        "pause, kill, fail, cut, slow, stop, garble, lie, dull, burst, store or approve",
+    ));
     alt((preceded(word("burst"), cut_err(traffic)).map(Event::Burst), fault.map(Event::Fault)))
         .parse_next(input)
 }
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -33,6 +33,8 @@
     /// Number of the connection to each server.
     pub(crate) links: Vec<Option<u64>>,
     pub(crate) cut: Vec<bool>,
+    /// Delay of its timers.
+    pub(crate) lag: Span,
     pub(crate) tick: Option<Time>,
 }
 
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -28,6 +28,8 @@
 const STORE_TIMEOUT: Span = Span::from_millis(250);
 /// Lag of the platform's instance list.
 const LIST_LAG: Span = Span::from_secs(1);
+/// Delay of the timers of an entry that is dull.
+const DULL_LAG: Span = Span::from_millis(200);
 /// Time after its deadline by which a request must have its answer.
 const GRACE: Span = Span::from_millis(20);
 /// Times that a caller sends a call again after a lost connection.
@@ -458,7 +460,10 @@
                 if let Some(server) = self.scenario.server(name) {
                     self.stopped.insert(server, self.now);
                     self.after(LIST_LAG, Event::Leaving(server));
-                    let actions = self.servers[server].side.drain();
+                    let mut actions = self.servers[server].side.drain();
+                    if self.servers[server].lies {
+                        actions.push(SideAction::Drained);
+                    }
                     self.side_actions(server, actions);
                 }
             }
@@ -472,6 +477,11 @@
             }
             Fault::LoseAnswer => self.store.loses = true,
             Fault::StoreBlind => self.store.blind = true,
+            Fault::Dull(name) => {
+                if let Some(host) = self.scenario.entry(name) {
+                    self.hosts[host].lag = DULL_LAG;
+                }
+            }
             Fault::StoreReverts => self.store.manifest = Version(1),
             Fault::Lie(name) => {
                 if let Some(server) = self.scenario.server(name) {
@@ -779,7 +789,8 @@
         let next = state.entry.next_tick();
         if let Some(next) = next.filter(|next| state.tick.is_none_or(|at| *next < at)) {
             state.tick = Some(next);
-            self.at(next.max(self.now), Event::HostTick(host));
+            let at = next.max(self.now) + self.hosts[host].lag;
+            self.at(at, Event::HostTick(host));
         }
     }
 
@@ -1217,6 +1228,7 @@
         asked: vec![BTreeSet::new(); servers],
         links: vec![None; servers],
         cut: vec![false; servers],
+        lag: Span::ZERO,
         tick: None,
     }
 }
