--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 mod experiment;
 mod output;
 mod report;
+mod spread;
 mod store;
 mod summary;
 mod tally;
@@ -27,7 +28,7 @@
 
 /// Options of the command, for its help text.
 pub const USAGE: &str = "\
-damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
+Usage: damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
     [--without hedging|admission|jitter]
 experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
@@ -56,6 +57,9 @@
         /// What it may be.
         allowed: &'static str,
     },
+    /// The measurement of the spread of bundles can't be set up.
+    #[error("spread: {0}")]
+    Spread(String),
     /// Arguments were left over.
     #[error("unknown argument: {0}")]
     Unknown(String),
@@ -73,6 +77,13 @@
     Report(String),
 }
 
+impl BenchError {
+    /// Whether the command line can't be read.
+    pub fn is_usage(&self) -> bool {
+        matches!(self, Self::Option(_) | Self::Value { .. } | Self::Unknown(_))
+    }
+}
+
 /// Format of the output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
@@ -213,6 +224,7 @@
     match args.subcommand()?.as_deref() {
         None => execute(&Args::parse(args)?),
         Some("capacity") => Ok(capacity::run()?),
+        Some("spread") => spread::run(args),
         Some(other) => Err(BenchError::Unknown(other.to_owned())),
     }
 }
--- a/crates/damaskweir/tests/entry.rs
+++ b/crates/damaskweir/tests/entry.rs
@@ -5,12 +5,16 @@
 mod common;
 
 use common::*;
+use damaskweir::entry::EntryOptions;
 use damaskweir_callers::{ErrorCode, Execution};
 use damaskweir_core::prelude::*;
+use damaskweir_instances::InstancesSettings;
+use damaskweir_standins::instances::Instances;
 use damaskweir_standins::store::{Outage, Store};
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// Guards against a stage that gets another input than the output of the stage before.
@@ -50,6 +54,38 @@
     assert_eq!(got.last().unwrap()["chunks"], 5);
 }
 
+/// Guards against new work for a server whose instance is leaving, and against a server that stays out
+/// after its instance is listed as live again.
+#[rstest]
+#[tokio::test]
+async fn leaving_instances_get_no_new_work() {
+    let list = |revision: u64, state: &str| {
+        let instance = json!({
+            "id": "enc-1", "zone": "zone-a", "address": "127.0.0.1:1", "state": state
+        });
+        json!({ "revision": revision, "instances": [instance] })
+    };
+    let instances = Instances::start().await.unwrap();
+    instances.show(list(1, "live"));
+    let authority = Authority::new();
+    let side = ScriptedSide::start(&authority.keys(), "enc-1", Script::Echo(""));
+    let bundle = bundle(&[("draft", vec![stage("encode", &[&side])])]);
+    let period = Duration::from_millis(10);
+    let settings = InstancesSettings { url: instances.url(), period, ..Default::default() };
+    let options = EntryOptions { instances: Some(settings), ..options(authority.keys(), bundle) };
+    let bed = Bed::ready(options).await;
+    let status = async || bed.post("draft", "{}").send().await.unwrap().status().as_u16();
+    assert_eq!(status().await, 200);
+    instances.show(list(2, "leaving"));
+    within(async { while status().await != 503 {} }).await;
+    let before = side.dispatches().len();
+    let (code, error) = error_of(bed.post("draft", "{}")).await;
+    assert_eq!((code, error.code), (503, ErrorCode::Unavailable));
+    assert_eq!(side.dispatches().len(), before);
+    instances.show(list(3, "live"));
+    within(async { while status().await != 200 {} }).await;
+}
+
 /// Guards against a stream that goes on with another generation after its side broke.
 #[rstest]
 #[tokio::test]
@@ -329,6 +365,52 @@
     assert_eq!(side.started(), 1);
 }
 
+/// Guards against connections that grow with the pool, and against a repeat whose first call runs at a
+/// side that this entry does not use: it must be asked all the same, and the call runs once.
+#[rstest]
+#[tokio::test]
+async fn large_pool() {
+    const CALLS: usize = 8;
+    let authority = Authority::new();
+    let store = Store::start().await.unwrap();
+    let script = Script::Hold(vec!["{\"n\":1}"]);
+    let start = |i| ScriptedSide::start(&authority.keys(), &format!("order-{i}"), script.clone());
+    let sides: Vec<_> = (0..30).map(start).collect();
+    let mut beds = Vec::new();
+    for _ in 0..2 {
+        let stages = vec![stage("print", &sides.iter().collect::<Vec<_>>()).once()];
+        let mut options = options(authority.keys(), bundle(&[("order", stages)]));
+        options.claims = Some(claims(&store));
+        beds.push(Bed::ready(options).await);
+    }
+    let links = async || {
+        let (_, text) = beds[0].get("/metrics").await;
+        let line = text.lines().find(|line| line.starts_with("damaskweir_links"));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<usize>().ok()).unwrap()
+    };
+    within(async { while links().await < 24 {} }).await;
+    let send = |bed: &Bed, call: usize| {
+        let request = bed.post("order", "{}").header("idempotency-key", format!("k-{call}"));
+        tokio::spawn(async move { request.send().await.unwrap().text().await.unwrap() })
+    };
+    let started = || sides.iter().map(ScriptedSide::started).sum::<usize>();
+    let first: Vec<_> = (0..CALLS).map(|call| send(&beds[0], call)).collect();
+    within(async {
+        while started() < CALLS {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    let repeats: Vec<_> = (0..CALLS).map(|call| send(&beds[1], call)).collect();
+    sides.iter().for_each(ScriptedSide::release);
+    for answer in first.into_iter().chain(repeats) {
+        let text = within(answer).await.unwrap();
+        let answer: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(answer["output"]["n"], 1, "{text}");
+    }
+    assert_eq!((started(), links().await), (CALLS, 24));
+}
+
 /// Guards against a call without a claim being sent, and against idempotent work that needs the store.
 #[rstest]
 #[tokio::test]
