--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -28,7 +28,7 @@
 
 /// Options of the command, for its help text.
 pub const USAGE: &str = "\
-damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
+Usage: damaskweir bench [--deployment board|teranga|FILE] [--experiment NAME] [--seed N] [--seconds S]
     [--policy damaskweir|baseline] [--vs] [--format text|json] [--report DIR]
     [--without hedging|admission|jitter]
 experiments: steady, swing, long-mix, overload, greedy, misfit, slowed, dying, storm; all of them
@@ -77,6 +77,13 @@
     Report(String),
 }
 
+impl BenchError {
+    /// Whether the command line can't be read.
+    pub fn is_usage(&self) -> bool {
+        matches!(self, Self::Option(_) | Self::Value { .. } | Self::Unknown(_))
+    }
+}
+
 /// Format of the output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Format {
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -33,6 +33,8 @@
     /// Number of the connection to each server.
     pub(crate) links: Vec<Option<u64>>,
     pub(crate) cut: Vec<bool>,
+    /// Delay of its timers.
+    pub(crate) lag: Span,
     pub(crate) tick: Option<Time>,
 }
 
@@ -44,6 +46,8 @@
     pub(crate) slow: u64,
     /// Answers with the output of other work.
     pub(crate) garbles: bool,
+    /// Reports ends as refusals.
+    pub(crate) lies: bool,
     pub(crate) leaving: bool,
     pub(crate) jobs: BTreeMap<AttemptId, Job>,
     /// Outputs of non-idempotent attempts that ended.
