--- /dev/null
+++ b/crates/wire/examples/links.rs
@@ -0,0 +1,125 @@
+//! Measures what idle connections between one entry and its sides cost: processor time, memory and bytes
+//! on loopback, at three numbers of connections. Both ends run in this process, so a figure is the sum of
+//! an entry's and a side's part.
+
+use damaskweir_core::prelude::*;
+use damaskweir_wire::{Connection, Dialer, Keys, Limits, Link, Listener, Local, PeerId};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::error::Error;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Numbers of connections.
+const SIZES: [usize; 3] = [48, 96, 192];
+/// Time for connections to settle before the measurement.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Length of a measurement.
+const LENGTH: Duration = Duration::from_secs(10);
+/// Bytes per page in `/proc/self/statm`.
+const PAGE: u64 = 4096;
+/// Clock ticks per second in `/proc/self/stat`.
+const TICKS: f64 = 100.0;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let keys = make_keys()?;
+    println!("connections  cpu us/s each  memory KiB each  loopback bytes/s each");
+    for size in SIZES {
+        let memory = resident()?;
+        let sides: Vec<_> = (0..size).map(|i| start_side(&keys, i)).collect::<Result<_, _>>()?;
+        let local = Local::new(PeerId::Entry("entry-1".into()), "zone-a".into(), Incarnation(7));
+        let dialer = Dialer::bind(loopback(), &keys, local, Limits::default())?;
+        let mut links: Vec<Link> = Vec::new();
+        for (id, address) in &sides {
+            links.push(dialer.connect(*address, id).await?);
+        }
+        tokio::time::sleep(SETTLE).await;
+        let (cpu, bytes) = (processor()?, loopback_bytes()?);
+        tokio::time::sleep(LENGTH).await;
+        let each = |value: f64| value / size as f64;
+        println!(
+            "{size:>11}  {:>13.1}  {:>15.1}  {:>21.1}",
+            each((processor()? - cpu) * 1e6 / LENGTH.as_secs_f64()),
+            each(resident()?.saturating_sub(memory) as f64 / 1024.0),
+            each((loopback_bytes()? - bytes) as f64 / LENGTH.as_secs_f64()),
+        );
+        dialer.close().await;
+    }
+    Ok(())
+}
+
+/// Starts a side that accepts connections and reports.
+fn start_side(keys: &Keys, i: usize) -> Result<(ServerId, SocketAddr), Box<dyn Error>> {
+    let id = ServerId::from(format!("server-{i}").as_str());
+    let run = Incarnation(i as u64 + 100);
+    let local = Local::new(PeerId::Side(id.clone()), "zone-a".into(), run);
+    let serial = AtomicU64::new(0);
+    let report = move || Report {
+        incarnation: run,
+        serial: serial.fetch_add(1, Ordering::Relaxed),
+        version: Version(1),
+        queued: 0,
+        running: 0,
+        limit: 8,
+        wait: Span::ZERO,
+        draining: false,
+    };
+    let mut listener = Listener::bind(loopback(), keys, local, Limits::default(), report)?;
+    let address = listener.address();
+    tokio::spawn(async move {
+        while let Some(accepted) = listener.accept().await {
+            if let Ok(connection) = accepted {
+                tokio::spawn(serve(connection));
+            }
+        }
+    });
+    Ok((id, address))
+}
+
+async fn serve(mut connection: Connection) {
+    while connection.next().await.is_some() {}
+}
+
+fn make_keys() -> Result<Keys, Box<dyn Error>> {
+    let authority_key = KeyPair::generate()?;
+    let mut params = CertificateParams::new(Vec::new())?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let authority = params.self_signed(&authority_key)?.pem();
+    let issuer = Issuer::new(params, authority_key);
+    let key = KeyPair::generate()?;
+    let params = CertificateParams::new(vec!["damaskweir".to_owned()])?;
+    let certificate = params.signed_by(&key, &issuer)?.pem();
+    Ok(Keys::from_pem(
+        authority.as_bytes(),
+        certificate.as_bytes(),
+        key.serialize_pem().as_bytes(),
+    )?)
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+/// Processor time of this process in seconds.
+fn processor() -> Result<f64, Box<dyn Error>> {
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    // The fields after the command's name, which may hold blanks.
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let user: f64 = fields.get(11).ok_or("no user time")?.parse()?;
+    let system: f64 = fields.get(12).ok_or("no system time")?.parse()?;
+    Ok((user + system) / TICKS)
+}
+
+fn resident() -> Result<u64, Box<dyn Error>> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: u64 = text.split_whitespace().nth(1).ok_or("no resident size")?.parse()?;
+    Ok(pages * PAGE)
+}
+
+/// Bytes that the loopback interface has received.
+fn loopback_bytes() -> Result<u64, Box<dyn Error>> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    Ok(line.and_then(|line| line.split_whitespace().next()).ok_or("no loopback")?.parse()?)
+}
