--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -95,7 +95,7 @@
                 return Err(too_slow(&ask));
             }
             let usual = ask.budget.saturating_sub(ask.work).0.min(ask.budget.scale(WAIT_SHARE).0);
-            let allowed = Span(usual).scale(self.standing(now, id));
+            let allowed = Span(usual).scale(self.allowance(now, id));
             if ask.wait > allowed {
                 let over = ask.wait.saturating_sub(allowed);
                 return Err(Denial::Overloaded { retry: over.max(HINT_MIN) });
@@ -122,7 +122,7 @@
     }
 
     /// How much of the usual wait a workspace is allowed, from its use against its share.
-    fn standing(&self, now: Time, id: &WorkspaceId) -> f64 {
+    fn allowance(&self, now: Time, id: &WorkspaceId) -> f64 {
         let own = self.usage.get(id).map_or(0.0, |usage| usage.level(now) / usage.share);
         if own <= 0.0 {
             return SHARE_RANGE.1;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -315,7 +315,7 @@
     pub(crate) armed: Time,
     pub(crate) claim: Option<Claim>,
     /// Attempts at the current stage that were refused without having run.
-    pub(crate) bounces: u32,
+    pub(crate) redirects: u32,
     /// An attempt at the current stage failed or was lost.
     pub(crate) failed: bool,
     pub(crate) backoff: Backoff,
@@ -703,7 +703,7 @@
             foreign: false,
             armed: deadline,
             claim: None,
-            bounces: 0,
+            redirects: 0,
             failed: false,
             backoff: Backoff::with_spread(RETRY_BASE, RETRY_CAP, self.settings.spread),
             retry_at: None,
--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -17,7 +17,7 @@
 /// Shortest retry hint.
 const HINT_MIN: Span = Span::from_millis(100);
 /// Further servers that a refused attempt is sent to at once.
-const BOUNCES_MAX: u32 = 2;
+const REDIRECTS_MAX: u32 = 2;
 /// Delay of the baseline's retries. Not zero, so that a pool without an open server is not tried in
 /// an endless loop.
 const BASELINE_DELAY: Span = Span::from_millis(1);
@@ -41,7 +41,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.used.clear();
         request.number = 0;
-        request.bounces = 0;
+        request.redirects = 0;
         request.failed = false;
         match effect {
             Effect::Idempotent => {
@@ -193,13 +193,13 @@
         if request.claim.is_some() {
             self.claim_refused(now, rng, attempt, refusal, actions);
         } else if request.attempts.is_empty() {
-            self.bounce(now, rng, attempt.request, refusal, actions);
+            self.redirect(now, rng, attempt.request, refusal, actions);
         }
     }
 
     /// Sends a refused attempt to another server. It has cost no work, so it needs no budget, but
     /// when a few servers have refused, the others are no better.
-    fn bounce(
+    fn redirect(
         &mut self,
         now: Time,
         rng: &mut Rng,
@@ -209,8 +209,8 @@
     ) {
         let baseline = self.settings.policy == Policy::Baseline;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.bounces += 1;
-        let more = request.bounces <= BOUNCES_MAX;
+        request.redirects += 1;
+        let more = request.redirects <= REDIRECTS_MAX;
         match refusal {
             _ if baseline => self.retry(now, rng, id, actions),
             Refusal::Expired => self.give_up(id, Code::Overloaded, Some(DEFAULT_RETRY), actions),
--- a/crates/core/tests/flow.rs
+++ b/crates/core/tests/flow.rs
@@ -66,7 +66,7 @@
     actions.iter().filter_map(answer).collect()
 }
 
-/// Guards against a request that is bounced from server to server until its deadline, and against a
+/// Guards against a request that is redirected from server to server until its deadline, and against a
 /// final answer that is held back or has no true hint.
 #[rstest]
 fn refused_attempts_end_soon_with_the_hint() {
--- a/crates/damaskweir/src/entry.rs
+++ b/crates/damaskweir/src/entry.rs
@@ -220,7 +220,7 @@
                 }));
             }
         }
-        let gateway: Arc<dyn Gateway> = Arc::new(Door(Arc::clone(&shared)));
+        let gateway: Arc<dyn Gateway> = Arc::new(CallerGateway(Arc::clone(&shared)));
         let api = Api::new(listener, gateway, options.directory, options.limits)
             .map_err(|source| EntryError::Listen { address: options.listen, source })?;
         let (address, server) = (api.address(), api.handle());
@@ -365,9 +365,9 @@
 }
 
 /// The entry as the callers' API sees it.
-struct Door(Arc<Shared>);
+struct CallerGateway(Arc<Shared>);
 
-impl Gateway for Door {
+impl Gateway for CallerGateway {
     fn submit(&self, submission: Submission) -> Reply {
         self.0.submit(submission)
     }
--- a/crates/model/src/rollout.rs
+++ b/crates/model/src/rollout.rs
@@ -104,7 +104,7 @@
     let mut step = |step: Step, act: &dyn Fn(&mut World)| {
         let mut after = world.clone();
         act(&mut after);
-        after.judge();
+        after.check_invariants();
         out.push((step, after));
     };
     let faulty = world.faults > 0;
@@ -309,7 +309,7 @@
         }
     }
 
-    fn judge(&mut self) {
+    fn check_invariants(&mut self) {
         let mut manifests: Vec<Manifest> = Vec::new();
         for node in self.nodes.iter_mut() {
             let force = node.epoch.force();
--- a/crates/scenario/src/language.rs
+++ b/crates/scenario/src/language.rs
@@ -77,11 +77,11 @@
     StoreReverts,
     /// Has a side report ends as refusals, and itself as drained when it stops, to show that
     /// `no untrue refusal` and `nothing cut off` can fail.
-    Lie(String),
+    Misreport(String),
     /// Runs an entry's timers late, to show that `answered at once` can fail.
-    Dull(String),
+    Lag(String),
     /// Breaks a backend server, to show that `nothing lost` can fail.
-    Garble(String),
+    Corrupt(String),
     Approve {
         bundle: String,
         twice: bool,
@@ -168,8 +168,8 @@
             Line::At(at, Event::Fault(fault)) => {
                 let names = match &fault {
                     Fault::Pause(a, _) | Fault::Kill(a, _) | Fault::Slow(a, ..) => vec![a],
-                    Fault::Fail(a, _) | Fault::Stop(a) | Fault::Garble(a) => vec![a],
-                    Fault::Lie(a) | Fault::Dull(a) => vec![a],
+                    Fault::Fail(a, _) | Fault::Stop(a) | Fault::Corrupt(a) => vec![a],
+                    Fault::Misreport(a) | Fault::Lag(a) => vec![a],
                     Fault::Cut(a, b, _) => vec![a, b],
                     _ => Vec::new(),
                 };
@@ -355,9 +355,9 @@
     let cut = (name, preceded(word("from"), name), length);
     let slow = (name, preceded(word("by"), number), length);
     let broken = alt((
-        preceded(word("garble"), cut_err(name)).map(Fault::Garble),
-        preceded(word("lie"), cut_err(name)).map(Fault::Lie),
-        preceded(word("dull"), cut_err(name)).map(Fault::Dull),
+        preceded(word("corrupt"), cut_err(name)).map(Fault::Corrupt),
+        preceded(word("misreport"), cut_err(name)).map(Fault::Misreport),
+        preceded(word("lag"), cut_err(name)).map(Fault::Lag),
     ));
     let fault = alt((
         preceded(word("pause"), cut_err((name, length))).map(|(who, l)| Fault::Pause(who, l)),
@@ -372,7 +372,7 @@
             .map(|(bundle, twice)| Fault::Approve { bundle, twice: twice.is_some() }),
     ))
     .context(expected(
-        "pause, kill, fail, cut, slow, stop, garble, lie, dull, burst, store or approve",
+        "pause, kill, fail, cut, slow, stop, corrupt, misreport, lag, burst, store or approve",
     ));
     alt((preceded(word("burst"), cut_err(traffic)).map(Event::Burst), fault.map(Event::Fault)))
         .parse_next(input)
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -13,8 +13,11 @@
 //! assert!(report.failures.is_empty(), "{report}");
 //! ```
 
+mod fault;
 mod language;
 mod node;
+mod rollout;
+mod side;
 mod verdict;
 mod world;
 
--- a/crates/scenario/src/node.rs
+++ b/crates/scenario/src/node.rs
@@ -47,7 +47,7 @@
     /// Answers with the output of other work.
     pub(crate) garbles: bool,
     /// Reports ends as refusals.
-    pub(crate) lies: bool,
+    pub(crate) misreports: bool,
     pub(crate) leaving: bool,
     pub(crate) jobs: BTreeMap<AttemptId, Job>,
     /// Outputs of non-idempotent attempts that ended.
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -1,51 +1,51 @@
 //! Event loop in virtual time.
 
 use crate::language::{Expectation, Fault, Scenario};
-use crate::node::{Host, Job, Ledger, Node, Server, Store};
+use crate::node::{Host, Ledger, Node, Server, Store};
 use crate::verdict::Report;
 use damaskweir_core::claim::{ClaimRecord, ClaimState};
 use damaskweir_core::entry::{
     Answer, Call, ClaimAnswer, ClaimWrite, Code, Entry, EntryAction, EntryEvent, EntrySettings,
     Execution, Input,
 };
-use damaskweir_core::epoch::{Epoch, EpochAction, EpochSettings, Source};
+use damaskweir_core::epoch::{Epoch, EpochSettings, Source};
 use damaskweir_core::prelude::*;
-use damaskweir_core::side::{Side, SideAction, SideSettings};
+use damaskweir_core::side::{Side, SideSettings};
 use rand_core::{Rng as _, SeedableRng as _};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Time for the processes to connect before the scenario's clock starts.
-const WARM: Span = Span::from_secs(2);
+pub(crate) const WARM: Span = Span::from_secs(2);
 /// Time after the last traffic until every call must have its answer.
-const TAIL: Span = Span::from_secs(60);
-const HEARTBEAT: Span = Span::from_secs(1);
+pub(crate) const TAIL: Span = Span::from_secs(60);
+pub(crate) const HEARTBEAT: Span = Span::from_secs(1);
 /// Time until a broken connection is made again.
-const REDIAL: Span = Span::from_millis(200);
+pub(crate) const REDIAL: Span = Span::from_millis(200);
 /// Time of a store call.
-const STORE_TIME: Span = Span::from_millis(5);
+pub(crate) const STORE_TIME: Span = Span::from_millis(5);
 /// Time after which a store call without an answer is repeated or given up.
-const STORE_TIMEOUT: Span = Span::from_millis(250);
+pub(crate) const STORE_TIMEOUT: Span = Span::from_millis(250);
 /// Lag of the platform's instance list.
-const LIST_LAG: Span = Span::from_secs(1);
-/// Delay of the timers of an entry that is dull.
-const DULL_LAG: Span = Span::from_millis(200);
+pub(crate) const LIST_LAG: Span = Span::from_secs(1);
+/// Delay of the timers of an entry whose timers lag.
+pub(crate) const TIMER_LAG: Span = Span::from_millis(200);
 /// Time after its deadline by which a request must have its answer.
-const GRACE: Span = Span::from_millis(20);
+pub(crate) const GRACE: Span = Span::from_millis(20);
 /// Times that a caller sends a call again after a lost connection.
-const RESENDS: u8 = 5;
+pub(crate) const RESENDS: u8 = 5;
 /// Time after which a caller sends a call a second time under the same key.
-const REPEAT_AFTER: Span = Span::from_millis(15);
+pub(crate) const REPEAT_AFTER: Span = Span::from_millis(15);
 
 #[derive(Clone)]
-enum ToSide {
+pub(crate) enum ToSide {
     Dispatch(Dispatch, usize, u64),
     Cancel(AttemptId),
     Forbid(RequestId, AttemptId, Incarnation),
 }
 
 #[derive(Clone, Copy)]
-enum ToEntry {
+pub(crate) enum ToEntry {
     Refused(AttemptId, Refusal),
     Done(AttemptId, Outcome, u64),
     Stands(RequestId, AttemptId, Standing, Option<u64>),
@@ -53,7 +53,7 @@
 }
 
 #[derive(Clone)]
-enum Event {
+pub(crate) enum Event {
     Arrive(usize, u8),
     Fault(Fault),
     Resume(usize),
@@ -134,49 +134,49 @@
 /// What a side attaches to each message.
 type SideReport = damaskweir_core::message::Report;
 
-struct Caller {
-    pipeline: usize,
-    input: u64,
-    deadline: Time,
-    repeat: bool,
+pub(crate) struct Caller {
+    pub(crate) pipeline: usize,
+    pub(crate) input: u64,
+    pub(crate) deadline: Time,
+    pub(crate) repeat: bool,
     /// Requests that are in progress for it.
-    open: u32,
-    answers: u32,
-    complete: Option<Time>,
-    wrong: bool,
+    pub(crate) open: u32,
+    pub(crate) answers: u32,
+    pub(crate) complete: Option<Time>,
+    pub(crate) wrong: bool,
 }
 
 pub(crate) struct World<'a> {
-    scenario: &'a Scenario,
-    now: Time,
-    events: BTreeMap<(Time, u64), Event>,
-    sequence: u64,
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) now: Time,
+    pub(crate) events: BTreeMap<(Time, u64), Event>,
+    pub(crate) sequence: u64,
     /// Entries first, then sides.
-    nodes: Vec<Node>,
-    hosts: Vec<Host>,
-    servers: Vec<Server>,
-    store: Store,
-    callers: Vec<Caller>,
-    ledger: Ledger,
-    denied: BTreeSet<RequestId>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) store: Store,
+    pub(crate) callers: Vec<Caller>,
+    pub(crate) ledger: Ledger,
+    pub(crate) denied: BTreeSet<RequestId>,
     /// When each server was told to leave.
-    stopped: BTreeMap<usize, Time>,
-    accepted: u32,
-    links: u64,
-    turn: usize,
-    rng: Rng,
-    chance: Rng,
+    pub(crate) stopped: BTreeMap<usize, Time>,
+    pub(crate) accepted: u32,
+    pub(crate) links: u64,
+    pub(crate) turn: usize,
+    pub(crate) rng: Rng,
+    pub(crate) chance: Rng,
     /// What was seen against an expectation, by its kind.
-    seen: BTreeMap<&'static str, Vec<String>>,
-    report: Report,
+    pub(crate) seen: BTreeMap<&'static str, Vec<String>>,
+    pub(crate) report: Report,
 }
 
-fn mix(input: u64, stage: u16) -> u64 {
+pub(crate) fn mix(input: u64, stage: u16) -> u64 {
     let value = input ^ (u64::from(stage) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     value.rotate_left(23).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
 
-fn digest(input: u64, tag: u8) -> Digest {
+pub(crate) fn digest(input: u64, tag: u8) -> Digest {
     let mut bytes = [tag; 32];
     bytes[..8].copy_from_slice(&input.to_le_bytes());
     Digest(bytes)
@@ -219,7 +219,7 @@
         world
     }
 
-    fn plan(&mut self) {
+    pub(crate) fn plan(&mut self) {
         for node in 0..self.nodes.len() {
             self.at(Time(0), Event::NodeTick(node));
         }
@@ -270,39 +270,39 @@
             self.now = at;
             self.handle(event);
         }
-        self.judge();
+        self.check_expectations();
         self.report
     }
 
-    fn at(&mut self, at: Time, event: Event) {
+    pub(crate) fn at(&mut self, at: Time, event: Event) {
         self.sequence += 1;
         self.events.insert((at, self.sequence), event);
     }
 
-    fn after(&mut self, span: Span, event: Event) {
+    pub(crate) fn after(&mut self, span: Span, event: Event) {
         self.at(self.now + span, event);
     }
 
-    fn note(&mut self, text: String) {
+    pub(crate) fn note(&mut self, text: String) {
         self.report.trace.push((Time(0) + self.now.since(Time(0) + WARM), text));
     }
 
-    fn see(&mut self, kind: &'static str, text: String) {
+    pub(crate) fn see(&mut self, kind: &'static str, text: String) {
         self.note(format!("{kind}: {text}"));
         self.seen.entry(kind).or_default().push(text);
     }
 
-    fn delay(&mut self) -> Span {
+    pub(crate) fn delay(&mut self) -> Span {
         let network = self.scenario.network;
         Span(network.0 / 2 + self.chance.next_u64() % network.0.max(1))
     }
 
-    fn side_node(&self, server: usize) -> usize {
+    pub(crate) fn side_node(&self, server: usize) -> usize {
         self.hosts.len() + server
     }
 
     /// The node whose process handles an event.
-    fn node_of(&self, event: &Event) -> Option<usize> {
+    pub(crate) fn node_of(&self, event: &Event) -> Option<usize> {
         match event {
             Event::ToEntry { host, .. } | Event::HostTick(host) | Event::Dial(host, _) => {
                 Some(*host)
@@ -320,7 +320,7 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    pub(crate) fn handle(&mut self, event: Event) {
         if let Some(node) = self.node_of(&event) {
             if let Some(until) = self.nodes[node].paused {
                 // In the order in which they came, after the pause.
@@ -363,7 +363,7 @@
                 }
             }
             Event::Dial(host, server) => self.dial(host, server),
-            Event::Beat(server, life) => self.beat(server, life),
+            Event::Beat(server, life) => self.send_heartbeats(server, life),
             Event::ToSide { server, host, link, message } => {
                 self.take_at_side(server, host, link, message);
             }
@@ -420,170 +420,14 @@
 
     // Faults.
 
-    fn fault(&mut self, fault: &Fault) {
-        self.note(format!("fault: {fault:?}"));
-        match fault {
-            Fault::Pause(name, length) => {
-                let Some(node) = self.node(name) else { return };
-                self.nodes[node].paused = Some(self.now + *length);
-                // The process resumes before it handles what has come.
-                self.at(self.now + *length, Event::Resume(node));
-            }
-            Fault::Kill(name, length) => {
-                if let Some(node) = self.node(name) {
-                    self.kill(node);
-                    self.after(*length, Event::Revive(node));
-                }
-            }
-            Fault::Cut(a, b, length) => {
-                let pair =
-                    |x: &str, y: &str| Some((self.scenario.entry(x)?, self.scenario.server(y)?));
-                if let Some((host, server)) = pair(a, b).or_else(|| pair(b, a)) {
-                    self.hosts[host].cut[server] = true;
-                    self.sever(host, server);
-                    self.after(*length, Event::Mend(host, server));
-                }
-            }
-            Fault::Slow(name, by, length) => {
-                if let Some(server) = self.scenario.server(name) {
-                    self.servers[server].slow = *by;
-                    self.after(*length, Event::Unslow(server));
-                }
-            }
-            Fault::Fail(name, length) => {
-                if let Some(server) = self.scenario.server(name) {
-                    self.fail(server);
-                    self.after(*length, Event::Recover(server));
-                }
-            }
-            Fault::Stop(name) => {
-                if let Some(server) = self.scenario.server(name) {
-                    self.stopped.insert(server, self.now);
-                    self.after(LIST_LAG, Event::Leaving(server));
-                    let mut actions = self.servers[server].side.drain();
-                    if self.servers[server].lies {
-                        actions.push(SideAction::Drained);
-                    }
-                    self.side_actions(server, actions);
-                }
-            }
-            Fault::StoreDown(length) => {
-                self.store.down = true;
-                self.after(*length, Event::StoreUp);
-            }
-            Fault::StoreSlow(delay, length) => {
-                self.store.delay = *delay;
-                self.after(*length, Event::StoreFast);
-            }
-            Fault::LoseAnswer => self.store.loses = true,
-            Fault::StoreBlind => self.store.blind = true,
-            Fault::Dull(name) => {
-                if let Some(host) = self.scenario.entry(name) {
-                    self.hosts[host].lag = DULL_LAG;
-                }
-            }
-            Fault::StoreReverts => self.store.manifest = Version(1),
-            Fault::Lie(name) => {
-                if let Some(server) = self.scenario.server(name) {
-                    self.servers[server].lies = true;
-                }
-            }
-            Fault::Garble(name) => {
-                if let Some(server) = self.scenario.server(name) {
-                    self.servers[server].garbles = true;
-                }
-            }
-            Fault::Approve { bundle, twice } => {
-                let seen = self.store.manifest;
-                let names = if *twice {
-                    vec![format!("{bundle}/1"), format!("{bundle}/2")]
-                } else {
-                    vec![bundle.clone()]
-                };
-                for bundle in names {
-                    let delay = STORE_TIME + self.delay() + self.store.delay;
-                    self.after(delay, Event::Approve { bundle, seen, again: false });
-                }
-            }
-        }
-    }
-
-    fn node(&self, name: &str) -> Option<usize> {
-        let server = || self.scenario.server(name).map(|server| self.side_node(server));
-        self.scenario.entry(name).or_else(server)
-    }
-
-    fn fail(&mut self, server: usize) {
-        let running: Vec<_> = self.servers[server]
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.running)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        let actions = self.servers[server].side.set_down(self.now, true);
-        self.side_actions(server, actions);
-        for attempt in running {
-            self.end(server, attempt, Outcome::Failed(Failure::Interrupted));
-        }
-    }
-
-    fn kill(&mut self, node: usize) {
-        self.nodes[node].alive = false;
-        self.nodes[node].life += 1;
-        self.nodes[node].disturbed = self.now;
-        if node < self.hosts.len() {
-            for server in 0..self.servers.len() {
-                self.sever(node, server);
-            }
-            // Its callers lose their connections and try another entry.
-            let calls = std::mem::take(&mut self.hosts[node].calls);
-            for call in calls.into_values() {
-                self.callers[call].open -= 1;
-                let delay = self.delay();
-                self.after(delay, Event::Arrive(call, 1));
-            }
-        } else {
-            for host in 0..self.hosts.len() {
-                self.sever(host, node - self.hosts.len());
-            }
-        }
-    }
-
-    fn revive(&mut self, node: usize) {
-        let name = self.nodes[node].name.clone();
-        self.note(format!("{name} starts again"));
-        let life = self.nodes[node].life;
-        let worked = self.nodes[node].worked;
-        let mut fresh = new_node(node, name);
-        fresh.epoch = Epoch::new(self.now, incarnation(node, life), EpochSettings::default());
-        self.nodes[node] = Node { life, worked, disturbed: self.now, ..fresh };
-        self.after(Span::ZERO, Event::NodeTick(node));
-        if node < self.hosts.len() {
-            let bundle = Arc::new(bundle(self.scenario, Version(1)));
-            self.hosts[node] = new_host(node, life, &bundle, self.servers.len());
-            for server in 0..self.servers.len() {
-                self.after(REDIAL, Event::Dial(node, server));
-            }
-        } else {
-            let server = node - self.hosts.len();
-            let pool = self.servers[server].pool;
-            let run = Incarnation(1_000 * (server as u64 + 1) + life);
-            self.servers[server] = new_server(self.scenario, pool, run);
-            for host in 0..self.hosts.len() {
-                self.after(REDIAL, Event::Dial(host, server));
-            }
-            self.after(HEARTBEAT, Event::Beat(server, life));
-        }
-    }
-
     // Connections.
 
-    fn name(&self, server: usize) -> (PoolId, ServerId) {
+    pub(crate) fn name(&self, server: usize) -> (PoolId, ServerId) {
         let pool = self.scenario.pools[self.servers[server].pool].name.as_str();
         (pool.into(), self.nodes[self.side_node(server)].name.as_str().into())
     }
 
-    fn dial(&mut self, host: usize, server: usize) {
+    pub(crate) fn dial(&mut self, host: usize, server: usize) {
         let node = self.side_node(server);
         let state = &self.hosts[host];
         if state.links[server].is_some() {
@@ -620,7 +464,7 @@
     }
 
     /// Breaks a connection; both ends notice.
-    fn sever(&mut self, host: usize, server: usize) {
+    pub(crate) fn disconnect(&mut self, host: usize, server: usize) {
         let Some(link) = self.hosts[host].links[server].take() else { return };
         let (pool, id) = self.name(server);
         self.hosts[host].entry.connected(self.now, &pool, &id, false);
@@ -646,7 +490,7 @@
         }
     }
 
-    fn beat(&mut self, server: usize, life: u64) {
+    pub(crate) fn send_heartbeats(&mut self, server: usize, life: u64) {
         if self.nodes[self.side_node(server)].life != life {
             return;
         }
@@ -656,14 +500,14 @@
         self.after(HEARTBEAT, Event::Beat(server, life));
     }
 
-    fn send_side(&mut self, host: usize, server: usize, message: ToSide) -> bool {
+    pub(crate) fn send_side(&mut self, host: usize, server: usize, message: ToSide) -> bool {
         let Some(link) = self.hosts[host].links[server] else { return false };
         let delay = self.delay();
         self.after(delay, Event::ToSide { server, host, link, message });
         true
     }
 
-    fn send_entry(&mut self, server: usize, host: usize, message: ToEntry) {
+    pub(crate) fn send_entry(&mut self, server: usize, host: usize, message: ToEntry) {
         let Some(link) = self.hosts[host].links[server] else { return };
         let report = self.servers[server].side.report(self.now);
         let delay = self.delay();
@@ -672,7 +516,7 @@
 
     // Callers.
 
-    fn arrive(&mut self, call: usize, tries: u8) {
+    pub(crate) fn arrive(&mut self, call: usize, tries: u8) {
         let ready = |host: &usize| self.nodes[*host].alive && self.nodes[*host].epoch.ready();
         let count = self.hosts.len();
         let Some(host) = (0..count).map(|i| (self.turn + i) % count).find(ready) else {
@@ -709,7 +553,7 @@
         self.entry_actions(host, actions);
     }
 
-    fn answered(&mut self, host: usize, request: RequestId, answer: &Answer) {
+    pub(crate) fn answered(&mut self, host: usize, request: RequestId, answer: &Answer) {
         let Some(call) = self.hosts[host].calls.remove(&request) else {
             self.see("lost", format!("{request} got a second answer"));
             return;
@@ -750,13 +594,13 @@
 
     // Entries.
 
-    fn entry_event(&mut self, host: usize, event: EntryEvent) {
+    pub(crate) fn entry_event(&mut self, host: usize, event: EntryEvent) {
         let now = self.now;
         let actions = self.hosts[host].entry.event(now, &mut self.rng, event);
         self.entry_actions(host, actions);
     }
 
-    fn take_at_entry(&mut self, host: usize, server: usize, message: ToEntry) {
+    pub(crate) fn take_at_entry(&mut self, host: usize, server: usize, message: ToEntry) {
         let event = match message {
             ToEntry::Report => return,
             ToEntry::Refused(attempt, refusal) => {
@@ -781,7 +625,7 @@
         self.entry_event(host, event);
     }
 
-    fn entry_actions(&mut self, host: usize, actions: Vec<EntryAction>) {
+    pub(crate) fn entry_actions(&mut self, host: usize, actions: Vec<EntryAction>) {
         for action in actions {
             self.entry_action(host, action);
         }
@@ -794,7 +638,7 @@
         }
     }
 
-    fn entry_action(&mut self, host: usize, action: EntryAction) {
+    pub(crate) fn entry_action(&mut self, host: usize, action: EntryAction) {
         match action {
             EntryAction::Send { server, dispatch, input } => {
                 let attempt = dispatch.attempt;
@@ -855,7 +699,7 @@
 
     // Store.
 
-    fn store_claim(
+    pub(crate) fn store_claim(
         &mut self,
         host: usize,
         life: u64,
@@ -881,267 +725,13 @@
         self.after(delay, Event::StoreAnswer { host, life, request, answer });
     }
 
-    fn approve(&mut self, bundle: String, seen: Version, again: bool) {
-        let own = self.store.authors.get(&Version(seen.0 + 1)) == Some(&bundle);
-        if self.store.down {
-            self.note(format!("approval of {bundle} refused: the store is down"));
-        } else if again && own {
-            self.note(format!("approval of {bundle} recognised by its digest"));
-        } else if self.store.manifest != seen {
-            self.note(format!("approval of {bundle} did not take effect: overtaken"));
-        } else {
-            let version = Version(seen.0 + 1);
-            self.accepted += 1;
-            self.store.manifest = version;
-            self.store.authors.insert(version, bundle.clone());
-            self.note(format!("{bundle} accepted as version {version}"));
-            for expectation in &self.scenario.expectations {
-                if let Expectation::InForce(within) = expectation {
-                    self.after(*within, Event::Check(version, self.now, *within));
-                }
-            }
-            // Two entries watch the store.
-            for to in 0..self.hosts.len().min(2) {
-                let (life, source) = (self.nodes[to].life, Source::Store);
-                let delay = self.delay() + self.store.delay;
-                self.after(delay, Event::Show { to, life, source, version });
-            }
-            if std::mem::take(&mut self.store.loses) {
-                self.after(STORE_TIMEOUT, Event::Approve { bundle, seen, again: true });
-            }
-        }
-    }
-
     // Bundles.
 
-    fn epoch_actions(&mut self, node: usize, actions: Vec<EpochAction>) {
-        let life = self.nodes[node].life;
-        for action in actions {
-            match action {
-                EpochAction::Pull(source, _) => {
-                    let delay = self.delay() + self.delay();
-                    let version = match source {
-                        Source::Store => (!self.store.down).then_some(self.store.manifest),
-                        Source::Peer(peer) => self.peer(peer).map(|n| self.nodes[n].epoch.force()),
-                    };
-                    self.after(delay, Event::Bring { to: node, life, source, version });
-                }
-                EpochAction::Poll => {
-                    let version = (!self.store.down).then_some(self.store.manifest);
-                    let delay = STORE_TIME + self.store.delay;
-                    self.after(delay, Event::Polled { to: node, life, version });
-                }
-                EpochAction::Watch | EpochAction::Unwatch => {}
-            }
-        }
-        self.took_version(node);
-        let next = self.nodes[node].epoch.next_tick().max(self.now);
-        if self.nodes[node].tick.is_none_or(|at| next < at) {
-            self.nodes[node].tick = Some(next);
-            self.at(next, Event::NodeTick(node));
-        }
-    }
-
-    fn peer(&self, peer: Incarnation) -> Option<usize> {
-        let found = |i: &usize| incarnation(*i, self.nodes[*i].life) == peer;
-        (0..self.nodes.len()).find(found).filter(|i| self.nodes[*i].alive)
-    }
-
-    fn polled(&mut self, node: usize, life: u64, version: Option<Version>) {
-        if self.nodes[node].life != life {
-            return;
-        }
-        let now = self.now;
-        let mut actions = Vec::new();
-        match version {
-            Some(version) => {
-                actions.extend(self.nodes[node].epoch.shown(now, Source::Store, version));
-                self.nodes[node].epoch.polled(now, &mut self.rng);
-            }
-            None => self.nodes[node].epoch.poll_failed(now, &mut self.rng),
-        }
-        self.epoch_actions(node, actions);
-    }
-
-    fn bring(&mut self, node: usize, life: u64, source: Source, version: Option<Version>) {
-        let pulling = self.nodes[node].epoch.pulling().map(|(from, _)| from);
-        if self.nodes[node].life != life || pulling != Some(source) {
-            return;
-        }
-        let Some(version) = version.filter(|version| version.0 > 0) else {
-            let action = self.nodes[node].epoch.failed(self.now, source);
-            self.epoch_actions(node, action.into_iter().collect());
-            return;
-        };
-        if self.nodes[node].epoch.install(version) {
-            if node < self.hosts.len() {
-                let bundle = bundle(self.scenario, version);
-                self.hosts[node].entry.configure(Arc::new(bundle));
-            } else {
-                let server = node - self.hosts.len();
-                self.servers[server].side.set_version(version);
-            }
-            // It shows the version on its own connections.
-            let me = Source::Peer(incarnation(node, life));
-            for to in self.linked(node) {
-                let (life, delay) = (self.nodes[to].life, self.delay());
-                self.after(delay, Event::Show { to, life, source: me, version });
-            }
-        }
-        self.epoch_actions(node, Vec::new());
-    }
-
-    fn linked(&self, node: usize) -> Vec<usize> {
-        let count = self.hosts.len();
-        if node < count {
-            let links = &self.hosts[node].links;
-            (0..links.len()).filter(|i| links[*i].is_some()).map(|i| count + i).collect()
-        } else {
-            (0..count).filter(|host| self.hosts[*host].links[node - count].is_some()).collect()
-        }
-    }
-
-    fn took_version(&mut self, node: usize) {
-        let state = &mut self.nodes[node];
-        if !state.epoch.ready() {
-            return;
-        }
-        let (force, worked) = (state.epoch.force(), state.worked);
-        state.worked = force.max(worked);
-        if force < worked {
-            let text = format!("{} works under {force} after {worked}", state.name);
-            self.see("reverted", text);
-        }
-    }
-
-    fn check(&mut self, version: Version, accepted: Time, within: Span) {
-        for node in 0..self.nodes.len() {
-            let state = &self.nodes[node];
-            let there = state.alive && state.paused.is_none() && state.disturbed < accepted;
-            // A node that is cut off at the time is not reached by anything but its poll.
-            let linked = !self.linked(node).is_empty();
-            if there && linked && state.epoch.force() < version {
-                let text = format!("{} has no version {version} after {within:?}", state.name);
-                self.see("stale", text);
-            }
-        }
-    }
-
     // Sides and backend servers.
 
-    fn take_at_side(&mut self, server: usize, host: usize, link: u64, message: ToSide) {
-        if self.hosts[host].links[server] != Some(link) {
-            return;
-        }
-        match message {
-            ToSide::Dispatch(dispatch, call, input) => {
-                let job = Job { host, link, call, input, running: false };
-                let attempt = dispatch.attempt;
-                let known = self.servers[server].jobs.contains_key(&attempt);
-                let actions = self.servers[server].side.dispatch(self.now, &dispatch);
-                let refused =
-                    |a: &SideAction| matches!(a, SideAction::Refuse(r, _) if *r == attempt);
-                if !known && !actions.iter().any(refused) {
-                    self.servers[server].jobs.insert(attempt, job);
-                }
-                for action in &actions {
-                    if let SideAction::Refuse(attempt, refusal) = action
-                        && !self.servers[server].jobs.contains_key(attempt)
-                    {
-                        self.send_entry(server, host, ToEntry::Refused(*attempt, *refusal));
-                    }
-                }
-                self.side_actions(server, actions);
-            }
-            ToSide::Cancel(attempt) => {
-                let actions = self.servers[server].side.cancel(self.now, attempt);
-                self.side_actions(server, actions);
-            }
-            ToSide::Forbid(request, attempt, incarnation) => {
-                let standing = self.servers[server].side.forbid(attempt, incarnation);
-                let output = self.servers[server].kept.get(&attempt).copied();
-                self.send_entry(server, host, ToEntry::Stands(request, attempt, standing, output));
-            }
-        }
-    }
-
-    fn side_actions(&mut self, server: usize, actions: Vec<SideAction>) {
-        for action in actions {
-            match action {
-                SideAction::Start(attempt) => self.start(server, attempt),
-                SideAction::Refuse(attempt, refusal) => {
-                    if let Some(job) = self.servers[server].jobs.remove(&attempt)
-                        && self.hosts[job.host].links[server] == Some(job.link)
-                    {
-                        self.send_entry(server, job.host, ToEntry::Refused(attempt, refusal));
-                    }
-                }
-                SideAction::Abort(attempt) => {
-                    self.servers[server].jobs.remove(&attempt);
-                }
-                SideAction::Drained => {
-                    if self.servers[server].jobs.values().any(|job| job.running) {
-                        let name = self.name(server).1;
-                        self.see("cut off", format!("{name} drained with work running"));
-                    }
-                }
-            }
-        }
-        let state = &mut self.servers[server];
-        let next = state.side.next_tick();
-        if let Some(next) = next.filter(|next| state.tick.is_none_or(|at| *next < at)) {
-            state.tick = Some(next);
-            self.at(next.max(self.now), Event::SideTick(server));
-        }
-    }
-
-    fn start(&mut self, server: usize, attempt: AttemptId) {
-        let now = self.now;
-        let state = &mut self.servers[server];
-        let Some(job) = state.jobs.get_mut(&attempt) else { return };
-        job.running = true;
-        let pool = &self.scenario.pools[state.pool];
-        // The backend server's own count.
-        self.ledger.starts[server].push(now);
-        self.ledger.requests.insert(attempt.request);
-        if pool.once {
-            let runs = self.ledger.runs.entry((state.pool, job.call)).or_default();
-            *runs += 1;
-        }
-        let spread = 0.7 + 0.6 * (self.chance.next_u64() % 1_000) as f64 / 1_000.0;
-        let time = pool.time.scale(spread) * state.slow;
-        let life = self.nodes[self.side_node(server)].life;
-        self.after(time, Event::Finish { server, life, attempt });
-    }
-
-    fn finish(&mut self, server: usize, life: u64, attempt: AttemptId) {
-        if self.nodes[self.side_node(server)].life == life {
-            self.end(server, attempt, Outcome::Finished);
-        }
-    }
-
-    fn end(&mut self, server: usize, attempt: AttemptId, outcome: Outcome) {
-        let Some(job) = self.servers[server].jobs.remove(&attempt) else { return };
-        let input = if self.servers[server].garbles { !job.input } else { job.input };
-        let output = mix(input, attempt.stage);
-        if self.scenario.pools[self.servers[server].pool].once && outcome == Outcome::Finished {
-            self.servers[server].kept.insert(attempt, output);
-        }
-        let actions = self.servers[server].side.finish(self.now, attempt, outcome);
-        if self.hosts[job.host].links[server] == Some(job.link) {
-            let told = if self.servers[server].lies {
-                ToEntry::Refused(attempt, Refusal::Expired)
-            } else {
-                ToEntry::Done(attempt, outcome, output)
-            };
-            self.send_entry(server, job.host, told);
-        }
-        self.side_actions(server, actions);
-    }
-
     // Verdict.
 
-    fn judge(&mut self) {
+    pub(crate) fn check_expectations(&mut self) {
         for (call, caller) in self.callers.iter().enumerate() {
             if caller.answers == 0 || caller.open > 0 {
                 let open = caller.open;
@@ -1171,7 +761,7 @@
     }
 
     /// Why an expectation is not met.
-    fn missed(&self, expectation: &Expectation) -> Option<String> {
+    pub(crate) fn missed(&self, expectation: &Expectation) -> Option<String> {
         let first = |kind| {
             let all: &Vec<String> = self.seen.get(kind)?;
             Some(format!("{} ({} in all)", all.first()?, all.len()))
@@ -1201,11 +791,11 @@
     }
 }
 
-fn incarnation(node: usize, life: u64) -> Incarnation {
+pub(crate) fn incarnation(node: usize, life: u64) -> Incarnation {
     Incarnation(10_000 * (node as u64 + 1) + life)
 }
 
-fn new_node(i: usize, name: String) -> Node {
+pub(crate) fn new_node(i: usize, name: String) -> Node {
     Node {
         name,
         epoch: Epoch::new(Time(0), incarnation(i, 0), EpochSettings::default()),
@@ -1218,7 +808,7 @@
     }
 }
 
-fn new_host(i: usize, life: u64, bundle: &Arc<Bundle>, servers: usize) -> Host {
+pub(crate) fn new_host(i: usize, life: u64, bundle: &Arc<Bundle>, servers: usize) -> Host {
     let settings = EntrySettings::default();
     Host {
         entry: Entry::new(incarnation(i, life), "zone-1".into(), settings, Arc::clone(bundle)),
@@ -1233,7 +823,7 @@
     }
 }
 
-fn new_server(scenario: &Scenario, pool: usize, run: Incarnation) -> Server {
+pub(crate) fn new_server(scenario: &Scenario, pool: usize, run: Incarnation) -> Server {
     let settings = SideSettings { slots: scenario.pools[pool].slots, ..SideSettings::default() };
     Server {
         side: Side::new(run, settings),
@@ -1241,7 +831,7 @@
         tick: None,
         slow: 1,
         garbles: false,
-        lies: false,
+        misreports: false,
         leaving: false,
         jobs: BTreeMap::new(),
         kept: BTreeMap::new(),
@@ -1249,7 +839,7 @@
 }
 
 /// The bundle that a scenario's pools and pipelines make.
-fn bundle(scenario: &Scenario, version: Version) -> Bundle {
+pub(crate) fn bundle(scenario: &Scenario, version: Version) -> Bundle {
     let effect = |once| if once { Effect::Once } else { Effect::Idempotent };
     let pools = scenario.pools.iter().map(|pool| {
         let server = |n: usize| BackendServer {
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -43,11 +43,11 @@
 )]
 #[case::force("at 1s approve b", "in force everywhere within 10us")]
 #[case::wins("at 1s approve b\nat 2s approve c", "one approval wins")]
-#[case::lost("at 1s garble readers-0", "nothing lost")]
-#[case::untrue("at 0s lie orders-0\nat 0s lie orders-1", "no untrue refusal")]
-#[case::cut_off("at 0s lie readers-0\nat 2s stop readers-0", "nothing cut off")]
+#[case::lost("at 1s corrupt readers-0", "nothing lost")]
+#[case::untrue("at 0s misreport orders-0\nat 0s misreport orders-1", "no untrue refusal")]
+#[case::cut_off("at 0s misreport readers-0\nat 2s stop readers-0", "nothing cut off")]
 #[case::late(
-    "at 0s dull entry-1\nat 1s slow readers-0 by 200 for 9s\nat 1s slow readers-1 by 200 for 9s",
+    "at 0s lag entry-1\nat 1s slow readers-0 by 200 for 9s\nat 1s slow readers-1 by 200 for 9s",
     "answered at once"
 )]
 #[case::reverts(
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -45,7 +45,7 @@
 
     /// Connects to the side of `server`. Another process at that address is refused.
     pub async fn connect(&self, address: SocketAddr, server: &ServerId) -> Result<Link, WireError> {
-        match timeout(self.limits.handshake, self.shake_hands(address, server)).await {
+        match timeout(self.limits.handshake, self.handshake(address, server)).await {
             Ok(result) => result,
             Err(_) => Err(WireError::Timeout),
         }
@@ -57,7 +57,7 @@
         self.endpoint.wait_idle().await;
     }
 
-    async fn shake_hands(&self, address: SocketAddr, server: &ServerId) -> Result<Link, WireError> {
+    async fn handshake(&self, address: SocketAddr, server: &ServerId) -> Result<Link, WireError> {
         let connecting = self
             .endpoint
             .connect_with(self.config.clone(), address, &self.name)
@@ -142,7 +142,7 @@
         let link = Self { session: Arc::new(session), reports: Arc::new(watch::Sender::new(None)) };
         // The tasks end with the connection, so they must not keep the session alive.
         let beats = link.session.beats();
-        tokio::spawn(beat(link.downgrade(), beats, writer));
+        tokio::spawn(send_heartbeats(link.downgrade(), beats, writer));
         tokio::spawn(listen(link.downgrade(), reader));
         tokio::spawn(answer_pulls(link.downgrade(), link.session.connection.clone()));
         link
@@ -253,7 +253,7 @@
     }
 }
 
-async fn beat(link: WeakLink, mut beats: Beats, mut writer: Writer<FromEntry>) {
+async fn send_heartbeats(link: WeakLink, mut beats: Beats, mut writer: Writer<FromEntry>) {
     loop {
         beats.next(|| link.upgrade().is_some_and(|link| link.session.pulse.take())).await;
         let Some(message) = link.upgrade().map(|link| link.seal(EntryMessage::Heartbeat)) else {
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -57,8 +57,9 @@
         let endpoint = quinn::Endpoint::server(config, address).map_err(WireError::Socket)?;
         let address = endpoint.local_addr().map_err(WireError::Socket)?;
         let (sender, accepted) = mpsc::channel(ACCEPTED);
-        let door = Door { local, limits, report: Arc::new(report), tickets: Arc::default() };
-        tokio::spawn(accept(endpoint.clone(), door, sender));
+        let acceptor =
+            Acceptor { local, limits, report: Arc::new(report), tickets: Arc::default() };
+        tokio::spawn(accept(endpoint.clone(), acceptor, sender));
         Ok(Self { endpoint, address, accepted })
     }
 
@@ -81,7 +82,7 @@
 
 /// What each new connection needs.
 #[derive(Clone)]
-struct Door {
+struct Acceptor {
     local: Local,
     limits: Limits,
     report: Reporter,
@@ -90,20 +91,20 @@
 
 async fn accept(
     endpoint: quinn::Endpoint,
-    door: Door,
+    acceptor: Acceptor,
     accepted: mpsc::Sender<Result<Connection, Rejected>>,
 ) {
     while let Some(incoming) = endpoint.accept().await {
         let address = incoming.remote_address();
-        if endpoint.open_connections() >= door.limits.connections {
+        if endpoint.open_connections() >= acceptor.limits.connections {
             incoming.refuse();
             let _ = accepted.send(Err(Rejected { address, error: WireError::Full })).await;
             continue;
         }
-        let (door, accepted) = (door.clone(), accepted.clone());
+        let (acceptor, accepted) = (acceptor.clone(), accepted.clone());
         tokio::spawn(async move {
-            let limit = door.limits.handshake;
-            let result = match timeout(limit, shake_hands(incoming, door)).await {
+            let limit = acceptor.limits.handshake;
+            let result = match timeout(limit, handshake(incoming, acceptor)).await {
                 Ok(result) => result,
                 Err(_) => Err(WireError::Timeout),
             };
@@ -113,21 +114,21 @@
     }
 }
 
-async fn shake_hands(incoming: quinn::Incoming, door: Door) -> Result<Connection, WireError> {
+async fn handshake(incoming: quinn::Incoming, acceptor: Acceptor) -> Result<Connection, WireError> {
     let connection = incoming.await?;
     let (send, recv) = connection.accept_bi().await?;
-    let limit = door.limits.frame;
-    let (hello, reader) = read_hello(&connection, recv, &door.local, limit).await?;
+    let limit = acceptor.limits.frame;
+    let (hello, reader) = read_hello(&connection, recv, &acceptor.local, limit).await?;
     if !matches!(&hello.id, PeerId::Entry(_)) {
         return Err(refuse_peer(&connection, hello.id, "an entry".to_owned()));
     }
-    let writer = match send_hello(send, &door.local, limit).await {
+    let writer = match send_hello(send, &acceptor.local, limit).await {
         Ok(writer) => writer,
         Err(error) => return Err(connection.close_reason().map_or(error.into(), WireError::from)),
     };
     Ok(Connection::start(
-        Session::new(connection, hello, door.local.clone(), door.limits),
-        door,
+        Session::new(connection, hello, acceptor.local.clone(), acceptor.limits),
+        acceptor,
         writer,
         reader,
     ))
@@ -247,18 +248,18 @@
 
     fn start(
         session: Session,
-        door: Door,
+        acceptor: Acceptor,
         writer: Writer<FromSide>,
         reader: Reader<FromEntry>,
     ) -> Self {
         let versions = Arc::new(watch::Sender::new(session.hello.version));
-        let peer = Peer { session: Arc::new(session), report: door.report, versions };
+        let peer = Peer { session: Arc::new(session), report: acceptor.report, versions };
         let (sender, requests) = mpsc::channel(REQUESTS);
         // The tasks end with the connection, so they must not keep the session alive.
-        tokio::spawn(beat(peer.downgrade(), peer.session.beats(), writer));
+        tokio::spawn(send_heartbeats(peer.downgrade(), peer.session.beats(), writer));
         tokio::spawn(listen(peer.downgrade(), reader));
         let connection = peer.session.connection.clone();
-        tokio::spawn(accept_streams(peer.downgrade(), connection, door.tickets, sender));
+        tokio::spawn(accept_streams(peer.downgrade(), connection, acceptor.tickets, sender));
         Self { peer, requests }
     }
 }
@@ -368,7 +369,7 @@
     }
 }
 
-async fn beat(peer: WeakPeer, mut beats: Beats, mut writer: Writer<FromSide>) {
+async fn send_heartbeats(peer: WeakPeer, mut beats: Beats, mut writer: Writer<FromSide>) {
     loop {
         beats.next(|| peer.upgrade().is_some_and(|peer| peer.session.pulse.take())).await;
         let Some(message) = peer.upgrade().map(|peer| peer.seal(SideMessage::Heartbeat)) else {
--- a/crates/wire/tests/failure.rs
+++ b/crates/wire/tests/failure.rs
@@ -18,7 +18,7 @@
 use support::*;
 
 /// Connects and returns what each end saw.
-async fn shake_hands(
+async fn handshake(
     entry_keys: &Keys,
     entry: Local,
     side_keys: &Keys,
@@ -39,7 +39,7 @@
 async fn entry_with_a_foreign_certificate_is_refused(#[values("ours", "other")] name: &str) {
     let (ours, foreign) = (Authority::named("ours"), Authority::named(name));
     let entry_keys = foreign.keys_trusting("damaskweir", &ours);
-    let (link, rejected) = shake_hands(&entry_keys, entry(), &ours.keys(), side()).await;
+    let (link, rejected) = handshake(&entry_keys, entry(), &ours.keys(), side()).await;
     assert!(matches!(rejected.error, WireError::Certificate(_)), "{:?}", rejected.error);
     let error = link.expect_err("the entry got a link");
     assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
@@ -51,7 +51,7 @@
 async fn side_with_a_foreign_certificate_is_refused(#[values("ours", "other")] name: &str) {
     let (ours, foreign) = (Authority::named("ours"), Authority::named(name));
     let side_keys = foreign.keys_trusting("damaskweir", &ours);
-    let (link, rejected) = shake_hands(&ours.keys(), entry(), &side_keys, side()).await;
+    let (link, rejected) = handshake(&ours.keys(), entry(), &side_keys, side()).await;
     let error = link.expect_err("the entry got a link");
     assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
     assert!(matches!(rejected.error, WireError::Certificate(_)), "{:?}", rejected.error);
@@ -62,7 +62,7 @@
 async fn side_with_another_name_is_refused() {
     let ours = Authority::new();
     let side_keys = ours.keys_for("label-printer");
-    let (link, _) = shake_hands(&ours.keys(), entry(), &side_keys, side()).await;
+    let (link, _) = handshake(&ours.keys(), entry(), &side_keys, side()).await;
     let error = link.expect_err("the entry got a link");
     assert!(matches!(error, WireError::Certificate(_)), "{error:?}");
 }
@@ -102,7 +102,7 @@
     let error = within(dialer.connect(listener.address(), &server())).await.unwrap_err();
     assert!(matches!(error, WireError::Peer { .. }), "{error:?}");
 
-    let (link, rejected) = shake_hands(&keys, side(), &keys, side()).await;
+    let (link, rejected) = handshake(&keys, side(), &keys, side()).await;
     assert!(matches!(rejected.error, WireError::Peer { .. }), "{:?}", rejected.error);
     assert!(link.is_err());
 }
