Send heartbeats on time, and fewer of them

Cause: each heartbeat counted as traffic of its connection, so every second one was left out and reports of idle sides came 2 s apart; only QUIC's own keep-alive, which both ends sent as well, kept connections within their idle time of 2.5 s. Found by a new test that took twice as long as its heartbeats should. Change: a heartbeat no longer counts as traffic; sides send each second, entries each 2 s and at a change of version; no other keep-alive. Ruled out: 10 s for entries, since a side whose pull failed would be shown the version too late for 4 s.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -24,8 +24,9 @@
 const PEER_WAY: Span = Span(500);
 /// Bytes around each message: frame, report, and QUIC and UDP headers.
 const FRAME_BYTES: usize = 90;
-/// Time between heartbeats of an idle connection.
-const BEAT: Span = Span::from_secs(1);
+/// Time between heartbeats of an idle connection, of its entry and of its side.
+const ENTRY_HEARTBEAT: Span = Span::from_secs(2);
+const SIDE_HEARTBEAT: Span = Span::from_secs(1);
 /// Time between changes within a run.
 const CHANGE_GAP: Span = Span::from_secs(20);
 const CHANGES: u64 = 5;
@@ -212,7 +213,7 @@
                 world.nodes[i].epoch_mut().set_watcher(watcher);
             }
             world.push(Time(0), Event::Tick(i));
-            let phase = Span(world.rng.next_u64() % BEAT.0);
+            let phase = Span(world.rng.next_u64() % world.heartbeat(i).0);
             world.push(Time(0) + phase, Event::Beat(i));
         }
         for change in 0..CHANGES {
@@ -223,6 +224,10 @@
         world
     }
 
+    fn heartbeat(&self, node: usize) -> Span {
+        if node < self.size.entries { ENTRY_HEARTBEAT } else { SIDE_HEARTBEAT }
+    }
+
     fn push(&mut self, at: Time, event: Event) {
         self.serial += 1;
         self.queue.push(Reverse((at, self.serial)));
@@ -258,7 +263,7 @@
                         self.push(at, Event::Shown(peer, i, version));
                     }
                 }
-                self.push(now + BEAT, Event::Beat(i));
+                self.push(now + self.heartbeat(i), Event::Beat(i));
             }
             Event::Polled(i) => {
                 let bytes = self.versions[self.accepted - 1].0.bytes().clone();
--- a/crates/wire/src/limits.rs
+++ b/crates/wire/src/limits.rs
@@ -13,8 +13,11 @@
     pub connections: usize,
     /// Time without any packet after which the peer counts as dead.
     pub idle: Duration,
-    /// Time between heartbeats; well below `idle`.
+    /// Time between heartbeats of a side; well below `idle`. They and their acknowledgements keep both
+    /// ends of the connection alive.
     pub heartbeat: Duration,
+    /// Time between heartbeats of an entry, which tell its bundle version; a change is told at once.
+    pub announce: Duration,
     /// Time in which a handshake must complete, Hello included.
     pub handshake: Duration,
 }
@@ -28,6 +31,8 @@
             // Two heartbeats may be lost; the peer is noticed to be dead within 3 s.
             idle: Duration::from_millis(2500),
             heartbeat: Duration::from_secs(1),
+            // A side whose pull failed pulls again when a version is shown again; a bundle has 4 s.
+            announce: Duration::from_secs(2),
             handshake: Duration::from_secs(2),
         }
     }
@@ -39,7 +44,6 @@
         let idle = u32::try_from(self.idle.as_millis()).unwrap_or(u32::MAX);
         config
             .max_idle_timeout(Some(quinn::VarInt::from_u32(idle).into()))
-            .keep_alive_interval(Some(self.heartbeat))
             .max_concurrent_bidi_streams(streams.into())
             .max_concurrent_uni_streams(0u32.into())
             .datagram_receive_buffer_size(None);
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -141,7 +141,7 @@
     fn start(session: Session, writer: Writer<FromEntry>, reader: Reader<FromSide>) -> Self {
         let link = Self { session: Arc::new(session), reports: Arc::new(watch::Sender::new(None)) };
         // The tasks end with the connection, so they must not keep the session alive.
-        let beats = link.session.beats();
+        let beats = link.session.beats(link.session.limits.announce);
         tokio::spawn(send_heartbeats(link.downgrade(), beats, writer));
         tokio::spawn(listen(link.downgrade(), reader));
         tokio::spawn(answer_pulls(link.downgrade(), link.session.connection.clone()));
@@ -256,9 +256,11 @@
 async fn send_heartbeats(link: WeakLink, mut beats: Beats, mut writer: Writer<FromEntry>) {
     loop {
         beats.next(|| link.upgrade().is_some_and(|link| link.session.pulse.take())).await;
-        let Some(message) = link.upgrade().map(|link| link.seal(EntryMessage::Heartbeat)) else {
-            return;
-        };
+        let Some(link) = link.upgrade() else { return };
+        let message = link.seal(EntryMessage::Heartbeat);
+        // The heartbeat itself must not count as traffic, or every second one would be left out.
+        link.session.pulse.take();
+        drop(link);
         if writer.send(&message).await.is_err() {
             return;
         }
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -256,7 +256,8 @@
         let peer = Peer { session: Arc::new(session), report: acceptor.report, versions };
         let (sender, requests) = mpsc::channel(REQUESTS);
         // The tasks end with the connection, so they must not keep the session alive.
-        tokio::spawn(send_heartbeats(peer.downgrade(), peer.session.beats(), writer));
+        let beats = peer.session.beats(acceptor.limits.heartbeat);
+        tokio::spawn(send_heartbeats(peer.downgrade(), beats, writer));
         tokio::spawn(listen(peer.downgrade(), reader));
         let connection = peer.session.connection.clone();
         tokio::spawn(accept_streams(peer.downgrade(), connection, acceptor.tickets, sender));
@@ -372,9 +373,11 @@
 async fn send_heartbeats(peer: WeakPeer, mut beats: Beats, mut writer: Writer<FromSide>) {
     loop {
         beats.next(|| peer.upgrade().is_some_and(|peer| peer.session.pulse.take())).await;
-        let Some(message) = peer.upgrade().map(|peer| peer.seal(SideMessage::Heartbeat)) else {
-            return;
-        };
+        let Some(peer) = peer.upgrade() else { return };
+        let message = peer.seal(SideMessage::Heartbeat);
+        // The heartbeat itself must not count as traffic, or every second one would be left out.
+        peer.session.pulse.take();
+        drop(peer);
         if writer.send(&message).await.is_err() {
             return;
         }
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -8,6 +8,7 @@
 use quinn::{Connection, RecvStream, SendStream};
 use std::fmt::Display;
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 /// A connection after its handshake.
@@ -36,8 +37,9 @@
         (FramedWrite::new(send, Codec::new(limit)), FramedRead::new(recv, Codec::new(limit)))
     }
 
-    pub(crate) fn beats(&self) -> Beats {
-        Beats::new(self.limits.heartbeat, self.local.watch())
+    /// Heartbeats of this end, at most one in each period without other messages.
+    pub(crate) fn beats(&self, period: Duration) -> Beats {
+        Beats::new(period, self.local.watch())
     }
 
     /// Handles an error of a stream. Frames that can't be read end the connection: what else the
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use damaskweir_core::prelude::*;
 use damaskweir_wire::{Limits, PeerId, PullRequest, Request, ToEntry, WireError};
+use std::time::Duration;
 use support::*;
 
 /// Guards against lost, reordered or foreign messages of an attempt.
@@ -107,3 +108,22 @@
     let absent = within(pair.link.pull(PullRequest::Section(Digest([6; 32])))).await;
     assert!(matches!(absent, Err(WireError::Absent)));
 }
+
+/// Guards against an idle connection that is taken for dead: the side's heartbeats and their
+/// acknowledgements are all that keeps both ends alive.
+#[tokio::test]
+async fn idle_connection_stays_open() {
+    let idle = Duration::from_secs(2);
+    let limits = Limits { idle, heartbeat: Duration::from_millis(100), ..Limits::default() };
+    let mut pair = pair(limits).await;
+    let mut reports = pair.link.reports();
+    let first = within(reports.wait_for(Option::is_some)).await.unwrap().unwrap().serial;
+    // Heartbeats over more than twice the idle time.
+    let late = |report: &Option<Report>| report.is_some_and(|report| report.serial > first + 45);
+    within(reports.wait_for(late)).await.unwrap();
+    let mut attempt = within(pair.link.dispatch(&dispatch(0), work("x"))).await.unwrap();
+    let (_, _, mut reply) = next_dispatch(&mut pair.connection).await;
+    within(reply.finish(Outcome::Finished, Span::ZERO)).await.unwrap();
+    let done = within(attempt.next()).await.unwrap();
+    assert_eq!(done, Some(ToEntry::Done(Outcome::Finished)));
+}
