Fuzz the settings, the callers' bodies and the feed of cache events

Cause: frames and bundles had property tests, the other decoders of outside bytes had none. Change: property tests with fixed seeds: 512 settings files, 400 bodies through the API, 200 cache feeds.

--- a/crates/callers/tests/api.rs
+++ b/crates/callers/tests/api.rs
@@ -568,3 +568,28 @@
         assert!(text.contains(&format!("\"{code}\"")), "{code} is not described");
     }
 }
+
+/// Guards against a body that makes the API panic or answer without the error shape, whatever its bytes.
+#[rstest]
+#[tokio::test]
+async fn any_body_is_answered() {
+    use proptest::strategy::{Strategy, ValueTree};
+    let bed = Bed::start(Script::Events(vec![finished("{}", Form::Json)])).await;
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let json = "\\{\"(prompt|stream|max_tokens|x)\": ?[-0-9a-z\"\\[\\]{}. ]{0,24}\\}?";
+    let bodies = proptest::prop_oneof![
+        proptest::collection::vec(proptest::prelude::any::<u8>(), 0..1_200),
+        json.prop_map(String::into_bytes),
+    ];
+    for _ in 0..400 {
+        let body = bodies.new_tree(&mut runner).unwrap().current();
+        let response = bed.post("").body(body.clone()).send().await.unwrap();
+        let status = response.status().as_u16();
+        let text = response.text().await.unwrap();
+        match status {
+            200 => assert!(serde_json::from_slice::<serde_json::Value>(&body).is_ok(), "{text}"),
+            400 | 413 => assert!(serde_json::from_str::<ErrorBody>(&text).is_ok(), "{text}"),
+            other => panic!("status {other}: {text}"),
+        }
+    }
+}
--- a/crates/damaskweir/tests/settings.rs
+++ b/crates/damaskweir/tests/settings.rs
@@ -126,3 +126,26 @@
     let problems = Directory::new("operators").parse(&format!("{WHOLE}{text}")).unwrap_err();
     assert!(problems.iter().any(|line| line.contains(wanted)), "{problems:?}");
 }
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 512,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// Guards against a settings file that makes the check panic, whatever its bytes.
+    #[test]
+    fn any_settings_are_checked(
+        text in "([a-z]+ ?= ?[^\n]{0,24}\n|\\[(entry|side|callers|wire|store|drain|backend|logs)\\]\n|[^\n]{0,24}\n){0,24}",
+        insert in ".{0,12}",
+        at in 0..WHOLE.len(),
+    ) {
+        let directory = Directory::new("fuzz");
+        let _ = directory.parse(&text);
+        let _ = damaskweir::settings::SideFile::parse(&directory.0.join("side.ini"), &text);
+        let (head, tail) = WHOLE.split_at(at);
+        let _ = directory.parse(&format!("{head}{insert}{tail}"));
+    }
+}
--- a/crates/engines/tests/control.rs
+++ b/crates/engines/tests/control.rs
@@ -91,3 +91,37 @@
     assert!(matches!(feed.next().await.unwrap(), Some(CacheChange::Stored(_))));
     assert_eq!(feed.last(), last.map(|last| last + 1));
 }
+
+/// Guards against a feed of cache events that makes the client panic or go on for ever, whatever its
+/// bytes.
+#[tokio::test]
+async fn any_cache_feed_ends() {
+    use proptest::strategy::{Strategy, ValueTree};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let client = Engine::new(EngineSettings { url, ..EngineSettings::default() }).unwrap();
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let events = "(id: ?[0-9]{0,21}\n|data: ?[-0-9a-z\"{}:, ]{0,24}\n|\n|.{0,12}\n){0,24}";
+    let bytes = proptest::prop_oneof![
+        proptest::collection::vec(proptest::prelude::any::<u8>(), 0..300),
+        events.prop_map(String::into_bytes),
+    ];
+    for _ in 0..200 {
+        let body = bytes.new_tree(&mut runner).unwrap().current();
+        let serve = async {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4_096];
+            let _ = socket.read(&mut request).await.unwrap();
+            let head =
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+            socket.write_all(head.as_bytes()).await.unwrap();
+            socket.write_all(&body).await.unwrap();
+        };
+        let read = async {
+            let mut feed = client.cache_events(None).await.unwrap();
+            while let Ok(Some(_)) = feed.next().await {}
+        };
+        tokio::join!(serve, read);
+    }
+}
