Name estimates that refuse work stale

Cause: 'doubt' is not a term that readers of this field look for. Change: Estimator::mark_stale and stale_since; no behaviour changes. Conclusion: names only.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -641,7 +641,7 @@
         let expected = pipeline.stages.iter().fold(Span::ZERO, |sum, stage| sum + stage.expected);
         let ask = self.settings.admission.then_some(Ask { work, expected, wait, budget });
         if work > budget && expected <= budget {
-            self.doubt(now, &call.pipeline, class);
+            self.mark_stale(now, &call.pipeline, class);
         }
         match self.admission.admit(now, &call.workspace, workspace, ask) {
             Ok(()) => Ok(budget),
@@ -651,9 +651,9 @@
         }
     }
 
-    fn doubt(&mut self, now: Time, pipeline: &PipelineId, class: SizeClass) {
+    fn mark_stale(&mut self, now: Time, pipeline: &PipelineId, class: SizeClass) {
         let of = |key: &(PipelineId, u16, SizeClass)| key.0 == *pipeline && key.2 == class;
-        self.estimators.iter_mut().filter(|(key, _)| of(key)).for_each(|(_, e)| e.doubt(now));
+        self.estimators.iter_mut().filter(|(key, _)| of(key)).for_each(|(_, e)| e.mark_stale(now));
     }
 
     /// Predicted service time and wait of the stages from `first` on. `None`: a pool has no server
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -21,7 +21,7 @@
 /// used up the hedge budget that late ones on dead servers need.
 const QUANTILE: f64 = 0.98;
 
-/// Time in which the excess of a doubted estimate falls to about a third.
+/// Time in which the excess of a stale estimate falls to about a third.
 const FADE_TIME: Span = Span::from_secs(2);
 
 /// Mean and high quantile of a service time.
@@ -32,21 +32,21 @@
     high: f64,
     samples: u64,
     /// When work was first refused because of this estimate, if no sample has come since.
-    doubted: Option<Time>,
+    stale_since: Option<Time>,
 }
 
 impl Estimator {
     /// Starts from an expected service time.
     pub fn new(expected: Span) -> Self {
         let mean = expected.0.max(1) as f64;
-        Self { expected: mean, mean, high: mean * 2.0, samples: 0, doubted: None }
+        Self { expected: mean, mean, high: mean * 2.0, samples: 0, stale_since: None }
     }
 
     /// Takes a service time that was seen.
     pub fn observe(&mut self, now: Time, seen: Span) {
         let seen = seen.0 as f64;
         self.mean = self.faded(now);
-        self.doubted = None;
+        self.stale_since = None;
         self.samples += 1;
         // The first samples replace the configured guess quickly.
         let weight = MEAN_WEIGHT.max(1.0 / (self.samples as f64 + 1.0));
@@ -59,9 +59,9 @@
     /// Work was refused because of this estimate.
     ///
     /// Refused work gives no samples, so an estimate that a slowdown pushed beyond the deadline would
-    /// refuse all work for good. A doubted estimate falls towards the expected time until a sample comes.
-    pub fn doubt(&mut self, now: Time) {
-        self.doubted.get_or_insert(now);
+    /// refuse all work for good. A stale estimate falls towards the expected time until a sample comes.
+    pub fn mark_stale(&mut self, now: Time) {
+        self.stale_since.get_or_insert(now);
     }
 
     /// Mean service time.
@@ -81,7 +81,7 @@
 
     fn faded(&self, now: Time) -> f64 {
         let excess = (self.mean - self.expected).max(0.0);
-        let idle = self.doubted.map_or(Span::ZERO, |since| now.since(since));
+        let idle = self.stale_since.map_or(Span::ZERO, |since| now.since(since));
         let keep = (-(idle.as_secs_f64() / FADE_TIME.as_secs_f64())).exp();
         self.mean - excess * (1.0 - keep)
     }
--- a/crates/core/tests/predict.rs
+++ b/crates/core/tests/predict.rs
@@ -18,28 +18,28 @@
 /// Guards against an estimate that a slowdown pushed beyond the deadline, after which all work is
 /// refused, no sample comes and the estimate never falls.
 #[rstest]
-fn doubted_excess_fades() {
+fn stale_excess_fades() {
     let mut estimator = slowed(Time(0));
     assert!(estimator.mean(Time(0)) > Span::from_secs(4));
-    estimator.doubt(Time(0));
+    estimator.mark_stale(Time(0));
     let later = Time(0) + Span::from_secs(20);
     assert!(estimator.mean(later) < EXPECTED * 2);
 }
 
 /// Guards against an estimate of rare long work that is forgotten between two calls.
 #[rstest]
-fn undoubted_excess_stays() {
+fn confirmed_excess_stays() {
     let estimator = slowed(Time(0));
     assert!(estimator.mean(Time(0) + Span::from_secs(3_600)) > Span::from_secs(4));
 }
 
 /// Guards against estimates that fall while samples still confirm them.
 #[rstest]
-fn samples_end_the_doubt() {
+fn samples_confirm_the_estimate() {
     let mut estimator = slowed(Time(0));
     for second in 1..20 {
         let now = Time(0) + Span::from_secs(second);
-        estimator.doubt(now);
+        estimator.mark_stale(now);
         estimator.observe(now, SLOW);
     }
     assert!(estimator.mean(Time(0) + Span::from_secs(60)) > Span::from_secs(4));
@@ -53,6 +53,6 @@
         estimator.observe(Time(0), Span::from_millis(10));
     }
     let now = Time(0) + Span::from_secs(60);
-    estimator.doubt(Time(0));
+    estimator.mark_stale(Time(0));
     assert_eq!(estimator.mean(now), estimator.mean(Time(0)));
 }
