Run an entry on the users' platform

Cause: the platform lists its replicas in its store, has no process of ours beside most of them, and batches the work of stages; the flow through sides can't serve that. Change: the core gains catalogs, a list of servers, stage graphs, batching of pieces, placement by prompt parts and budgets over windows. crates/direct drives them on one thread; platform/ translates. Ruled out: a general HTTP client towards servers, since it can't skip a late answer of another request. Before: no path.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,13 +32,19 @@
 mod value;
 
 pub mod admit;
+pub mod batch;
 pub mod bundle;
+pub mod catalog;
 pub mod claim;
 pub mod entry;
 pub mod epoch;
+pub mod fleet;
+pub mod forecast;
+pub mod graph;
 pub mod ids;
 pub mod lease;
 pub mod message;
+pub mod place;
 pub mod policy;
 pub mod predict;
 pub mod prelude;
@@ -48,6 +54,7 @@
 pub mod route;
 pub mod side;
 pub mod time;
+pub mod window;
 
 /// Random number generator that callers hand in; the core never seeds one itself.
 pub type Rng = rand_chacha::ChaCha8Rng;
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,275 @@
+//! Choice of a backend server for a whole request, from what this entry's own requests have shown.
+//!
+//! Answers two loads: generation on engines that keep prompt parts, where reading a prompt again costs
+//! more than anything else, and short plain calls on servers of which some fail or stall.
+
+use crate::Rng;
+use crate::fleet::Replica;
+use crate::ids::{AvailabilityZone, ServerId};
+use crate::time::{Span, Time};
+use crate::value;
+use rand_core::Rng as _;
+use std::collections::{BTreeMap, HashMap};
+
+/// Prompt tokens that an engine reads in a millisecond, to weigh a prompt against a queue. The
+/// deployments state 32 and 92.
+const READ_RATE: u64 = 50;
+/// Delay that one more running generation adds to a new one.
+const CROWD_DELAY: Span = Span::from_millis(3);
+/// Delay that a plain call adds for each call already open, as a part of the usual time.
+const BUSY_PART: f64 = 0.5;
+/// Delay by which 1 MB of results that cross availability zones counts.
+const CROSS_DELAY: Span = Span::from_millis(40);
+/// Delay by which another availability zone counts for the request itself.
+const ZONE_DELAY: Span = Span::from_millis(2);
+/// Delay by which a server counts that fails all its requests.
+const FAILURE_DELAY: Span = Span::from_secs(4);
+/// Weight of a new answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.3;
+/// Time after which the share of failures counts for about a third, so that the server is tried again.
+const FAILURE_MEMORY: Span = Span::from_secs(4);
+/// Weight of a new answer in the mean time.
+const PACE_WEIGHT: f64 = 0.2;
+/// Time after which a slow pace counts for about a third.
+const PACE_MEMORY: Span = Span::from_secs(5);
+/// First and longest pause of a server that can't be reached or does not answer.
+const PAUSES: (Span, Span) = (Span::from_millis(400), Span::from_secs(3));
+/// Time for which a prompt part is expected to stay in an engine's memory.
+const PART_MEMORY: Span = Span::from_secs(20);
+/// Prompt parts remembered for each server.
+const PARTS_MAX: usize = 4_096;
+/// Random difference between equal servers, so that entries do not all choose the same one.
+const JITTER: Span = Span::from_millis(2);
+
+value! {
+    /// One part of a prompt.
+    #[derive(Copy)]
+    pub struct Part {
+        /// Names the tokens of this part.
+        pub id: u64,
+        /// Length.
+        pub tokens: u32,
+    }
+}
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Need<'a> {
+    /// Parts of its prompt, in order.
+    pub parts: &'a [Part],
+    /// Results that the server will fetch, in bytes by availability zone.
+    pub results: &'a [(AvailabilityZone, u64)],
+    /// Servers that the request must not go to again.
+    pub avoid: &'a [ServerId],
+    /// Requests from here that one server may have open; 0: any number.
+    pub most: u32,
+}
+
+/// How a request ended at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A whole answer.
+    Whole,
+    /// A failure that the server reported, or an answer that broke off.
+    Failed,
+    /// Refused as full.
+    Full,
+    /// The server did not answer or could not be reached.
+    Silent,
+    /// The request was given up for reasons that say nothing about the server.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Site {
+    replica: Replica,
+    open: u32,
+    /// Share of its requests that failed lately, when `failed` was set.
+    failures: f64,
+    failed: Time,
+    /// Mean time to the first part of an answer, over the pool's.
+    pace: f64,
+    paced: Time,
+    paused: Time,
+    pause: Span,
+    parts: HashMap<u64, Time>,
+}
+
+/// An entry's view of one pool.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    zone: AvailabilityZone,
+    engine: bool,
+    sites: BTreeMap<ServerId, Site>,
+    /// Mean time to the first part of an answer, in microseconds.
+    usual: f64,
+}
+
+impl Placer {
+    /// An empty pool, seen from an availability zone.
+    pub fn new(zone: AvailabilityZone, engine: bool, usual: Span) -> Self {
+        Self { zone, engine, sites: BTreeMap::new(), usual: usual.0.max(1) as f64 }
+    }
+
+    /// A server may be used; what was known of an earlier process with its id is forgotten.
+    pub fn add(&mut self, replica: Replica) {
+        let site = Site {
+            open: 0,
+            failures: 0.0,
+            failed: Time::default(),
+            pace: 1.0,
+            paced: Time::default(),
+            paused: Time::default(),
+            pause: PAUSES.0,
+            parts: HashMap::new(),
+            replica,
+        };
+        self.sites.insert(site.replica.id.clone(), site);
+    }
+
+    /// A server gets no new work.
+    pub fn remove(&mut self, id: &ServerId) {
+        self.sites.remove(id);
+    }
+
+    /// Servers that may be used.
+    pub fn len(&self) -> usize {
+        self.sites.len()
+    }
+
+    /// Whether no server may be used.
+    pub fn is_empty(&self) -> bool {
+        self.sites.is_empty()
+    }
+
+    /// Requests from here that are open, and slots of all servers.
+    pub fn load(&self) -> (u32, u32) {
+        let open = self.sites.values().map(|site| site.open).sum();
+        let slots = self.sites.values().map(|site| site.replica.slots).sum();
+        (open, slots)
+    }
+
+    /// Mean time to the first part of an answer.
+    pub fn usual(&self) -> Span {
+        Span(self.usual as u64)
+    }
+
+    /// The server with the least expected delay.
+    pub fn choose(&self, now: Time, rng: &mut Rng, need: &Need<'_>) -> Option<&Replica> {
+        let open = |site: &&Site| {
+            !need.avoid.contains(&site.replica.id) && (need.most == 0 || site.open < need.most)
+        };
+        let rested = |site: &&Site| site.paused <= now;
+        let best = |sites: &mut dyn Iterator<Item = &Site>, rng: &mut Rng| {
+            sites
+                .map(|site| (self.delay(now, site, need) + rng.next_u64() % JITTER.0, site))
+                .min_by_key(|(delay, _)| *delay)
+                .map(|(_, site)| site.replica.id.clone())
+        };
+        let first = best(&mut self.sites.values().filter(open).filter(rested), rng);
+        // All pauses may be wrong at once, for instance after a partition of this entry.
+        let id = first.or_else(|| best(&mut self.sites.values().filter(open), rng))?;
+        self.sites.get(&id).map(|site| &site.replica)
+    }
+
+    /// Tokens of a prompt that a server has to read.
+    pub fn unread(&self, now: Time, id: &ServerId, parts: &[Part]) -> u64 {
+        self.sites.get(id).map_or(0, |site| site.unread(now, parts))
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, now: Time, id: &ServerId, parts: &[Part]) {
+        let Some(site) = self.sites.get_mut(id) else { return };
+        site.open += 1;
+        if site.parts.len() > PARTS_MAX {
+            site.parts.retain(|_, at| now.since(*at) < PART_MEMORY);
+        }
+        site.parts.extend(parts.iter().map(|part| (part.id, now)));
+    }
+
+    /// The first part of an answer came after `first`.
+    pub fn answered(&mut self, now: Time, id: &ServerId, first: Span) {
+        let usual = self.usual;
+        let Some(site) = self.sites.get_mut(id) else { return };
+        let seen = first.0 as f64;
+        self.usual += (seen.min(usual * 4.0) - usual) * PACE_WEIGHT / 4.0;
+        let ratio = (seen / usual).clamp(0.2, 20.0);
+        site.pace = site.paced_at(now) + (ratio - site.paced_at(now)) * PACE_WEIGHT;
+        site.paced = now;
+        site.mark(now, 0.0);
+        site.pause = PAUSES.0;
+        site.paused = Time::default();
+    }
+
+    /// A request ended. `parts`: its prompt, which the server may not have read.
+    pub fn ended(&mut self, now: Time, id: &ServerId, parts: &[Part], ending: Ending) {
+        let Some(site) = self.sites.get_mut(id) else { return };
+        site.open = site.open.saturating_sub(1);
+        match ending {
+            Ending::Whole => {}
+            Ending::Failed => site.mark(now, 1.0),
+            Ending::Full => site.rest(now, PAUSES.0),
+            Ending::Silent => {
+                site.mark(now, 1.0);
+                let pause = site.pause;
+                site.rest(now, pause);
+                site.pause = Span((pause.0 * 2).min(PAUSES.1.0));
+            }
+            Ending::Unknown => {}
+        }
+        if ending != Ending::Whole {
+            for part in parts {
+                site.parts.remove(&part.id);
+            }
+        }
+    }
+
+    fn delay(&self, now: Time, site: &Site, need: &Need<'_>) -> u64 {
+        let pace = site.paced_at(now).max(1.0);
+        let work = if self.engine {
+            let reading = site.unread(now, need.parts) * 1_000 / READ_RATE;
+            reading as f64 + (CROWD_DELAY * u64::from(site.open)).0 as f64 + self.usual * 0.2
+        } else {
+            let busy = f64::from(site.open) / f64::from(site.replica.slots.max(1));
+            self.usual * (1.0 + busy * busy * 4.0 + f64::from(site.open) * BUSY_PART * 0.2)
+        };
+        let far = |zone: &AvailabilityZone| *zone != site.replica.zone;
+        let bytes: u64 = need.results.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
+        let cross = CROSS_DELAY.scale(bytes as f64 / 1e6).0 as f64;
+        let zone = if far(&self.zone) { ZONE_DELAY.0 as f64 } else { 0.0 };
+        let failing = FAILURE_DELAY.scale(site.failing(now)).0 as f64;
+        (work * pace + cross + zone + failing) as u64
+    }
+}
+
+impl Site {
+    fn unread(&self, now: Time, parts: &[Part]) -> u64 {
+        let kept =
+            |part: &&Part| self.parts.get(&part.id).is_some_and(|at| now.since(*at) < PART_MEMORY);
+        let skip = parts.iter().take_while(kept).count();
+        parts[skip..].iter().map(|part| u64::from(part.tokens)).sum()
+    }
+
+    fn paced_at(&self, now: Time) -> f64 {
+        let keep = decay(now, self.paced, PACE_MEMORY);
+        1.0 + (self.pace - 1.0) * keep
+    }
+
+    fn failing(&self, now: Time) -> f64 {
+        self.failures * decay(now, self.failed, FAILURE_MEMORY)
+    }
+
+    fn mark(&mut self, now: Time, failed: f64) {
+        let share = self.failing(now);
+        self.failures = share + (failed - share) * FAILURE_WEIGHT;
+        self.failed = now;
+    }
+
+    fn rest(&mut self, now: Time, pause: Span) {
+        self.paused = self.paused.max(now + pause);
+    }
+}
+
+fn decay(now: Time, since: Time, memory: Span) -> f64 {
+    (-(now.since(since).as_secs_f64() / memory.as_secs_f64())).exp()
+}
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -3,14 +3,14 @@
 use crate::demo::{Demo, DemoError, DemoOptions};
 use crate::entry::{EntryDaemon, EntryError, EntryOptions, seeded_rng};
 use crate::load::{LoadError, LoadOptions, run_load};
-use crate::logs::{LogForm, LogSettings, new_logger, quiet_logger};
+use crate::logs::{LogForm, LogOutput, LogSettings, new_logger, quiet_logger};
+use crate::platform::{PlatformError, PlatformOptions, run_platform_entry};
 use crate::settings::{EntryFile, SettingsError, SideFile};
 use crate::side::{SideDaemon, SideError};
 use crate::spread::SpreadSetup;
 use damaskweir_core::prelude::*;
 use damaskweir_store::Client;
 use pico_args::Arguments;
-use slog::Level;
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::future::Future;
@@ -35,6 +35,7 @@
 Commands:
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
+  platform entry         run an entry on the users' platform
   demo [--serve]         run a whole deployment with stand-ins in this process
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
@@ -73,6 +74,21 @@
 The settings are described in docs/settings.md. Exit codes: damaskweir --help.
 ";
 
+const PLATFORM_HELP: &str = "\
+Usage: damaskweir platform entry [OPTIONS]
+
+Runs an entry on the users' platform until SIGTERM or SIGINT. Then readiness fails, requests in progress
+finish, and the process exits within the platform's grace time. SIGHUP reads the settings again.
+
+Options:
+  --config FILE          settings of the platform (default: the path in DAMASKWEIR_CONFIG)
+  --check                read the settings, print all faults, and exit
+  --metrics PORT         serve /metrics on this port of the instance, beside the admin address
+
+Example: DAMASKWEIR_CONFIG=/etc/damaskweir/boot.conf damaskweir platform entry --metrics 9464
+docs/platform.md describes the roles and what each does when something fails. Exit codes: damaskweir --help.
+";
+
 const DEMO_HELP: &str = "\
 Usage: damaskweir demo [OPTIONS]
 
@@ -134,6 +150,10 @@
     #[error(transparent)]
     Settings(#[from] SettingsError),
     #[error(transparent)]
+    PlatformSettings(#[from] damaskweir_platform::Faults),
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
+    #[error(transparent)]
     Entry(#[from] EntryError),
     #[error(transparent)]
     Side(#[from] SideError),
@@ -157,10 +177,13 @@
     fn exit_code(&self) -> u8 {
         match self {
             Self::Usage(_) | Self::Load(LoadError::Target | LoadError::Range(..)) => USAGE,
-            Self::Settings(_) | Self::Bundle(_) => SETTINGS,
-            Self::Entry(_) | Self::Side(_) | Self::Demo(_) | Self::Load(_) | Self::Failure(_) => {
-                FAILURE
-            }
+            Self::Settings(_) | Self::PlatformSettings(_) | Self::Bundle(_) => SETTINGS,
+            Self::Platform(_)
+            | Self::Entry(_)
+            | Self::Side(_)
+            | Self::Demo(_)
+            | Self::Load(_)
+            | Self::Failure(_) => FAILURE,
         }
     }
 }
@@ -202,6 +225,8 @@
         Some("entry") => entry(arguments),
         Some("side") if help => print(out, SIDE_HELP),
         Some("side") => side(arguments),
+        Some("platform") if help => print(out, PLATFORM_HELP),
+        Some("platform") => platform(arguments, out),
         Some("demo") if help => print(out, DEMO_HELP),
         Some("demo") => demo(arguments, out),
         Some("bench") if help => print(out, damaskweir_bench::USAGE),
@@ -269,6 +294,29 @@
     Ok(())
 }
 
+fn platform(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    if arguments.subcommand()?.as_deref() != Some("entry") {
+        return Err(CommandError::Usage(
+            "'platform entry' is the only platform command".to_owned(),
+        ));
+    }
+    let check = arguments.contains("--check");
+    let metrics = arguments.opt_value_from_str("--metrics")?;
+    let named =
+        arguments.opt_value_from_os_str("--config", |path| Ok::<_, String>(PathBuf::from(path)))?;
+    finish(arguments)?;
+    let path = named
+        .or_else(|| std::env::var_os(damaskweir_platform::SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| CommandError::Usage("--config FILE is required".to_owned()))?;
+    let settings = damaskweir_platform::Settings::load(&path)?;
+    if check {
+        return print(out, "settings are good\n");
+    }
+    let logs = LogSettings { output: LogOutput::Stdout, ..LogSettings::default() };
+    let log = new_logger(logs, &settings.setup.name);
+    Ok(run_platform_entry(settings, PlatformOptions { path, metrics }, log)?)
+}
+
 fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
@@ -369,7 +417,7 @@
     }
     let options = DemoOptions { engines, token: token.unwrap_or(defaults.token), ..defaults };
     let log = if verbose {
-        new_logger(LogSettings { form: LogForm::Terminal, level: Level::Info }, "demo")
+        new_logger(LogSettings { form: LogForm::Terminal, ..LogSettings::default() }, "demo")
     } else {
         quiet_logger()
     };
--- a/crates/damaskweir/src/lib.rs
+++ b/crates/damaskweir/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod order;
+pub mod platform;
 mod requests;
 pub mod settings;
 pub mod side;
--- a/crates/damaskweir/src/logs.rs
+++ b/crates/damaskweir/src/logs.rs
@@ -12,6 +12,15 @@
     Terminal,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
 /// Settings of logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LogSettings {
@@ -19,11 +28,13 @@
     pub form: LogForm,
     /// Least important level that is written.
     pub level: Level,
+    /// Where the lines go.
+    pub output: LogOutput,
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { form: LogForm::Json, level: Level::Info }
+        Self { form: LogForm::Json, level: Level::Info, output: LogOutput::Stderr }
     }
 }
 
@@ -31,15 +42,23 @@
 /// hold up requests.
 const QUEUE: usize = 8_192;
 
-/// A logger that writes to standard error.
+/// A logger that never blocks its callers.
 pub fn new_logger(settings: LogSettings, process: &str) -> Logger {
     let drain = match settings.form {
         LogForm::Json => {
-            let json = slog_json::Json::new(io::stderr()).add_default_keys().build().fuse();
+            let writer: Box<dyn io::Write + Send> = match settings.output {
+                LogOutput::Stdout => Box::new(io::stdout()),
+                LogOutput::Stderr => Box::new(io::stderr()),
+            };
+            let json = slog_json::Json::new(writer).add_default_keys().build().fuse();
             slog_async::Async::new(json).chan_size(QUEUE).build()
         }
         LogForm::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new();
+            let decorator = match settings.output {
+                LogOutput::Stdout => decorator.stdout().build(),
+                LogOutput::Stderr => decorator.stderr().build(),
+            };
             let text = slog_term::FullFormat::new(decorator).build().fuse();
             slog_async::Async::new(text).chan_size(QUEUE).build()
         }
--- /dev/null
+++ b/crates/damaskweir/src/platform.rs
@@ -0,0 +1,161 @@
+//! The entry on the users' platform: start, signals and end of its process.
+
+use crate::entry::{EntryError, seeded_rng};
+use damaskweir_core::time::Span;
+use damaskweir_direct::log::{Kind, Log};
+use damaskweir_direct::metrics::{Metrics, MetricsError};
+use damaskweir_direct::node::Node;
+use damaskweir_direct::serve::{listen, serve_admin, serve_callers, serve_readiness};
+use damaskweir_direct::sync::Sync;
+use damaskweir_platform::{Headers, Settings, Store};
+use slog::Logger;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time after SIGTERM in which callers may still be sent here: the platform asks for readiness once a
+/// second and goes by two answers.
+const LEAVING: Duration = Duration::from_millis(2_600);
+/// Kept of the grace time for the end of the process.
+const GRACE_REST: Span = Span::from_millis(400);
+/// Time between two looks at the requests in progress.
+const DRAIN_PACE: Duration = Duration::from_millis(50);
+/// Time for telling other entries that this one leaves.
+const LEAVE_WAIT: Duration = Duration::from_millis(300);
+
+/// Why the entry can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// A listener, a signal or the runtime.
+    #[error("{what}: {error}")]
+    System {
+        /// What was tried.
+        what: &'static str,
+        /// What the system says.
+        error: io::Error,
+    },
+    /// Metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    /// No random numbers.
+    #[error(transparent)]
+    Seed(#[from] EntryError),
+}
+
+/// What the command line adds to the settings.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// Path of the settings file, to read it again.
+    pub path: PathBuf,
+    /// Port of `/metrics` at the instance's address.
+    pub metrics: Option<u16>,
+}
+
+/// Runs an entry until it is stopped.
+pub fn run_platform_entry(
+    settings: Settings,
+    options: PlatformOptions,
+    logger: Logger,
+) -> Result<(), PlatformError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| PlatformError::System { what: "runtime", error })?;
+    // One thread: an entry has a fifth of a core, and its state needs no locks this way.
+    LocalSet::new().block_on(&runtime, run(settings, options, logger))
+}
+
+async fn run(
+    settings: Settings,
+    options: PlatformOptions,
+    logger: Logger,
+) -> Result<(), PlatformError> {
+    let (mut terminate, mut interrupt, mut hangup) =
+        (on(SignalKind::terminate())?, on(SignalKind::interrupt())?, on(SignalKind::hangup())?);
+    let log = Log::new(logger.clone());
+    let node = Node::new(Headers, settings.setup.clone(), log, Metrics::new()?, seeded_rng()?);
+    let node = Rc::new(node);
+    let fields = [
+        ("zone", settings.setup.zone.as_str().into()),
+        ("build", env!("CARGO_PKG_VERSION").into()),
+    ];
+    node.log.process(Kind::Started, &fields);
+    let callers = open(settings.callers)?;
+    let readiness = open(settings.readiness)?;
+    spawn_local(serve_callers(node.clone(), callers));
+    spawn_local(serve_readiness(node.clone(), readiness));
+    let metrics = options.metrics.map(|port| SocketAddr::new(settings.callers.ip(), port));
+    for address in settings.admin.into_iter().chain(metrics) {
+        spawn_local(serve_admin(node.clone(), open(address)?));
+    }
+    spawn_local(node.clone().free_results());
+    let store = Store::new(settings.store, logger.clone());
+    let admin = settings.admin.map(|address| address.to_string()).unwrap_or_default();
+    let sync = Rc::new(Sync::new(node.clone(), store, admin, settings.seeds.clone()));
+    sync.start();
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&node, &options),
+        }
+    }
+    drain(&node, &sync).await;
+    Ok(())
+}
+
+/// Reads the settings again. Addresses stay as they are while the process runs; what is wrong is told,
+/// and the settings before stay in force.
+fn reload(node: &Node<Headers>, options: &PlatformOptions) {
+    match Settings::load(&options.path) {
+        Ok(settings) => {
+            let same = settings.setup.name == node.setup.name;
+            let outcome = if same { "unchanged" } else { "needs_restart" };
+            node.log.process(Kind::Reloaded, &[("outcome", outcome.into())]);
+        }
+        Err(faults) => {
+            let text = faults.to_string();
+            let fields = [("outcome", "bad_settings".into()), ("error", text.as_str().into())];
+            node.log.process(Kind::Reloaded, &fields);
+        }
+    }
+}
+
+/// Lets callers go elsewhere, finishes what is in progress, and ends within the grace time.
+async fn drain(node: &Rc<Node<Headers>>, sync: &Sync<Headers, Store>) {
+    let began = Instant::now();
+    let end = began + Duration::from(node.setup.grace.saturating_sub(GRACE_REST));
+    let active = {
+        let mut state = node.state.borrow_mut();
+        state.draining = true;
+        state.active as u64
+    };
+    node.log.process(Kind::Draining, &[("active", active.into())]);
+    if timeout(LEAVE_WAIT, sync.leave()).await.is_err() {
+        // The lease ends by itself.
+        node.log
+            .process(Kind::Lost, &[("dependency", "store".into()), ("call", "withdraw".into())]);
+    }
+    while Instant::now() < end {
+        let idle = node.state.borrow().active == 0;
+        if idle && began.elapsed() >= LEAVING {
+            break;
+        }
+        sleep(DRAIN_PACE).await;
+    }
+    let cut = node.state.borrow().active as u64;
+    node.log.process(Kind::Stopped, &[("cut", cut.into())]);
+}
+
+fn open(address: SocketAddr) -> Result<tokio::net::TcpListener, PlatformError> {
+    listen(address).map_err(|error| PlatformError::System { what: "listen", error })
+}
+
+fn on(kind: SignalKind) -> Result<Signal, PlatformError> {
+    signal(kind).map_err(|error| PlatformError::System { what: "signal", error })
+}
--- a/crates/damaskweir/src/settings.rs
+++ b/crates/damaskweir/src/settings.rs
@@ -399,6 +399,7 @@
     LogSettings {
         form: reader.choice("logs", "form", &forms, LogForm::Json),
         level: reader.choice("logs", "level", &levels, Level::Info),
+        ..LogSettings::default()
     }
 }
 
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,21 @@
+//! An entry that calls backend servers directly, for deployments whose platform lists its servers, holds
+//! the configuration and has no process of ours beside each server.
+//!
+//! Decisions come from `damaskweir_core`; this package carries them out on one thread. What is spoken to
+//! callers, backend servers and the store is behind the traits of [`wire`].
+
+mod body;
+mod event;
+mod request;
+mod stages;
+
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod node;
+pub mod serve;
+pub mod sync;
+pub mod wire;
+
+pub use body::{Body, StreamEnd};
+pub use event::{Event, Splitter};
--- /dev/null
+++ b/crates/direct/src/node.rs
@@ -0,0 +1,283 @@
+//! State of one entry that all its tasks share. Everything runs on one thread.
+
+use crate::http::{Conn, HttpError};
+use crate::log::{Kind, Log};
+use crate::metrics::Metrics;
+use crate::stages::PieceWaiter;
+use crate::wire::Wire;
+use damaskweir_core::Rng;
+use damaskweir_core::batch::{Batcher, PieceId};
+use damaskweir_core::catalog::{Catalog, Work};
+use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
+use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
+use damaskweir_core::place::Placer;
+use damaskweir_core::time::{Span, Time};
+use damaskweir_core::window::WindowBudget;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time to open a connection. Zones are a few milliseconds apart; a lost packet is sent again after
+/// about a second, which is longer than another server takes.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Idle connections kept for one server.
+const IDLE_MAX: usize = 64;
+/// Time to the first part of an answer that is assumed at first.
+const USUAL_PLAIN: Span = Span::from_millis(60);
+/// The same for generation.
+const USUAL_ENGINE: Span = Span::from_millis(120);
+
+/// Fixed properties of an entry.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Its name, unique among entries.
+    pub name: String,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Repeats that a pool may get, as a share of its requests.
+    pub repeat_ratio: f64,
+    /// Repeats beyond that share, of all entries together.
+    pub repeat_slack: f64,
+    /// Window of both.
+    pub repeat_window: Span,
+    /// Time between SIGTERM and the end of the process.
+    pub grace: Span,
+}
+
+/// What the entry knows and waits for.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force. `None`: none has been read.
+    pub catalog: Option<Rc<Catalog>>,
+    /// All servers.
+    pub fleet: Fleet,
+    /// Names and addresses of all entries, in order.
+    pub entries: Vec<(String, String)>,
+    /// Choice of servers by pool.
+    pub placers: BTreeMap<PoolId, Placer>,
+    /// Waiting pieces by pool.
+    pub batchers: BTreeMap<PoolId, Batcher>,
+    /// Repeats by pool.
+    pub budgets: BTreeMap<PoolId, WindowBudget>,
+    /// Who waits for which piece.
+    pub(crate) waiters: HashMap<PieceId, PieceWaiter>,
+    /// Results to give back, by server.
+    pub(crate) frees: BTreeMap<ServerId, Vec<(String, u64)>>,
+    /// When a pool's batcher will be asked again.
+    pub(crate) wakes: BTreeMap<PoolId, Time>,
+    pub(crate) next_piece: u64,
+    idle: HashMap<ServerId, Vec<Conn>>,
+    /// Takes no new connections.
+    pub draining: bool,
+    /// Requests in progress.
+    pub active: usize,
+    /// Random numbers for choices.
+    pub rng: Rng,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct Node<W> {
+    /// Protocol of callers and backend servers.
+    pub wire: W,
+    /// Fixed properties.
+    pub setup: Setup,
+    /// Log lines.
+    pub log: Log,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Never borrowed across an await.
+    pub state: RefCell<State>,
+    start: Instant,
+}
+
+impl<W: Wire> Node<W> {
+    /// An entry that knows nothing yet.
+    pub fn new(wire: W, setup: Setup, log: Log, metrics: Metrics, rng: Rng) -> Self {
+        let state = State {
+            catalog: None,
+            fleet: Fleet::default(),
+            entries: Vec::new(),
+            placers: BTreeMap::new(),
+            batchers: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            waiters: HashMap::new(),
+            frees: BTreeMap::new(),
+            wakes: BTreeMap::new(),
+            next_piece: 0,
+            idle: HashMap::new(),
+            draining: false,
+            active: 0,
+            rng,
+        };
+        Self { wire, setup, log, metrics, state: RefCell::new(state), start: Instant::now() }
+    }
+
+    /// Time since the start of the process.
+    pub fn now(&self) -> Time {
+        Time::default() + Span::from(self.start.elapsed())
+    }
+
+    /// The moment of the runtime's clock for a time of the core.
+    pub fn instant(&self, at: Time) -> Instant {
+        self.start + Duration::from(at.since(Time::default()))
+    }
+
+    /// Whether callers should be sent here.
+    pub fn ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.catalog.is_some() && !state.draining && state.fleet.replicas().next().is_some()
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub fn take_catalog(&self, catalog: Catalog, from: &str) -> bool {
+        let mut state = self.state.borrow_mut();
+        let newer =
+            |old: &Rc<Catalog>| catalog.revision > old.revision && catalog.version > old.version;
+        if !state.catalog.as_ref().is_none_or(newer) {
+            return false;
+        }
+        self.log.process(
+            Kind::CatalogTaken,
+            &[
+                ("version", catalog.version.0.into()),
+                ("revision", catalog.revision.into()),
+                ("from", from.into()),
+            ],
+        );
+        state.adopt(catalog, &self.setup);
+        true
+    }
+
+    /// Carries out changes of the list of servers.
+    pub fn take_changes(&self, changes: Vec<FleetChange>) {
+        let mut state = self.state.borrow_mut();
+        for change in changes {
+            match change {
+                FleetChange::Up(replica) => {
+                    let id = replica.id.as_str();
+                    let pool = replica.pool.as_str();
+                    self.log
+                        .process(Kind::ServerUp, &[("server", id.into()), ("pool", pool.into())]);
+                    state.forget(&replica.id);
+                    state.add(replica, &self.setup);
+                }
+                FleetChange::Leaving(id) => {
+                    self.log.process(Kind::ServerLeaving, &[("server", id.as_str().into())]);
+                    state.forget(&id);
+                }
+                FleetChange::Gone(id) => {
+                    self.log.process(Kind::ServerGone, &[("server", id.as_str().into())]);
+                    state.forget(&id);
+                }
+            }
+        }
+    }
+
+    /// Takes the list of all entries.
+    pub fn take_entries(&self, mut entries: Vec<(String, String)>) {
+        entries.sort();
+        entries.dedup_by(|a, b| a.0 == b.0);
+        let mut state = self.state.borrow_mut();
+        if state.entries == entries {
+            return;
+        }
+        state.entries = entries;
+        let place = state.place(&self.setup.name);
+        state.batchers.values_mut().for_each(|batcher| batcher.set_place(place.0, place.1));
+        let fields = [("position", (place.0 as u64).into()), ("entries", (place.1 as u64).into())];
+        self.log.process(Kind::Entries, &fields);
+    }
+
+    /// A connection to a server, kept or new.
+    pub(crate) async fn connection(&self, server: &Replica) -> Result<Conn, HttpError> {
+        loop {
+            let kept = self.state.borrow_mut().idle.get_mut(&server.id).and_then(Vec::pop);
+            let Some(mut conn) = kept else { break };
+            if conn.usable() {
+                return Ok(conn);
+            }
+        }
+        self.metrics.connections.add(1, &[]);
+        Conn::connect(server.address, CONNECT).await
+    }
+
+    /// Keeps a connection for the next request if it can be used again.
+    pub(crate) fn keep(&self, server: &ServerId, mut conn: Conn) {
+        let mut state = self.state.borrow_mut();
+        let known = state.fleet.get(server).is_some_and(|replica| !replica.leaving);
+        let idle = state.idle.entry(server.clone()).or_default();
+        if known && conn.usable() && idle.len() < IDLE_MAX {
+            idle.push(conn);
+        }
+    }
+
+    /// Takes a repeat from a pool's budget.
+    pub(crate) fn withdraw(&self, pool: &PoolId) -> bool {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let entries = state.entries.len();
+        let allowed = state.budgets.get_mut(pool).is_some_and(|b| b.withdraw(now, entries));
+        if !allowed {
+            self.metrics.unfunded.add(1, &[]);
+        }
+        allowed
+    }
+}
+
+impl State {
+    /// Position of an entry among all, and their number.
+    fn place(&self, name: &str) -> (usize, usize) {
+        let position = self.entries.iter().position(|(entry, _)| entry == name);
+        (position.unwrap_or(0), self.entries.len().max(1))
+    }
+
+    fn adopt(&mut self, catalog: Catalog, setup: &Setup) {
+        for (id, pool) in &catalog.pools {
+            let Work::Pieces(spec) = pool.work else { continue };
+            if let Some(batcher) = self.batchers.get_mut(id) {
+                batcher.set_spec(spec);
+            }
+        }
+        self.catalog = Some(Rc::new(catalog));
+        let known: Vec<_> = self.fleet.replicas().filter(|r| !r.leaving).cloned().collect();
+        for replica in known {
+            self.add(replica, setup);
+        }
+    }
+
+    /// Adds a server to its pool, unless it is there.
+    fn add(&mut self, replica: Replica, setup: &Setup) {
+        let Some(catalog) = self.catalog.clone() else { return };
+        let Some(pool) = catalog.pools.get(&replica.pool) else { return };
+        let engine = matches!(pool.work, Work::Engine { .. });
+        let usual = if engine { USUAL_ENGINE } else { USUAL_PLAIN };
+        let budget =
+            || WindowBudget::new(setup.repeat_ratio, setup.repeat_slack, setup.repeat_window);
+        self.budgets.entry(replica.pool.clone()).or_insert_with(budget);
+        let place = self.place(&setup.name);
+        if let Work::Pieces(spec) = pool.work {
+            let batcher = self.batchers.entry(replica.pool.clone()).or_insert_with(|| {
+                let mut batcher = Batcher::new(spec);
+                batcher.set_place(place.0, place.1);
+                batcher
+            });
+            batcher.add(replica.clone());
+        }
+        let placer = self
+            .placers
+            .entry(replica.pool.clone())
+            .or_insert_with(|| Placer::new(setup.zone.clone(), engine, usual));
+        placer.add(replica);
+    }
+
+    /// Gives a server no new work, and closes its idle connections.
+    fn forget(&mut self, id: &ServerId) {
+        self.placers.values_mut().for_each(|placer| placer.remove(id));
+        self.batchers.values_mut().for_each(|batcher| batcher.remove(id));
+        self.idle.remove(id);
+        self.frees.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/sync.rs
@@ -0,0 +1,313 @@
+//! Keeps the configuration, the list of servers and the list of entries current: from the store, and
+//! from other entries while the store does not answer this one.
+
+use crate::http::{Conn, HttpError};
+use crate::log::Kind;
+use crate::node::Node;
+use crate::wire::{Source, SourceError, SourceFault, Wire};
+use damaskweir_core::catalog::Catalog;
+use damaskweir_core::fleet::Listing;
+use serde::{Deserialize, Serialize};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Time between two reads of changed servers, since each call to the store is paid for and servers
+/// write often. Far below the time in which a leaving server must get no new work.
+const LISTING_PACE: Duration = Duration::from_millis(600);
+/// First and longest pause after a failed call to the store.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
+/// Time between two renewals of this entry's lease.
+const RENEW: Duration = Duration::from_secs(2);
+/// Time between two questions to other entries while the store is away.
+const PEER_PACE: Duration = Duration::from_millis(400);
+/// Time for the answer of another entry.
+const PEER_WAIT: Duration = Duration::from_millis(700);
+/// Time between two looks at servers whose records are missing.
+const EXPIRY_PACE: Duration = Duration::from_millis(200);
+
+/// What one entry tells another.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    /// Left out if the other one has it.
+    catalog: Option<Catalog>,
+    as_of: u64,
+    listings: Vec<Listing>,
+    entries: Vec<(String, String)>,
+}
+
+impl Snapshot {
+    /// What a node knows, for another that knows the configuration of revision `known`.
+    pub(crate) fn of<W: Wire>(node: &Node<W>, known: u64) -> Self {
+        let state = node.state.borrow();
+        let newer = state.catalog.as_ref().filter(|catalog| catalog.revision > known);
+        Self {
+            catalog: newer.map(|catalog| (**catalog).clone()),
+            as_of: state.fleet.as_of(),
+            listings: state.fleet.listings(),
+            entries: state.entries.clone(),
+        }
+    }
+}
+
+/// Contact with the store, as its last answers show.
+#[derive(Debug, Default)]
+struct Contact {
+    away: Cell<bool>,
+}
+
+/// Everything that keeps a node current.
+#[derive(Debug)]
+pub struct Sync<W, S> {
+    node: Rc<Node<W>>,
+    source: S,
+    contact: Contact,
+    /// Address at which other entries reach this one.
+    admin: String,
+    /// Addresses of other entries from the settings.
+    seeds: Vec<SocketAddr>,
+    lease: Cell<Option<u64>>,
+}
+
+impl<W: Wire, S: Source> Sync<W, S> {
+    /// Nothing has been read yet.
+    pub fn new(node: Rc<Node<W>>, source: S, admin: String, seeds: Vec<SocketAddr>) -> Self {
+        Self { node, source, contact: Contact::default(), admin, seeds, lease: Cell::new(None) }
+    }
+
+    /// Starts all loops.
+    pub fn start(self: &Rc<Self>) {
+        let (a, b, c, d, e, f) =
+            (self.clone(), self.clone(), self.clone(), self.clone(), self.clone(), self.clone());
+        tokio::task::spawn_local(async move { a.follow_catalog().await });
+        tokio::task::spawn_local(async move { b.follow_servers().await });
+        tokio::task::spawn_local(async move { c.follow_entries().await });
+        tokio::task::spawn_local(async move { d.announce().await });
+        tokio::task::spawn_local(async move { e.ask_peers().await });
+        tokio::task::spawn_local(async move { f.expire().await });
+    }
+
+    /// Tells other entries that this one leaves.
+    pub async fn leave(&self) {
+        if let Some(lease) = self.lease.take() {
+            let withdrawn = self.source.withdraw(lease).await;
+            self.note("withdraw", withdrawn.err().as_ref());
+        }
+    }
+
+    async fn follow_catalog(&self) {
+        let mut pause = PAUSES.0;
+        let mut after = None;
+        loop {
+            let read = match after {
+                None => self.source.catalog().await,
+                Some(after) => self.source.next_catalog(after).await,
+            };
+            self.note("catalog", read.as_ref().err());
+            match read {
+                Ok(read) => {
+                    pause = PAUSES.0;
+                    after = Some(read.as_of);
+                    if let Some(catalog) = read.value {
+                        self.node.take_catalog(catalog, "store");
+                    } else if self.node.state.borrow().catalog.is_none() {
+                        after = None;
+                        sleep(PAUSES.0).await;
+                    }
+                }
+                Err(error) => {
+                    // After an error a change may have been missed, so the whole is read again.
+                    after = None;
+                    wait(&mut pause, error.fault()).await;
+                }
+            }
+        }
+    }
+
+    async fn follow_servers(&self) {
+        let mut pause = PAUSES.0;
+        let mut after = None;
+        loop {
+            let whole = after.is_none();
+            let read = match after {
+                None => self.source.listings().await,
+                Some(after) => self.source.next_listings(after).await,
+            };
+            self.note("servers", read.as_ref().err());
+            match read {
+                Ok(read) => {
+                    pause = PAUSES.0;
+                    after = Some(read.as_of);
+                    let now = self.node.now();
+                    let changes = {
+                        let fleet = &mut self.node.state.borrow_mut().fleet;
+                        fleet.regained(now);
+                        if whole {
+                            fleet.replace(now, read.as_of, &read.value)
+                        } else {
+                            fleet.apply(now, read.as_of, &read.value)
+                        }
+                    };
+                    self.node.take_changes(changes);
+                    sleep(LISTING_PACE).await;
+                }
+                Err(error) => {
+                    if error.fault() == SourceFault::Away {
+                        self.node.state.borrow_mut().fleet.lost();
+                    }
+                    after = None;
+                    wait(&mut pause, error.fault()).await;
+                }
+            }
+        }
+    }
+
+    async fn follow_entries(&self) {
+        let mut pause = PAUSES.0;
+        loop {
+            let read = self.source.entries().await;
+            self.note("entries", read.as_ref().err());
+            let changed = match read {
+                Ok(read) => {
+                    // After an outage entries are missing until they have renewed their leases.
+                    if read.value.iter().any(|(name, _)| *name == self.node.setup.name) {
+                        self.node.take_entries(read.value);
+                    }
+                    self.source.entries_changed(read.as_of).await.map(|_| ())
+                }
+                Err(error) => Err(error),
+            };
+            match changed {
+                Ok(()) => {
+                    pause = PAUSES.0;
+                    sleep(LISTING_PACE).await;
+                }
+                Err(error) => wait(&mut pause, error.fault()).await,
+            }
+        }
+    }
+
+    async fn announce(&self) {
+        loop {
+            if self.node.state.borrow().draining {
+                return;
+            }
+            match self.lease.get() {
+                None => {
+                    let announced = self.source.announce(&self.node.setup.name, &self.admin).await;
+                    self.note("announce", announced.as_ref().err());
+                    self.lease.set(announced.ok());
+                }
+                Some(lease) => {
+                    let renewed = self.source.renew(lease).await;
+                    self.note("renew", renewed.as_ref().err());
+                    if renewed.is_err_and(|error| error.fault() == SourceFault::Missing) {
+                        self.lease.set(None);
+                        continue;
+                    }
+                }
+            }
+            sleep(if self.lease.get().is_some() { RENEW } else { PAUSES.1 }).await;
+        }
+    }
+
+    async fn ask_peers(&self) {
+        let mut turn = 0;
+        loop {
+            sleep(PEER_PACE).await;
+            if !self.contact.away.get() && self.node.ready() {
+                continue;
+            }
+            let peers = self.peers();
+            if peers.is_empty() {
+                continue;
+            }
+            turn = (turn + 1) % peers.len();
+            // Other entries may be down as well; after an error the next one is asked soon.
+            if let Ok(Ok(snapshot)) = timeout(PEER_WAIT, self.fetch(peers[turn])).await {
+                self.merge(snapshot);
+            }
+        }
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let state = self.node.state.borrow();
+        let listed = state.entries.iter().filter_map(|(_, address)| address.parse().ok());
+        let mut peers: Vec<SocketAddr> = listed.chain(self.seeds.iter().copied()).collect();
+        peers.sort();
+        peers.dedup();
+        peers.retain(|peer| peer.to_string() != self.admin);
+        peers
+    }
+
+    async fn fetch(&self, peer: SocketAddr) -> Result<Snapshot, HttpError> {
+        let known = self.node.state.borrow().catalog.as_ref().map_or(0, |c| c.revision);
+        let mut conn = Conn::connect(peer, PEER_WAIT).await?;
+        let head =
+            format!("GET /snapshot?{known} HTTP/1.1\r\nhost: {peer}\r\nconnection: close\r\n\r\n");
+        conn.send(head.as_bytes(), &[]).await?;
+        conn.head(|_| true).await?;
+        let body = conn.body().await?;
+        serde_json::from_slice(&body).map_err(|_| HttpError::Malformed("bad snapshot"))
+    }
+
+    fn merge(&self, snapshot: Snapshot) {
+        if let Some(catalog) = snapshot.catalog {
+            self.node.take_catalog(catalog, "entry");
+        }
+        let now = self.node.now();
+        let changes = {
+            let fleet = &mut self.node.state.borrow_mut().fleet;
+            if snapshot.as_of > fleet.as_of() {
+                fleet.replace(now, snapshot.as_of, &snapshot.listings)
+            } else {
+                Vec::new()
+            }
+        };
+        self.node.take_changes(changes);
+        if self.node.state.borrow().entries.is_empty() {
+            self.node.take_entries(snapshot.entries);
+        }
+    }
+
+    async fn expire(&self) {
+        loop {
+            sleep(EXPIRY_PACE).await;
+            let now = self.node.now();
+            let gone = self.node.state.borrow_mut().fleet.expire(now);
+            self.node.take_changes(gone);
+        }
+    }
+
+    /// Counts a call, and notes when contact is lost or regained.
+    fn note(&self, call: &'static str, error: Option<&S::Error>) {
+        let outcome = match error.map(SourceError::fault) {
+            None => "good",
+            Some(SourceFault::Away) => "away",
+            Some(SourceFault::Compacted) => "compacted",
+            Some(SourceFault::Missing) => "missing",
+        };
+        self.node.metrics.store_call(call, outcome);
+        let away = outcome == "away";
+        if self.contact.away.replace(away) == away {
+            return;
+        }
+        let text = error.map(ToString::to_string).unwrap_or_default();
+        let kind = if away { Kind::Lost } else { Kind::Regained };
+        let fields = [
+            ("dependency", "store".into()),
+            ("call", call.into()),
+            ("error", text.as_str().into()),
+        ];
+        self.node.log.process(kind, &fields);
+    }
+}
+
+async fn wait(pause: &mut Duration, fault: SourceFault) {
+    if fault == SourceFault::Away {
+        sleep(*pause).await;
+        *pause = (*pause * 2).min(PAUSES.1);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/wire.rs
@@ -0,0 +1,190 @@
+//! The edges of this package: what callers and backend servers speak, and where the configuration and
+//! the list of servers come from.
+
+use crate::http::Head;
+use damaskweir_core::catalog::Catalog;
+use damaskweir_core::fleet::{Listing, Replica};
+use damaskweir_core::place::Part;
+use damaskweir_core::time::Span;
+use http::StatusCode;
+use http::request::Parts;
+use std::fmt;
+use std::future::Future;
+
+/// What a caller asks for, apart from the method, path and body.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Names this request; another try of the caller has another id.
+    pub id: String,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Time that the caller will wait.
+    pub deadline: Option<Span>,
+    /// Last event of a stream that the caller has.
+    pub resume: Option<u64>,
+    /// Parts of the prompt.
+    pub parts: Vec<Part>,
+    /// Pieces of each stage.
+    pub pieces: Vec<usize>,
+}
+
+/// Why a request can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AskError {
+    /// A field that every request has is missing.
+    #[error("the field {0} is missing")]
+    Missing(&'static str),
+    /// A field has a value that can't be read.
+    #[error("the field {0} can't be read")]
+    Malformed(&'static str),
+}
+
+/// What goes along with a request to a backend server.
+#[derive(Clone, Debug)]
+pub struct Order<'a> {
+    /// The only server that may run it.
+    pub server: &'a Replica,
+    /// Workspace of the caller.
+    pub workspace: Option<&'a str>,
+    /// Time that is left.
+    pub left: Span,
+    /// Last event of the stream that has been delivered.
+    pub resume: Option<u64>,
+    /// Results that the server has to fetch first; `None`: the route has no stages.
+    pub inputs: Option<Vec<&'a str>>,
+    /// Rank against other requests; 0 is most urgent.
+    pub rank: u8,
+}
+
+/// What an answer of a backend server says of the request.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Id of the request that it answers.
+    pub echo: Option<String>,
+    /// Whether it bears the server's proof.
+    pub signed: bool,
+    /// The server states that it has not run the request and never will.
+    pub skipped: bool,
+    /// Calls that wait at the server.
+    pub waiting: Option<u32>,
+}
+
+/// One piece of a call to a stage's server.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// Id of the request.
+    pub id: String,
+    /// Position of the stage on its route.
+    pub stage: usize,
+    /// Counts the pieces of the stage from 0.
+    pub piece: usize,
+    /// Time that is left.
+    pub left: Span,
+    /// What it works on.
+    pub source: Input,
+}
+
+/// What a piece works on.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The request's own data, under this key.
+    Key(String),
+    /// Results of earlier stages.
+    Results(Vec<String>),
+}
+
+/// Result of one piece of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PieceEnd {
+    /// Its result lies at the server under this handle.
+    Made(String),
+    /// Its time had passed.
+    Late,
+    /// One of its inputs is gone.
+    Gone,
+    /// The server has no room for the result.
+    Room,
+    /// The server failed.
+    Error,
+}
+
+/// The protocol of callers and backend servers.
+pub trait Wire: 'static {
+    /// Reads the head of a caller's request.
+    fn ask(&self, head: &Parts) -> Result<Ask, AskError>;
+    /// Key under which the first stages find the request's data.
+    fn piece_key(&self, head: &Parts) -> Option<String>;
+    /// Head of the request to a backend server.
+    fn request(&self, head: &Parts, body: usize, order: &Order<'_>) -> Vec<u8>;
+    /// Reads the head of a backend server's answer.
+    fn reply(&self, head: &Head) -> Reply;
+    /// Whether a field of an answer is passed on to the caller.
+    fn passes(&self, name: &str) -> bool;
+    /// A whole call to a stage's server.
+    fn stage_call(&self, server: &Replica, items: &[Item]) -> Vec<u8>;
+    /// Results of a call, in the order of its items.
+    fn stage_ends(&self, body: &[u8]) -> Option<Vec<PieceEnd>>;
+    /// A whole call that gives results back.
+    fn release(&self, server: &Replica, handles: &[String]) -> Vec<u8>;
+}
+
+/// Why the source did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceFault {
+    /// It can't be reached, is busy or refuses.
+    Away,
+    /// The changes after the revision are not kept any more: read the whole.
+    Compacted,
+    /// What the call is about does not exist.
+    Missing,
+}
+
+/// An error of the source.
+pub trait SourceError: fmt::Display {
+    /// What to do about it.
+    fn fault(&self) -> SourceFault;
+}
+
+/// Something read from the source.
+#[derive(Clone, Debug)]
+pub struct Read<T> {
+    /// Revision of the source as of which it holds.
+    pub as_of: u64,
+    /// What was read.
+    pub value: T,
+}
+
+/// Where the configuration, the list of servers and the list of entries come from.
+pub trait Source: 'static {
+    /// Why a call failed.
+    type Error: SourceError;
+    /// The newest configuration, if there is one that can be read.
+    fn catalog(&self) -> impl Future<Output = Result<Read<Option<Catalog>>, Self::Error>>;
+    /// Waits for a configuration after a revision.
+    fn next_catalog(
+        &self,
+        after: u64,
+    ) -> impl Future<Output = Result<Read<Option<Catalog>>, Self::Error>>;
+    /// All servers.
+    fn listings(&self) -> impl Future<Output = Result<Read<Vec<Listing>>, Self::Error>>;
+    /// Waits for changes of servers after a revision.
+    fn next_listings(
+        &self,
+        after: u64,
+    ) -> impl Future<Output = Result<Read<Vec<Listing>>, Self::Error>>;
+    /// Announces this entry under a lease, and tells the lease.
+    fn announce(&self, name: &str, admin: &str) -> impl Future<Output = Result<u64, Self::Error>>;
+    /// Renews a lease.
+    fn renew(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
+    /// Ends a lease.
+    fn withdraw(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
+    /// All entries that have announced themselves: name and address.
+    fn entries(&self) -> impl Future<Output = Result<Read<Vec<(String, String)>>, Self::Error>>;
+    /// Waits for any change of the entries after a revision.
+    fn entries_changed(&self, after: u64) -> impl Future<Output = Result<Read<()>, Self::Error>>;
+}
+
+/// Whether a status promises that the request has not run.
+pub fn promises(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
