Refuse by objective, ask servers for their load, give results back early

Cause: calls queued at servers that other entries used, results of inner stages lay until the answer, and requests were admitted up to their deadline, so that all were late in a burst. Change: homes by availability zone, load asked before another server is used, results freed once no piece needs them, new requests refused past their objective, returning callers served up to their deadline, prompts placed by the hash of their shared part, a fresh channel after a restart of the stages.

--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -6,9 +6,13 @@
 use crate::catalog::StageSpec;
 use crate::time::Span;
 
-/// Part of the time until the deadline that a request may be predicted to take. Predictions are short
-/// of the truth while load rises.
+/// Part of the time until the objective that a new request may be predicted to take. A longer queue would
+/// make all answers late and serve no more of them.
+const OBJECTIVE_PART: f64 = 1.0;
+/// Part of the time until the deadline that the request of a returning caller may be predicted to take.
 const DEADLINE_PART: f64 = 0.6;
+/// A caller whose deadline is shorter than the longest of its route by more than this has come back.
+const RETURN_SLACK: Span = Span::from_millis(60);
 /// Shortest and longest hint when to come back.
 const HINTS: (Span, Span) = (Span::from_millis(150), Span::from_secs(3));
 
@@ -47,12 +51,38 @@
     Refuse(Span),
 }
 
-/// Decides on a request that is predicted to take `whole` with `left` until its deadline.
-pub fn decide(whole: Span, left: Span) -> Decision {
-    let allowed = left.scale(DEADLINE_PART);
-    if whole <= allowed {
+/// What is known of a request when it comes.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Predicted time until the first part of its answer.
+    pub whole: Span,
+    /// Time that its caller will wait.
+    pub left: Span,
+    /// Longest time that callers of its route wait: the time left of a caller that comes first.
+    pub longest: Span,
+    /// Time from the caller's first try within which an answer counts in full.
+    pub objective: Span,
+}
+
+impl Arrival {
+    /// Whether the caller has been refused before.
+    pub fn returns(&self) -> bool {
+        self.left + RETURN_SLACK < self.longest
+    }
+}
+
+/// Decides on a request. A caller that comes first is refused if its answer would be late, so that those
+/// who are served are served in time. A returning caller was told to come back, and is served if its
+/// deadline can be met at all.
+pub fn decide(arrival: &Arrival) -> Decision {
+    let returns = arrival.returns();
+    let by_deadline = arrival.left.scale(DEADLINE_PART);
+    let by_objective = arrival.objective.scale(OBJECTIVE_PART);
+    let allowed = if returns { by_deadline } else { Span(by_objective.0.min(by_deadline.0)) };
+    if arrival.whole <= allowed {
         return Decision::Take;
     }
-    let over = whole.saturating_sub(allowed);
+    // Later, the caller will be served if its deadline can be met.
+    let over = arrival.whole.saturating_sub(by_deadline);
     Decision::Refuse(Span(over.0.clamp(HINTS.0.0, HINTS.1.0)))
 }
--- a/crates/core/src/graph.rs
+++ b/crates/core/src/graph.rs
@@ -21,6 +21,8 @@
     results: Vec<Option<R>>,
     /// Its pieces were handed out.
     begun: bool,
+    /// Its results are not needed any more.
+    spent: bool,
 }
 
 /// Progress of one request through its stages. A stage with no pieces counts as done.
@@ -40,6 +42,7 @@
             after: stage.after.clone(),
             results: vec![None; *count],
             begun: false,
+            spent: false,
         };
         ordered.then(|| Self { steps: stages.iter().zip(counts).map(step).collect() })
     }
@@ -84,6 +87,20 @@
         self.collect(&last)
     }
 
+    /// Results that no piece needs any more, each told once. Those of the last stages are never spent.
+    pub fn spent(&mut self) -> Vec<R> {
+        let mut out = Vec::new();
+        for i in 0..self.steps.len() {
+            let mut followers = (0..self.steps.len()).filter(|f| self.steps[*f].after.contains(&i));
+            let followed = followers.clone().next().is_some();
+            if followed && !self.steps[i].spent && followers.all(|f| self.done(f)) {
+                self.steps[i].spent = true;
+                out.extend(self.steps[i].results.iter().flatten().cloned());
+            }
+        }
+        out
+    }
+
     /// Whether all pieces have results.
     pub fn complete(&self) -> bool {
         (0..self.steps.len()).all(|i| self.done(i))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod fleet;
 pub mod forecast;
 pub mod graph;
+pub mod home;
 pub mod ids;
 pub mod lease;
 pub mod message;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -10,6 +10,7 @@
 use crate::value;
 use rand_core::Rng as _;
 use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Prompt tokens that an engine reads in a millisecond, to weigh a prompt against a queue. The
 /// deployments state 32 and 92.
@@ -18,8 +19,12 @@
 const CROWD_DELAY: Span = Span::from_millis(3);
 /// Delay that a plain call adds for each call already open, as a part of the usual time.
 const BUSY_PART: f64 = 0.5;
-/// Delay by which 1 MB of results that cross availability zones counts.
-const CROSS_DELAY: Span = Span::from_millis(40);
+/// Delay by which 1 MB of results that cross availability zones counts. The deployments price it as
+/// much as 360 prompt tokens that are read again.
+const CROSS_DELAY: Span = Span::from_millis(7);
+/// Part of a shared prompt that the server chosen by its hash is expected to hold, because another entry
+/// has sent it there.
+const HASH_KEPT: f64 = 0.5;
 /// Delay by which another availability zone counts for the request itself.
 const ZONE_DELAY: Span = Span::from_millis(2);
 /// Delay by which a server counts that fails all its requests.
@@ -160,9 +165,13 @@
             !need.avoid.contains(&site.replica.id) && (need.most == 0 || site.open < need.most)
         };
         let rested = |site: &&Site| site.paused <= now;
+        let hashed = self.hashed(now, need.parts);
         let best = |sites: &mut dyn Iterator<Item = &Site>, rng: &mut Rng| {
             sites
-                .map(|site| (self.delay(now, site, need) + rng.next_u64() % JITTER.0, site))
+                .map(|site| {
+                    let preferred = hashed == Some(&site.replica.id);
+                    (self.delay(now, site, need, preferred) + rng.next_u64() % JITTER.0, site)
+                })
                 .min_by_key(|(delay, _)| *delay)
                 .map(|(_, site)| site.replica.id.clone())
         };
@@ -224,11 +233,28 @@
         }
     }
 
-    fn delay(&self, now: Time, site: &Site, need: &Need<'_>) -> u64 {
+    /// The server to which all entries send prompts with the same shared part: the one with the highest
+    /// hash of both, so that a server that comes or goes moves only its own prompts.
+    fn hashed(&self, now: Time, parts: &[Part]) -> Option<&ServerId> {
+        // The last part belongs to the request alone.
+        let shared = parts.len().checked_sub(2).and_then(|i| parts.get(i))?;
+        let rank = |id: &ServerId| {
+            let mut bytes = id.as_str().as_bytes().to_vec();
+            bytes.extend_from_slice(&shared.id.to_le_bytes());
+            xxh3_64(&bytes)
+        };
+        let rested = self.sites.values().filter(|site| site.paused <= now);
+        rested.map(|site| &site.replica.id).max_by_key(|id| rank(id))
+    }
+
+    fn delay(&self, now: Time, site: &Site, need: &Need<'_>, preferred: bool) -> u64 {
         let pace = site.paced_at(now).max(1.0);
         let work = if self.engine {
-            let reading = site.unread(now, need.parts) * 1_000 / READ_RATE;
-            reading as f64 + (CROWD_DELAY * u64::from(site.open)).0 as f64 + self.usual * 0.2
+            let unread = site.unread(now, need.parts);
+            let own = need.parts.last().map_or(0, |part| u64::from(part.tokens));
+            let kept = if preferred { unread.saturating_sub(own) as f64 * HASH_KEPT } else { 0.0 };
+            let reading = (unread as f64 - kept) * 1_000.0 / READ_RATE as f64;
+            reading + (CROWD_DELAY * u64::from(site.open)).0 as f64 + self.usual * 0.2
         } else {
             let busy = f64::from(site.open) / f64::from(site.replica.slots.max(1));
             self.usual * (1.0 + busy * busy * 4.0 + f64::from(site.open) * BUSY_PART * 0.2)
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -313,7 +313,7 @@
         return print(out, "settings are good\n");
     }
     let logs = LogSettings { output: LogOutput::Stdout, ..LogSettings::default() };
-    let log = new_logger(logs, &settings.setup.name);
+    let log = new_logger(logs, &settings.setup.entry.name);
     Ok(run_platform_entry(settings, PlatformOptions { path, metrics }, log)?)
 }
 
--- a/crates/damaskweir/src/platform.rs
+++ b/crates/damaskweir/src/platform.rs
@@ -81,7 +81,7 @@
     let node = Node::new(Headers, settings.setup.clone(), log, Metrics::new()?, seeded_rng()?);
     let node = Rc::new(node);
     let fields = [
-        ("zone", settings.setup.zone.as_str().into()),
+        ("zone", settings.setup.entry.zone.as_str().into()),
         ("build", env!("CARGO_PKG_VERSION").into()),
     ];
     node.log.process(Kind::Started, &fields);
@@ -95,8 +95,7 @@
     }
     spawn_local(node.clone().free_results());
     let store = Store::new(settings.store, logger.clone());
-    let admin = settings.admin.map(|address| address.to_string()).unwrap_or_default();
-    let sync = Rc::new(Sync::new(node.clone(), store, admin, settings.seeds.clone()));
+    let sync = Rc::new(Sync::new(node.clone(), store, settings.seeds.clone()));
     sync.start();
     loop {
         tokio::select! {
@@ -114,7 +113,7 @@
 fn reload(node: &Node<Headers>, options: &PlatformOptions) {
     match Settings::load(&options.path) {
         Ok(settings) => {
-            let same = settings.setup.name == node.setup.name;
+            let same = settings.setup.entry == node.setup.entry;
             let outcome = if same { "unchanged" } else { "needs_restart" };
             node.log.process(Kind::Reloaded, &[("outcome", outcome.into())]);
         }
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -9,7 +9,8 @@
 use damaskweir_core::batch::{Batcher, PieceId};
 use damaskweir_core::catalog::{Catalog, Work};
 use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
-use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
+use damaskweir_core::home::EntryAt;
+use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::place::Placer;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
@@ -24,6 +25,8 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Idle connections kept for one server.
 const IDLE_MAX: usize = 64;
+/// Entries to share budgets with while their list is not known.
+const ENTRIES_ASSUMED: usize = 8;
 /// Time to the first part of an answer that is assumed at first.
 const USUAL_PLAIN: Span = Span::from_millis(60);
 /// The same for generation.
@@ -32,10 +35,8 @@
 /// Fixed properties of an entry.
 #[derive(Clone, Debug)]
 pub struct Setup {
-    /// Its name, unique among entries.
-    pub name: String,
-    /// Where it runs.
-    pub zone: AvailabilityZone,
+    /// Its name, where it runs, and where other entries reach it.
+    pub entry: EntryAt,
     /// Repeats that a pool may get, as a share of its requests.
     pub repeat_ratio: f64,
     /// Repeats beyond that share, of all entries together.
@@ -53,8 +54,8 @@
     pub catalog: Option<Rc<Catalog>>,
     /// All servers.
     pub fleet: Fleet,
-    /// Names and addresses of all entries, in order.
-    pub entries: Vec<(String, String)>,
+    /// All entries, in the order of their names.
+    pub entries: Vec<EntryAt>,
     /// Choice of servers by pool.
     pub placers: BTreeMap<PoolId, Placer>,
     /// Waiting pieces by pool.
@@ -69,6 +70,8 @@
     pub(crate) wakes: BTreeMap<PoolId, Time>,
     pub(crate) next_piece: u64,
     idle: HashMap<ServerId, Vec<Conn>>,
+    /// Longest time that callers of a route wait, by the route's name.
+    waits: HashMap<String, Span>,
     /// Takes no new connections.
     pub draining: bool,
     /// Requests in progress.
@@ -108,6 +111,7 @@
             wakes: BTreeMap::new(),
             next_piece: 0,
             idle: HashMap::new(),
+            waits: HashMap::new(),
             draining: false,
             active: 0,
             rng,
@@ -177,18 +181,31 @@
     }
 
     /// Takes the list of all entries.
-    pub fn take_entries(&self, mut entries: Vec<(String, String)>) {
+    pub fn take_entries(&self, mut entries: Vec<EntryAt>) {
         entries.sort();
-        entries.dedup_by(|a, b| a.0 == b.0);
+        entries.dedup_by(|a, b| a.name == b.name);
         let mut state = self.state.borrow_mut();
         if state.entries == entries {
             return;
         }
+        state.batchers.values_mut().for_each(|batcher| batcher.set_entries(&entries));
+        self.log.process(Kind::Entries, &[("entries", (entries.len() as u64).into())]);
         state.entries = entries;
-        let place = state.place(&self.setup.name);
-        state.batchers.values_mut().for_each(|batcher| batcher.set_place(place.0, place.1));
-        let fields = [("position", (place.0 as u64).into()), ("entries", (place.1 as u64).into())];
-        self.log.process(Kind::Entries, &fields);
+    }
+
+    /// Longest time that callers of a route have waited so far, this one included.
+    pub(crate) fn longest_wait(&self, route: &str, wait: Span) -> Span {
+        let mut state = self.state.borrow_mut();
+        match state.waits.get_mut(route) {
+            Some(longest) => {
+                *longest = (*longest).max(wait);
+                *longest
+            }
+            None => {
+                state.waits.insert(route.to_owned(), wait);
+                wait
+            }
+        }
     }
 
     /// A connection to a server, kept or new.
@@ -218,7 +235,10 @@
     pub(crate) fn withdraw(&self, pool: &PoolId) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let entries = state.entries.len();
+        let entries = match state.entries.len() {
+            0 => ENTRIES_ASSUMED,
+            n => n,
+        };
         let allowed = state.budgets.get_mut(pool).is_some_and(|b| b.withdraw(now, entries));
         if !allowed {
             self.metrics.unfunded.add(1, &[]);
@@ -228,12 +248,6 @@
 }
 
 impl State {
-    /// Position of an entry among all, and their number.
-    fn place(&self, name: &str) -> (usize, usize) {
-        let position = self.entries.iter().position(|(entry, _)| entry == name);
-        (position.unwrap_or(0), self.entries.len().max(1))
-    }
-
     fn adopt(&mut self, catalog: Catalog, setup: &Setup) {
         for (id, pool) in &catalog.pools {
             let Work::Pieces(spec) = pool.work else { continue };
@@ -241,6 +255,9 @@
                 batcher.set_spec(spec);
             }
         }
+        let named =
+            |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
+        self.waits.retain(|name, _| named(name));
         self.catalog = Some(Rc::new(catalog));
         let known: Vec<_> = self.fleet.replicas().filter(|r| !r.leaving).cloned().collect();
         for replica in known {
@@ -257,11 +274,13 @@
         let budget =
             || WindowBudget::new(setup.repeat_ratio, setup.repeat_slack, setup.repeat_window);
         self.budgets.entry(replica.pool.clone()).or_insert_with(budget);
-        let place = self.place(&setup.name);
         if let Work::Pieces(spec) = pool.work {
+            let entries = &self.entries;
             let batcher = self.batchers.entry(replica.pool.clone()).or_insert_with(|| {
-                let mut batcher = Batcher::new(spec);
-                batcher.set_place(place.0, place.1);
+                let mut batcher = Batcher::new(spec, setup.entry.clone());
+                if !entries.is_empty() {
+                    batcher.set_entries(entries);
+                }
                 batcher
             });
             batcher.add(replica.clone());
@@ -269,7 +288,7 @@
         let placer = self
             .placers
             .entry(replica.pool.clone())
-            .or_insert_with(|| Placer::new(setup.zone.clone(), engine, usual));
+            .or_insert_with(|| Placer::new(setup.entry.zone.clone(), engine, usual));
         placer.add(replica);
     }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::catalog::{Repeat, Route, Work};
 use damaskweir_core::fleet::Replica;
-use damaskweir_core::forecast::{Decision, decide};
+use damaskweir_core::forecast::{Arrival, Decision, decide};
 use damaskweir_core::ids::{PoolId, ServerId, WorkspaceId};
 use damaskweir_core::place::{Ending, Need};
 use damaskweir_core::time::{Span, Time};
@@ -236,13 +236,21 @@
         };
         let stages = node.forecast(&self.route, &self.ask.pieces).stages;
         let left = self.deadline.since(now);
-        match decide(stages + usual, left) {
+        let wait = self.ask.deadline.unwrap_or(left);
+        let longest = node.longest_wait(&self.route.name, wait);
+        let arrival =
+            Arrival { whole: stages + usual, left, longest, objective: self.route.objective };
+        match decide(&arrival) {
             Decision::Take => {
+                let pieces: Vec<_> = self.ask.pieces.iter().map(usize::to_string).collect();
+                let pieces = pieces.join(",");
                 let fields = [
                     ("route", self.route.name.as_str().into()),
+                    ("pieces", pieces.as_str().into()),
                     ("stages_ms", stages.as_millis().into()),
                     ("usual_ms", usual.as_millis().into()),
                     ("left_ms", left.as_millis().into()),
+                    ("returns", u64::from(arrival.returns()).into()),
                 ];
                 node.log.request(Kind::Admitted, &self.ask.id, &fields);
                 Ok(())
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -4,7 +4,7 @@
 use crate::log::{Kind, Value};
 use crate::node::Node;
 use crate::wire::{Input, Item, PieceEnd, Wire};
-use damaskweir_core::batch::{Batch, CallEnd, PieceId, Waiting};
+use damaskweir_core::batch::{Batch, CallEnd, Load, PieceId, Plan, Waiting};
 use damaskweir_core::catalog::Route;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::forecast::Forecast;
@@ -14,12 +14,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 /// Time for which results to give back are gathered.
 const FREE_GATHER: Duration = Duration::from_millis(30);
 /// Time for an answer to giving results back.
 const FREE_WAIT: Duration = Duration::from_secs(1);
+/// Time for an answer to a question for a server's load.
+const LOAD_WAIT: Duration = Duration::from_millis(60);
 /// Calls that one piece may be part of.
 const TRIES_MAX: u32 = 3;
 /// Pause of a piece for which a server had no room.
@@ -89,14 +91,27 @@
     pub(crate) zones: Vec<(AvailabilityZone, u64)>,
 }
 
-impl<W: Wire> Drop for Held<W> {
-    fn drop(&mut self) {
+impl<W: Wire> Held<W> {
+    fn give_back(&mut self, handle: &str) {
+        if let Some(i) = self.made.iter().position(|made| made.handle == handle) {
+            let made = self.made.swap_remove(i);
+            self.node.free(&made.server, made.handle, made.bytes);
+        }
+    }
+
+    fn give_back_all(&mut self) {
         for made in self.made.drain(..) {
             self.node.free(&made.server, made.handle, made.bytes);
         }
     }
 }
 
+impl<W: Wire> Drop for Held<W> {
+    fn drop(&mut self) {
+        self.give_back_all();
+    }
+}
+
 /// Pieces of one request that wait or are worked on; forgotten when dropped.
 struct Pending<W: Wire> {
     node: Rc<Node<W>>,
@@ -148,7 +163,7 @@
         let forecast = self.forecast(job.route, job.counts);
         let mut graph =
             Graph::<Made>::new(&job.route.stages, job.counts).ok_or(StageFault::Counts)?;
-        let (sender, mut receiver) = unbounded_channel();
+        let (mut sender, mut receiver) = unbounded_channel();
         let mut held =
             Held { node: self.clone(), made: Vec::new(), outputs: Vec::new(), zones: Vec::new() };
         let mut pending = Pending { node: self.clone(), ids: Vec::new() };
@@ -166,10 +181,16 @@
                 Ok(made) => {
                     held.made.push(made.clone());
                     graph.finish(at, made);
+                    for spent in graph.spent() {
+                        held.give_back(&spent.handle);
+                    }
                 }
                 Err(Miss::Late) => return Err(StageFault::Late),
                 Err(Miss::Gone) if !restarted => {
                     restarted = true;
+                    held.give_back_all();
+                    // What is on its way belongs to the graph before.
+                    (sender, receiver) = unbounded_channel();
                     drop(std::mem::replace(
                         &mut pending,
                         Pending { node: self.clone(), ids: Vec::new() },
@@ -249,16 +270,24 @@
             let mut state = self.state.borrow_mut();
             let Some(batcher) = state.batchers.get_mut(pool) else { return };
             let expired = batcher.expired(now);
-            let batch = batcher.plan(now);
+            let plan = batcher.plan(now);
             for id in expired {
                 if let Some(waiter) = state.waiters.remove(&id) {
                     waiter.miss(Miss::Late);
                 }
             }
-            let Some(batch) = batch else { break };
             drop(state);
             let (node, pool) = (self.clone(), pool.clone());
-            tokio::task::spawn_local(async move { node.call(now, &pool, batch).await });
+            match plan {
+                Plan::Call(batch) => {
+                    tokio::task::spawn_local(async move { node.call(now, &pool, batch).await });
+                }
+                Plan::Ask(servers) => {
+                    tokio::task::spawn_local(async move { node.ask_loads(&pool, &servers).await });
+                    break;
+                }
+                Plan::Wait => break,
+            }
         }
         let mut state = self.state.borrow_mut();
         let wake = state.batchers.get(pool).and_then(|batcher| batcher.wake(now));
@@ -275,11 +304,34 @@
         }
     }
 
+    /// Asks servers for their load and plans again.
+    async fn ask_loads(self: Rc<Self>, pool: &PoolId, servers: &[Replica]) {
+        let ask = |server| timeout(LOAD_WAIT, self.ask_load(server));
+        let loads = futures::future::join_all(servers.iter().map(ask)).await;
+        let now = self.now();
+        if let Some(batcher) = self.state.borrow_mut().batchers.get_mut(pool) {
+            for (server, load) in servers.iter().zip(loads) {
+                // A server that does not answer in time is not idle.
+                batcher.told(now, &server.id, load.ok().and_then(Result::ok).flatten());
+            }
+        }
+        self.pump(pool);
+    }
+
+    async fn ask_load(&self, server: &Replica) -> Result<Option<Load>, HttpError> {
+        let mut conn = self.connection(server).await?;
+        conn.send(&self.wire.load_call(server), &[]).await?;
+        let head = conn.head(|_| true).await?;
+        let body = conn.body().await?;
+        self.keep(&server.id, conn);
+        Ok(self.wire.load(&body).filter(|_| head.status.is_success()))
+    }
+
     /// Makes one call and hands out its results.
     async fn call(self: Rc<Self>, sent: Time, pool: &PoolId, batch: Batch) {
         let server = &batch.server;
         let (items, wanted) = self.items(&batch);
-        let mut end = CallEnd::Done { waiting: 0 };
+        let mut end = CallEnd::Done(None);
         let mut ends = Vec::new();
         if !items.is_empty() {
             let late = self.instant(batch.late);
@@ -298,11 +350,11 @@
             }
         }
         let now = self.now();
-        self.note_call(server, &batch, end, now.since(sent));
+        self.note_call(server, &batch, end, &ends, now.since(sent));
         for (i, id) in wanted.iter().enumerate() {
             let bytes = batch.pieces.iter().find(|p| p.id == *id).map_or(0, |p| p.bytes);
             let miss = match (end, ends.get(i)) {
-                (CallEnd::Done { .. }, Some(PieceEnd::Made(handle))) => {
+                (CallEnd::Done(_), Some(PieceEnd::Made(handle))) => {
                     let made = Made {
                         handle: handle.clone(),
                         server: server.id.clone(),
@@ -312,9 +364,9 @@
                     self.deliver(*id, made);
                     continue;
                 }
-                (CallEnd::Done { .. }, Some(PieceEnd::Late)) => Miss::Late,
-                (CallEnd::Done { .. }, Some(PieceEnd::Gone)) => Miss::Gone,
-                (CallEnd::Done { .. }, Some(PieceEnd::Room)) => Miss::Room,
+                (CallEnd::Done(_), Some(PieceEnd::Late)) => Miss::Late,
+                (CallEnd::Done(_), Some(PieceEnd::Gone)) => Miss::Gone,
+                (CallEnd::Done(_), Some(PieceEnd::Room)) => Miss::Room,
                 (CallEnd::Full, _) => Miss::Full,
                 _ => Miss::Failed,
             };
@@ -332,6 +384,9 @@
             let bytes = cancelled.map(|piece| piece.bytes).sum();
             if let Some(batcher) = state.batchers.get_mut(pool) {
                 batcher.freed(&server.id, bytes);
+                if !ends.is_empty() {
+                    batcher.roomy(!ends.contains(&PieceEnd::Room));
+                }
                 batcher.ended(now, &server.id, sent, batch.pieces.len(), end);
             }
         }
@@ -368,7 +423,7 @@
         if head.status.is_success() {
             let ends = self.wire.stage_ends(&body).filter(|ends| ends.len() == items.len());
             let ends = ends.ok_or(HttpError::Malformed("bad results of a stage call"))?;
-            return Ok((CallEnd::Done { waiting: reply.waiting.unwrap_or(0) }, ends));
+            return Ok((CallEnd::Done(reply.load), ends));
         }
         let end = if reply.skipped { CallEnd::Full } else { CallEnd::Failed };
         Ok((end, Vec::new()))
@@ -386,16 +441,26 @@
         }
     }
 
-    fn note_call(&self, server: &Replica, batch: &Batch, end: CallEnd, took: Span) {
+    fn note_call(
+        &self,
+        server: &Replica,
+        batch: &Batch,
+        end: CallEnd,
+        ends: &[PieceEnd],
+        took: Span,
+    ) {
         let outcome = match end {
-            CallEnd::Done { .. } => "done",
+            CallEnd::Done(_) => "done",
             CallEnd::Full => "full",
             CallEnd::Failed => "failed",
             CallEnd::Late => "late",
         };
+        let count = |wanted: PieceEnd| ends.iter().filter(|end| **end == wanted).count() as u64;
         let fields = [
             ("server", server.id.as_str().into()),
             ("pool", server.pool.as_str().into()),
+            ("no_room", count(PieceEnd::Room).into()),
+            ("inputs_gone", count(PieceEnd::Gone).into()),
             ("pieces", (batch.pieces.len() as u64).into()),
             ("took_ms", took.as_millis().into()),
             ("outcome", outcome.into()),
@@ -426,7 +491,7 @@
                 let node = self.clone();
                 tokio::task::spawn_local(async move {
                     let handles: Vec<_> = handles.into_iter().map(|(handle, _)| handle).collect();
-                    let wait = tokio::time::timeout(FREE_WAIT, node.release(&server, &handles));
+                    let wait = timeout(FREE_WAIT, node.release(&server, &handles));
                     // Results that stay are dropped by their maker after a while.
                     if !matches!(wait.await, Ok(Ok(()))) {
                         let id = server.id.as_str();
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -7,6 +7,7 @@
 use crate::wire::{Source, SourceError, SourceFault, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Listing;
+use damaskweir_core::home::EntryAt;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -35,7 +36,7 @@
     catalog: Option<Catalog>,
     as_of: u64,
     listings: Vec<Listing>,
-    entries: Vec<(String, String)>,
+    entries: Vec<EntryAt>,
 }
 
 impl Snapshot {
@@ -64,8 +65,6 @@
     node: Rc<Node<W>>,
     source: S,
     contact: Contact,
-    /// Address at which other entries reach this one.
-    admin: String,
     /// Addresses of other entries from the settings.
     seeds: Vec<SocketAddr>,
     lease: Cell<Option<u64>>,
@@ -73,8 +72,8 @@
 
 impl<W: Wire, S: Source> Sync<W, S> {
     /// Nothing has been read yet.
-    pub fn new(node: Rc<Node<W>>, source: S, admin: String, seeds: Vec<SocketAddr>) -> Self {
-        Self { node, source, contact: Contact::default(), admin, seeds, lease: Cell::new(None) }
+    pub fn new(node: Rc<Node<W>>, source: S, seeds: Vec<SocketAddr>) -> Self {
+        Self { node, source, contact: Contact::default(), seeds, lease: Cell::new(None) }
     }
 
     /// Starts all loops.
@@ -172,7 +171,7 @@
             let changed = match read {
                 Ok(read) => {
                     // After an outage entries are missing until they have renewed their leases.
-                    if read.value.iter().any(|(name, _)| *name == self.node.setup.name) {
+                    if read.value.iter().any(|entry| entry.name == self.node.setup.entry.name) {
                         self.node.take_entries(read.value);
                     }
                     self.source.entries_changed(read.as_of).await.map(|_| ())
@@ -196,7 +195,7 @@
             }
             match self.lease.get() {
                 None => {
-                    let announced = self.source.announce(&self.node.setup.name, &self.admin).await;
+                    let announced = self.source.announce(&self.node.setup.entry).await;
                     self.note("announce", announced.as_ref().err());
                     self.lease.set(announced.ok());
                 }
@@ -234,11 +233,11 @@
 
     fn peers(&self) -> Vec<SocketAddr> {
         let state = self.node.state.borrow();
-        let listed = state.entries.iter().filter_map(|(_, address)| address.parse().ok());
+        let listed = state.entries.iter().filter_map(|entry| entry.address.parse().ok());
         let mut peers: Vec<SocketAddr> = listed.chain(self.seeds.iter().copied()).collect();
         peers.sort();
         peers.dedup();
-        peers.retain(|peer| peer.to_string() != self.admin);
+        peers.retain(|peer| peer.to_string() != self.node.setup.entry.address);
         peers
     }
 
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -2,8 +2,10 @@
 //! the list of servers come from.
 
 use crate::http::Head;
+use damaskweir_core::batch::Load;
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::{Listing, Replica};
+use damaskweir_core::home::EntryAt;
 use damaskweir_core::place::Part;
 use damaskweir_core::time::Span;
 use http::StatusCode;
@@ -65,8 +67,8 @@
     pub signed: bool,
     /// The server states that it has not run the request and never will.
     pub skipped: bool,
-    /// Calls that wait at the server.
-    pub waiting: Option<u32>,
+    /// Load of the server.
+    pub load: Option<Load>,
 }
 
 /// One piece of a call to a stage's server.
@@ -122,6 +124,10 @@
     fn passes(&self, name: &str) -> bool;
     /// A whole call to a stage's server.
     fn stage_call(&self, server: &Replica, items: &[Item]) -> Vec<u8>;
+    /// A whole question for a server's load.
+    fn load_call(&self, server: &Replica) -> Vec<u8>;
+    /// The load that a stage's server tells.
+    fn load(&self, body: &[u8]) -> Option<Load>;
     /// Results of a call, in the order of its items.
     fn stage_ends(&self, body: &[u8]) -> Option<Vec<PieceEnd>>;
     /// A whole call that gives results back.
@@ -173,13 +179,13 @@
         after: u64,
     ) -> impl Future<Output = Result<Read<Vec<Listing>>, Self::Error>>;
     /// Announces this entry under a lease, and tells the lease.
-    fn announce(&self, name: &str, admin: &str) -> impl Future<Output = Result<u64, Self::Error>>;
+    fn announce(&self, entry: &EntryAt) -> impl Future<Output = Result<u64, Self::Error>>;
     /// Renews a lease.
     fn renew(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
     /// Ends a lease.
     fn withdraw(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
-    /// All entries that have announced themselves: name and address.
-    fn entries(&self) -> impl Future<Output = Result<Read<Vec<(String, String)>>, Self::Error>>;
+    /// All entries that have announced themselves.
+    fn entries(&self) -> impl Future<Output = Result<Read<Vec<EntryAt>>, Self::Error>>;
     /// Waits for any change of the entries after a revision.
     fn entries_changed(&self, after: u64) -> impl Future<Output = Result<Read<()>, Self::Error>>;
 }
