--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -1,36 +1,21 @@
 //! Gathers pieces of many requests into calls to the servers of one stage pool.
 //!
 //! Answers loads in which a call takes a fixed time whatever it carries and a server works on one call
-//! at a time: pieces wait while the own server works, and leave together when it is free. Each entry
-//! has a home server, so that entries do not queue behind each other. When more waits than the home can
-//! take, or the home is slow at the moment, other servers are asked for their load first, and get a call
-//! only if they are idle: a call that waits at a server would have gathered more pieces here.
+//! at a time: pieces wait while the server works, and leave together when it is free. Each server has
+//! one entry that calls it, its owner, so that no call waits at a server while it could gather more
+//! pieces. The pieces of one request are kept together: a request that is split over two calls waits for
+//! the second, and its results take room meanwhile.
 
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
-use crate::home::{EntryAt, assign_homes};
-use crate::ids::{AvailabilityZone, ServerId};
+use crate::ids::ServerId;
 use crate::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which a first piece waits for others, since requests arrive in clumps.
 const GATHER: Span = Span::from_millis(6);
-/// Time for which the load that a server told is taken as true.
-const LOAD_FRESH: Span = Span::from_millis(60);
-/// Time between two questions for the load of one server.
-const ASK_PACE: Span = Span::from_millis(160);
-/// Servers that are asked for their load at once.
-const ASK_MAX: usize = 2;
-/// Pace in hundredths above which a server counts as slow at the moment.
-const SLOW_PERCENT: u32 = 150;
-/// Part of a batch that must wait before a server is used that is no entry's home.
-const SPARE_PART: usize = 4;
-/// The same for the home of another entry.
-const OTHER_PART: usize = 2;
-/// Time that a piece waits before other servers are used in any case.
-const SPILL_WAIT: Span = Span::from_millis(150);
 /// Time after a refusal as full in which a server is left alone.
-const CROWD_MEMORY: Span = Span::from_millis(250);
+const CROWD_MEMORY: Span = Span::from_millis(100);
 /// A call that takes this many times the expected time, and a while longer, is taken as lost.
 const LATE_FACTOR: f64 = 2.2;
 /// Added to that.
@@ -41,15 +26,15 @@
 const PACE_WEIGHT: f64 = 0.3;
 /// Time after which the pace of a server counts for about a third.
 const PACE_MEMORY: Span = Span::from_secs(4);
+/// Pace from which on a server is left for a faster one that is free soon.
+const SLOW_PACE: f64 = 2.5;
+/// Part of a server's room for results that is planned with.
+const ROOM_PART: f64 = 0.95;
 /// One place in this many of a batch is kept for late pieces.
 const LATE_PART: usize = 6;
 /// Growth of the believed size of results after one found no room, the most of it, and the step back
 /// after each call for which there was room.
 const SWELL: (f64, f64, f64) = (1.1, 2.0, 0.99);
-/// Pace from which on the home is left for another server.
-const HOME_PACE: f64 = 2.5;
-/// Part of a server's room for results that one entry plans with.
-const ROOM_PART: f64 = 0.9;
 
 /// Names a waiting piece; given by the caller of the batcher, unique in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -60,6 +45,8 @@
 pub struct Waiting {
     /// The piece.
     pub id: PieceId,
+    /// Pieces with the same number belong together.
+    pub group: u64,
     /// When it must be done for an answer within the objective.
     pub due: Time,
     /// When its result is of no use any more.
@@ -81,35 +68,14 @@
     pub late: Time,
 }
 
-/// What to do about waiting pieces.
-#[derive(Clone, Debug)]
-pub enum Plan {
-    /// Make this call.
-    Call(Batch),
-    /// Ask these servers for their load, and plan again.
-    Ask(Vec<Replica>),
-    /// Nothing now.
-    Wait,
-}
-
-/// Load that a server tells.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Calls that it works on.
-    pub running: u32,
-    /// Calls that wait.
-    pub waiting: u32,
-    /// How long work takes at the moment, in hundredths of the usual.
-    pub percent: u32,
-    /// Room for results in bytes, if the server tells it.
-    pub free: Option<u64>,
-}
-
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
-    /// It was worked on. Load of the server when it ended, if it tells that.
-    Done(Option<Load>),
+    /// It was worked on; whether there was room for all results.
+    Done {
+        /// No piece found too little room.
+        roomy: bool,
+    },
     /// Refused as full.
     Full,
     /// Refused or broken.
@@ -121,58 +87,36 @@
 #[derive(Clone, Debug)]
 struct Open {
     sent: Time,
-    expected: Span,
     late: Time,
 }
 
 #[derive(Clone, Debug)]
 struct Maker {
     replica: Replica,
-    open: Vec<Open>,
+    /// The call that it works on.
+    open: Option<Open>,
     paused: Time,
     pause: Span,
-    crowded: Time,
-    load: Option<(Time, Load)>,
-    /// When it was last asked for its load.
-    asked: Time,
     pace: f64,
     paced: Time,
-    /// Bytes of results that this entry has there.
+    /// Bytes of results that lie there.
     held: u64,
 }
 
-/// Waiting pieces and servers of one stage pool.
+/// Waiting pieces and owned servers of one stage pool.
 #[derive(Clone, Debug)]
 pub struct Batcher {
     spec: PieceSpec,
     makers: BTreeMap<ServerId, Maker>,
     waiting: Vec<Waiting>,
-    /// Size of results as a multiple of the stated one. Sizes are stated approximately, and other entries
-    /// have results at the same servers.
+    /// Size of results as a multiple of the stated one, since sizes are stated approximately.
     swell: f64,
-    /// Where this entry is.
-    own: EntryAt,
-    /// All entries.
-    entries: Vec<EntryAt>,
-    /// Home of this entry.
-    home: Option<ServerId>,
-    /// Homes of all entries.
-    homes: BTreeSet<ServerId>,
 }
 
 impl Batcher {
-    /// A pool without servers, seen from an entry.
-    pub fn new(spec: PieceSpec, own: EntryAt) -> Self {
-        Self {
-            spec,
-            makers: BTreeMap::new(),
-            waiting: Vec::new(),
-            swell: 1.0,
-            entries: vec![own.clone()],
-            own,
-            home: None,
-            homes: BTreeSet::new(),
-        }
+    /// A pool without servers.
+    pub fn new(spec: PieceSpec) -> Self {
+        Self { spec, makers: BTreeMap::new(), waiting: Vec::new(), swell: 1.0 }
     }
 
     /// Takes new limits.
@@ -180,37 +124,26 @@
         self.spec = spec;
     }
 
-    /// Takes the list of all entries, which decides on the home server.
-    pub fn set_entries(&mut self, entries: &[EntryAt]) {
-        self.entries = entries.to_vec();
-        self.assign();
-    }
-
-    /// A server may be used.
-    pub fn add(&mut self, replica: Replica) {
-        let maker = Maker {
-            open: Vec::new(),
-            paused: Time::default(),
-            pause: PAUSES.0,
-            crowded: Time::default(),
-            load: None,
-            asked: Time::default(),
-            pace: 1.0,
-            paced: Time::default(),
-            held: 0,
-            replica,
-        };
-        self.makers.insert(maker.replica.id.clone(), maker);
-        self.assign();
-    }
-
-    /// A server gets no new work.
-    pub fn remove(&mut self, id: &ServerId) {
-        self.makers.remove(id);
-        self.assign();
+    /// Takes the servers that this entry owns. What is known of those that stay is kept.
+    pub fn set_servers(&mut self, servers: &[Replica]) {
+        self.makers.retain(|id, maker| {
+            servers.iter().any(|s| s.id == *id && s.born == maker.replica.born)
+        });
+        for replica in servers {
+            let maker = || Maker {
+                open: None,
+                paused: Time::default(),
+                pause: PAUSES.0,
+                pace: 1.0,
+                paced: Time::default(),
+                held: 0,
+                replica: replica.clone(),
+            };
+            self.makers.entry(replica.id.clone()).or_insert_with(maker);
+        }
     }
 
-    /// Servers that may be used.
+    /// Servers that are owned.
     pub fn servers(&self) -> usize {
         self.makers.len()
     }
@@ -237,139 +170,66 @@
 
     /// Takes out all pieces that cannot be done before their deadline.
     pub fn expired(&mut self, now: Time) -> Vec<PieceId> {
-        let least = self.spec.call + self.spec.item;
+        let least = self.least();
         let late = |piece: &Waiting| piece.deadline < now + least;
         let out = self.waiting.iter().filter(|p| late(p)).map(|p| p.id).collect();
         self.waiting.retain(|piece| !late(piece));
         out
     }
 
-    /// What to do now.
-    pub fn plan(&mut self, now: Time) -> Plan {
-        let Some(oldest) = self.waiting.iter().map(|piece| piece.arrived).min() else {
-            return Plan::Wait;
-        };
-        if self.waiting.len() < self.spec.batch && now.since(oldest) < GATHER {
-            return Plan::Wait;
-        }
-        match self.server_for(now, now.since(oldest)) {
-            Choice::Server(id) => self.fill(now, &id).map_or(Plan::Wait, Plan::Call),
-            Choice::Ask(ids) => {
-                let mut servers = Vec::with_capacity(ids.len());
-                for id in ids {
-                    if let Some(maker) = self.makers.get_mut(&id) {
-                        maker.asked = now;
-                        servers.push(maker.replica.clone());
-                    }
-                }
-                Plan::Ask(servers)
-            }
-            Choice::None => Plan::Wait,
-        }
+    /// Takes out everything, because no server is owned any more.
+    pub fn drain(&mut self) -> Vec<PieceId> {
+        self.waiting.drain(..).map(|piece| piece.id).collect()
     }
 
-    /// A server told its load, or did not answer.
-    pub fn told(&mut self, now: Time, id: &ServerId, load: Option<Load>) {
-        if let Some(maker) = self.makers.get_mut(id) {
-            maker.load = load.map(|load| (now, load));
-        }
-    }
-
-    /// The call that a server gets.
-    fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
-        let maker = self.makers.get_mut(id)?;
-        let held = (maker.held as f64 * self.swell) as u64;
-        let own = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
-        let room = maker.fresh(now).and_then(|load| load.free).map_or(own, |free| free.min(own));
-        let least = self.spec.call + self.spec.item;
-        // Pieces that can still be in time go first, the most urgent of them ahead. Some places are kept
-        // for late ones: they have been promised an answer as well, and results of their earlier stages
-        // take room.
-        self.waiting.sort_by_key(|piece| (piece.due < now + least, piece.due, piece.id));
-        let late = self.waiting.iter().filter(|piece| piece.due < now + least).count();
-        let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
-        let first = (self.waiting.len() - late).min(self.spec.batch - kept);
-        let skipped = self.waiting.len() - late;
-        let mut order: Vec<usize> = (0..first).collect();
-        order.extend((skipped..self.waiting.len()).take(self.spec.batch - first));
-        let mut bytes = 0;
-        let mut pieces: Vec<Waiting> = Vec::new();
-        for i in order {
-            let piece = self.waiting[i];
-            let size = (piece.bytes as f64 * self.swell) as u64;
-            if bytes + size > room && !(pieces.is_empty() && maker.held == 0) {
-                break;
-            }
-            bytes += size;
-            pieces.push(piece);
-        }
-        if pieces.is_empty() {
+    /// The next call to make, if one should be made now.
+    pub fn plan(&mut self, now: Time) -> Option<Batch> {
+        let oldest = self.waiting.iter().map(|piece| piece.arrived).min()?;
+        if self.waiting.len() < self.spec.batch && now.since(oldest) < GATHER {
             return None;
         }
-        let chosen: BTreeSet<PieceId> = pieces.iter().map(|piece| piece.id).collect();
-        self.waiting.retain(|piece| !chosen.contains(&piece.id));
-        let bytes: u64 = pieces.iter().map(|piece| piece.bytes).sum();
-        let work = self.spec.call + self.spec.item * pieces.len() as u64;
-        let expected = work.scale(maker.paced_at(now)) + maker.remaining(now);
-        let late = now + expected.scale(LATE_FACTOR) + LATE_MORE;
-        maker.open.push(Open { sent: now, expected, late });
-        maker.load = None;
-        maker.held += bytes;
-        Some(Batch { server: maker.replica.clone(), pieces, late })
+        let id = self.free_server(now)?;
+        self.fill(now, &id)
     }
 
     /// When `plan` should be asked again although nothing ended or arrived.
     pub fn wake(&self, now: Time) -> Option<Time> {
         let oldest = self.waiting.iter().map(|piece| piece.arrived).min()?;
-        let gathered = oldest + GATHER;
-        if gathered > now {
-            return Some(gathered);
-        }
-        let rested = self.makers.values().map(|maker| maker.paused.max(maker.crowded));
-        let asked = self.makers.values().map(|maker| maker.asked + ASK_PACE);
-        let late = self.makers.values().flat_map(|maker| &maker.open).map(|open| open.late);
-        let spill = std::iter::once(oldest + SPILL_WAIT);
-        rested.chain(asked).chain(late).chain(spill).filter(|at| *at > now).min()
+        let rested = self.makers.values().map(|maker| maker.paused);
+        let late = self.makers.values().filter_map(|maker| maker.open.as_ref()).map(|o| o.late);
+        let least = self.least();
+        let expiry = self.waiting.iter().map(|piece| piece.deadline - least).min();
+        let gathered = std::iter::once(oldest + GATHER);
+        rested.chain(late).chain(expiry).chain(gathered).filter(|at| *at > now).min()
     }
 
-    /// A call ended. `sent`: when it was planned; `pieces`: how many it carried.
-    pub fn ended(&mut self, now: Time, id: &ServerId, sent: Time, pieces: usize, end: CallEnd) {
+    /// A call ended. `pieces`: how many it carried.
+    pub fn ended(&mut self, now: Time, id: &ServerId, pieces: usize, end: CallEnd) {
+        let work = self.work(pieces);
+        if let CallEnd::Done { roomy } = end {
+            let factor = if roomy { SWELL.2 } else { SWELL.0 };
+            self.swell = (self.swell * factor).clamp(1.0, SWELL.1);
+        }
         let Some(maker) = self.makers.get_mut(id) else { return };
-        let Some(i) = maker.open.iter().position(|open| open.sent == sent) else { return };
-        let alone = maker.open.len() == 1;
-        maker.open.remove(i);
+        let Some(open) = maker.open.take() else { return };
+        let ratio = now.since(open.sent).0 as f64 / work.0.max(1) as f64;
+        let pace = maker.paced_at(now);
         match end {
-            CallEnd::Done(load) => {
-                let work = self.spec.call + self.spec.item * pieces as u64;
-                let ratio = now.since(sent).0 as f64 / work.0.max(1) as f64;
-                if alone && load.is_none_or(|load| load.waiting == 0) {
-                    let pace = maker.paced_at(now);
-                    maker.pace = pace + (ratio.clamp(0.5, 10.0) - pace) * PACE_WEIGHT;
-                    maker.paced = now;
-                }
-                maker.load = load.map(|load| (now, load));
+            CallEnd::Done { .. } => {
+                maker.pace = pace + (ratio.clamp(0.5, 10.0) - pace) * PACE_WEIGHT;
+                maker.paced = now;
                 maker.pause = PAUSES.0;
             }
-            CallEnd::Full => maker.crowded = now + CROWD_MEMORY,
+            CallEnd::Full => maker.paused = now + CROWD_MEMORY,
             CallEnd::Late => {
-                let work = self.spec.call + self.spec.item * pieces as u64;
-                let ratio = now.since(sent).0 as f64 / work.0.max(1) as f64;
-                maker.pace = maker.paced_at(now).max(ratio.min(10.0));
+                maker.pace = pace.max(ratio.min(10.0));
                 maker.paced = now;
+                maker.rest(now);
             }
-            CallEnd::Failed => {
-                maker.paused = now + maker.pause;
-                maker.pause = Span((maker.pause.0 * 2).min(PAUSES.1.0));
-            }
+            CallEnd::Failed => maker.rest(now),
         }
     }
 
-    /// Whether a server had room for all results of a call.
-    pub fn roomy(&mut self, enough: bool) {
-        let factor = if enough { SWELL.2 } else { SWELL.0 };
-        self.swell = (self.swell * factor).clamp(1.0, SWELL.1);
-    }
-
     /// Results were given back, or will never be made.
     pub fn freed(&mut self, id: &ServerId, bytes: u64) {
         if let Some(maker) = self.makers.get_mut(id) {
@@ -377,111 +237,119 @@
         }
     }
 
-    /// Predicted time until a piece that arrives now is done.
-    pub fn predict(&self, now: Time, pieces: usize) -> Option<Span> {
-        let ahead = self.waiting.len() + pieces;
-        let entries = self.entries.len().max(1);
-        let usable: Vec<_> = self.makers.values().filter(|m| m.paused <= now).collect();
-        let share = (usable.len() as f64 / entries as f64).max(0.25);
-        let pace = usable.iter().map(|m| m.paced_at(now)).sum::<f64>() / usable.len().max(1) as f64;
-        if self.makers.is_empty() {
-            return None;
-        }
-        let calls = (ahead as f64 / self.spec.batch.max(1) as f64).ceil();
-        let last = ahead.min(self.spec.batch) as u64;
-        let each = (self.spec.call + self.spec.item * last).scale(pace.max(1.0));
-        let busy = self.home(now).map_or(Span::ZERO, |maker| maker.remaining(now));
-        Some(busy + each.scale((calls / share).max(1.0)))
+    /// Pieces that wait or are worked on, as a part of what one round of calls takes.
+    pub fn fullness(&self, now: Time) -> f64 {
+        let usable = self.makers.values().filter(|m| m.paused <= now).count();
+        let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
+        let round = (usable * self.spec.batch).max(1) as f64;
+        self.waiting.len() as f64 / round + busy as f64 * 0.5 / usable.max(1) as f64
     }
 
-    /// A server for the next call: the home when it is free, another one when enough waits or the home
-    /// is slow.
-    fn server_for(&self, now: Time, waited: Span) -> Choice {
-        let home = self.home(now);
-        let free = home.filter(|home| home.open.is_empty());
-        let slow = |maker: &Maker| maker.fresh(now).is_some_and(|l| l.percent > SLOW_PERCENT);
-        if let Some(home) = free.filter(|home| !slow(home)) {
-            return Choice::Server(home.replica.id.clone());
-        }
-        let n = self.waiting.len();
-        let enough = |maker: &Maker| {
-            let spare = !self.homes.contains(&maker.replica.id);
-            let part = if spare { SPARE_PART } else { OTHER_PART };
-            free.is_some() || n * part >= self.spec.batch || waited >= SPILL_WAIT
-        };
-        let home_id = home.map(|home| &home.replica.id);
-        let mut others: Vec<&Maker> = self
-            .makers
-            .values()
-            .filter(|maker| Some(&maker.replica.id) != home_id && maker.open.is_empty())
-            .filter(|maker| maker.paused <= now && maker.crowded <= now && enough(maker))
-            .collect();
-        others.sort_by_key(|maker| {
-            let far = maker.replica.zone != self.own.zone;
-            let owned = self.homes.contains(&maker.replica.id);
-            ((maker.paced_at(now) * 2.0) as u64, far, owned, maker.asked)
-        });
-        let idle = |maker: &&&Maker| {
-            let load = maker.fresh(now);
-            load.is_some_and(|l| l.running + l.waiting == 0 && l.percent <= SLOW_PERCENT)
-        };
-        if let Some(maker) = others.iter().find(idle) {
-            return Choice::Server(maker.replica.id.clone());
-        }
-        let due = |maker: &&Maker| now.since(maker.asked) >= ASK_PACE;
-        let ask: Vec<_> = others.into_iter().filter(due).take(ASK_MAX).collect();
-        match (ask.is_empty(), free) {
-            (false, _) => Choice::Ask(ask.iter().map(|m| m.replica.id.clone()).collect()),
-            // Nothing better is idle.
-            (true, Some(home)) => Choice::Server(home.replica.id.clone()),
-            (true, None) => Choice::None,
+    /// An owned server that is free, the fastest first. While a fast one is busy, a slow one is left
+    /// alone, since the fast one is free sooner than the slow one would be done.
+    fn free_server(&self, now: Time) -> Option<ServerId> {
+        let good = |maker: &&Maker| maker.paused <= now && maker.paced_at(now) < SLOW_PACE;
+        let fast = self.makers.values().any(|maker| good(&maker));
+        let free = self.makers.values().filter(|m| m.open.is_none() && m.paused <= now);
+        free.filter(|maker| !fast || good(maker))
+            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.held))
+            .map(|maker| maker.replica.id.clone())
+    }
+
+    /// The call that a server gets.
+    fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
+        let least = self.least();
+        let maker = self.makers.get(id)?;
+        let held = (maker.held as f64 * self.swell) as u64;
+        let room = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
+        // Pieces that can still be in time go first, the most urgent of them ahead.
+        self.waiting
+            .sort_by_key(|piece| (piece.due < now + least, piece.due, piece.group, piece.id));
+        let late = self.waiting.iter().filter(|piece| piece.due < now + least).count();
+        let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
+        let (timely, overdue) = self.waiting.split_at(self.waiting.len() - late);
+        let mut pick = Pick { room, empty: maker.held == 0, swell: self.swell, pieces: Vec::new() };
+        pick.take(timely, self.spec.batch - kept);
+        // Late pieces have been promised an answer as well, and hold results of earlier stages.
+        pick.take(overdue, self.spec.batch);
+        pick.take(timely, self.spec.batch);
+        let pieces = pick.pieces;
+        if pieces.is_empty() {
+            return None;
         }
+        let chosen: BTreeSet<PieceId> = pieces.iter().map(|piece| piece.id).collect();
+        self.waiting.retain(|piece| !chosen.contains(&piece.id));
+        let work = self.work(pieces.len());
+        let maker = self.makers.get_mut(id)?;
+        let expected = work.scale(maker.paced_at(now).max(1.0));
+        let late = now + expected.scale(LATE_FACTOR) + LATE_MORE;
+        maker.open = Some(Open { sent: now, late });
+        maker.held += pieces.iter().map(|piece| piece.bytes).sum::<u64>();
+        Some(Batch { server: maker.replica.clone(), pieces, late })
     }
 
-    /// The home, or while it does not answer in time, the best of the others.
-    fn home(&self, now: Time) -> Option<&Maker> {
-        let late = |maker: &Maker| maker.open.iter().any(|open| open.late <= now);
-        let good = |maker: &&Maker| maker.paused <= now && !late(maker);
-        let home = self.home.as_ref().and_then(|id| self.makers.get(id));
-        home.filter(good).filter(|maker| maker.paced_at(now) < HOME_PACE).or_else(|| {
-            self.makers.values().filter(good).min_by_key(|maker| {
-                let id = &maker.replica.id;
-                let far = maker.replica.zone != self.own.zone;
-                ((maker.paced_at(now) * 4.0) as u64, self.homes.contains(id), far)
-            })
-        })
+    fn work(&self, pieces: usize) -> Span {
+        self.spec.call + self.spec.item * pieces as u64
     }
 
-    fn assign(&mut self) {
-        let at = |maker: &Maker| (maker.replica.id.clone(), maker.replica.zone.clone());
-        let servers: Vec<(ServerId, AvailabilityZone)> = self.makers.values().map(at).collect();
-        let homes = assign_homes(&self.entries, &servers);
-        self.home = homes.get(&self.own.name).cloned();
-        self.homes = homes.into_values().collect();
+    fn least(&self) -> Span {
+        self.work(1)
     }
 }
 
-/// Which server gets the next call.
-enum Choice {
-    Server(ServerId),
-    Ask(Vec<ServerId>),
-    None,
+/// Pieces picked for a call.
+struct Pick {
+    /// Room that is left, in bytes.
+    room: u64,
+    /// Nothing lies at the server: one piece is taken even if it seems too large.
+    empty: bool,
+    swell: f64,
+    pieces: Vec<Waiting>,
 }
 
-impl Maker {
-    /// The load that it told a moment ago.
-    fn fresh(&self, now: Time) -> Option<Load> {
-        self.load.filter(|(at, _)| now.since(*at) <= LOAD_FRESH).map(|(_, load)| load)
+impl Pick {
+    /// Takes whole groups while they fit, and a part of the first one if it alone is too large.
+    fn take(&mut self, sorted: &[Waiting], most: usize) {
+        for group in sorted.chunk_by(|a, b| a.group == b.group) {
+            if self.pieces.iter().any(|piece| piece.group == group[0].group) {
+                continue;
+            }
+            let first = self.pieces.is_empty();
+            let left = most.saturating_sub(self.pieces.len());
+            let bytes: u64 = group.iter().map(|piece| self.size(piece)).sum();
+            if group.len() <= left && bytes <= self.room {
+                self.room -= bytes;
+                self.pieces.extend_from_slice(group);
+            } else if first {
+                self.take_part(&group[..group.len().min(left)]);
+            }
+        }
     }
 
-    /// Time until its open calls from here are done.
-    fn remaining(&self, now: Time) -> Span {
-        let ends = self.open.iter().map(|open| (open.sent + open.expected).since(now));
-        ends.max().unwrap_or(Span::ZERO)
+    fn take_part(&mut self, group: &[Waiting]) {
+        for piece in group {
+            let size = self.size(piece);
+            if size > self.room && !(self.empty && self.pieces.is_empty()) {
+                return;
+            }
+            self.room = self.room.saturating_sub(size);
+            self.pieces.push(*piece);
+        }
     }
 
+    fn size(&self, piece: &Waiting) -> u64 {
+        (piece.bytes as f64 * self.swell) as u64
+    }
+}
+
+impl Maker {
     fn paced_at(&self, now: Time) -> f64 {
         let age = now.since(self.paced).as_secs_f64() / PACE_MEMORY.as_secs_f64();
         1.0 + (self.pace - 1.0) * (-age).exp()
     }
+
+    fn rest(&mut self, now: Time) {
+        self.paused = now + self.pause;
+        self.pause = Span((self.pause.0 * 2).min(PAUSES.1.0));
+    }
 }
--- /dev/null
+++ b/crates/core/src/owner.rs
@@ -0,0 +1,204 @@
+//! Which entry calls which server of a stage pool, and to which owner the pieces of a request go.
+//!
+//! Every entry computes the same owners from the same lists. An entry hands pieces to the owner that is
+//! expected to be done first, from what owners tell with their answers and what this entry has open there.
+
+use crate::catalog::PieceSpec;
+use crate::fleet::Replica;
+use crate::ids::{AvailabilityZone, PoolId, ServerId};
+use crate::time::{Span, Time};
+use crate::value;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Delay by which 1 MB counts that crosses availability zones between stages.
+const CROSS_DELAY: Span = Span::from_millis(120);
+/// Delay by which an owner in another zone counts.
+const ZONE_DELAY: Span = Span::from_millis(4);
+/// Time for which an owner that did not answer gets nothing.
+const SUSPECT: Span = Span::from_secs(2);
+/// Time after which what an owner told counts for about a third.
+const TOLD_MEMORY: Span = Span::from_millis(600);
+
+value! {
+    /// Another entry, or this one.
+    #[derive(PartialOrd, Ord)]
+    pub struct EntryAt {
+        /// Unique among entries.
+        pub name: String,
+        /// Where it runs.
+        pub zone: AvailabilityZone,
+        /// Where other entries reach it.
+        pub address: String,
+    }
+}
+
+/// The owner of each server: an entry of its zone if there is one, else any, each with about as many
+/// servers as the others. Depends on the lists alone, not on their order.
+pub fn assign_owners(
+    pool: &PoolId,
+    entries: &[EntryAt],
+    servers: &[Replica],
+) -> BTreeMap<ServerId, String> {
+    let rank = |name: &str| xxh3_64(format!("{pool}/{name}").as_bytes());
+    let mut counts: BTreeMap<&str, usize> = entries.iter().map(|e| (e.name.as_str(), 0)).collect();
+    let mut sorted: Vec<_> = servers.iter().collect();
+    sorted.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut owners = BTreeMap::new();
+    for server in sorted {
+        let best = entries.iter().min_by_key(|entry| {
+            let owned = counts.get(entry.name.as_str()).copied().unwrap_or(0);
+            (entry.zone != server.zone, owned, rank(&entry.name))
+        });
+        if let Some(entry) = best {
+            *counts.entry(entry.name.as_str()).or_default() += 1;
+            owners.insert(server.id.clone(), entry.name.clone());
+        }
+    }
+    owners
+}
+
+#[derive(Clone, Debug)]
+struct Owner {
+    entry: EntryAt,
+    /// Servers by zone.
+    zones: BTreeMap<AvailabilityZone, usize>,
+    servers: usize,
+    /// Pieces from here that it has not answered.
+    open: usize,
+    /// Its fullness when it last answered.
+    told: f64,
+    told_at: Time,
+    suspect: Time,
+}
+
+/// The owners of one pool, as one entry sees them.
+#[derive(Clone, Debug)]
+pub struct Owners {
+    own: EntryAt,
+    spec: PieceSpec,
+    owners: BTreeMap<String, Owner>,
+    /// Name of each server's owner.
+    servers: BTreeMap<ServerId, String>,
+}
+
+impl Owners {
+    /// Nobody owns anything yet.
+    pub fn new(own: EntryAt, spec: PieceSpec) -> Self {
+        Self { own, spec, owners: BTreeMap::new(), servers: BTreeMap::new() }
+    }
+
+    /// Takes new limits.
+    pub fn set_spec(&mut self, spec: PieceSpec) {
+        self.spec = spec;
+    }
+
+    /// Takes the lists of entries and servers, and tells which servers this entry owns.
+    pub fn assign(
+        &mut self,
+        pool: &PoolId,
+        entries: &[EntryAt],
+        servers: &[Replica],
+    ) -> Vec<Replica> {
+        let alone = [self.own.clone()];
+        let entries = if entries.is_empty() { &alone[..] } else { entries };
+        let owners = assign_owners(pool, entries, servers);
+        let mut known = std::mem::take(&mut self.owners);
+        for server in servers {
+            let Some(name) = owners.get(&server.id) else { continue };
+            let Some(entry) = entries.iter().find(|entry| entry.name == *name) else { continue };
+            let owner = self.owners.entry(name.clone()).or_insert_with(|| {
+                let blank = || Owner {
+                    entry: entry.clone(),
+                    zones: BTreeMap::new(),
+                    servers: 0,
+                    open: 0,
+                    told: 0.0,
+                    told_at: Time::default(),
+                    suspect: Time::default(),
+                };
+                let old = known.remove(name).unwrap_or_else(blank);
+                Owner { entry: entry.clone(), zones: BTreeMap::new(), servers: 0, ..old }
+            });
+            owner.servers += 1;
+            *owner.zones.entry(server.zone.clone()).or_default() += 1;
+        }
+        self.servers = owners;
+        let mine = |server: &&Replica| self.servers.get(&server.id) == Some(&self.own.name);
+        servers.iter().filter(mine).cloned().collect()
+    }
+
+    /// The owner of a server.
+    pub fn owner_of(&self, server: &ServerId) -> Option<&EntryAt> {
+        let name = self.servers.get(server)?;
+        self.owners.get(name).map(|owner| &owner.entry)
+    }
+
+    /// The owner that is expected to be done first with some pieces. `inputs`: bytes that each piece
+    /// fetches, by zone. `own`: fullness of this entry's own batcher.
+    pub fn choose(
+        &self,
+        now: Time,
+        pieces: usize,
+        inputs: &[(AvailabilityZone, u64)],
+        own: f64,
+    ) -> Option<&EntryAt> {
+        let trusted = self.owners.values().filter(|owner| owner.suspect <= now);
+        let delay = |owner: &&Owner| {
+            let far = |zone: &AvailabilityZone| !owner.zones.contains_key(zone);
+            let bytes: u64 = inputs.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
+            let cross = CROSS_DELAY.scale(bytes as f64 * pieces as f64 / 1e6);
+            let zone = if owner.entry.zone == self.own.zone { Span::ZERO } else { ZONE_DELAY };
+            self.delay(now, owner, pieces, own) + cross + zone
+        };
+        trusted
+            .min_by_key(delay)
+            .or_else(|| self.owners.values().min_by_key(delay))
+            .map(|owner| &owner.entry)
+    }
+
+    /// Predicted time until pieces that come now are done.
+    pub fn predict(&self, now: Time, pieces: usize, own: f64) -> Option<Span> {
+        let trusted = self.owners.values().filter(|owner| owner.suspect <= now);
+        trusted.map(|owner| self.delay(now, owner, pieces, own)).min()
+    }
+
+    /// Pieces were handed to an owner.
+    pub fn sent(&mut self, name: &str, pieces: usize) {
+        if let Some(owner) = self.owners.get_mut(name) {
+            owner.open += pieces;
+        }
+    }
+
+    /// An owner answered, and told its fullness, or did not answer.
+    pub fn ended(&mut self, now: Time, name: &str, pieces: usize, told: Option<f64>) {
+        let Some(owner) = self.owners.get_mut(name) else { return };
+        owner.open = owner.open.saturating_sub(pieces);
+        if let Some(told) = told {
+            owner.told = told;
+            owner.told_at = now;
+        }
+    }
+
+    /// An owner does not answer; its servers are as good as lost for a while.
+    pub fn suspect(&mut self, now: Time, name: &str) {
+        if let Some(owner) = self.owners.get_mut(name) {
+            owner.suspect = now + SUSPECT;
+        }
+    }
+
+    /// A round of calls lasts its call time and a part for the pieces; what comes now waits for half of
+    /// the round that is on its way and for all pieces ahead of it.
+    fn delay(&self, now: Time, owner: &Owner, pieces: usize, own: f64) -> Span {
+        let round = (owner.servers * self.spec.batch).max(1) as f64;
+        let ahead = if owner.entry.name == self.own.name {
+            own
+        } else {
+            let age = now.since(owner.told_at).as_secs_f64() / TOLD_MEMORY.as_secs_f64();
+            (owner.told * (-age).exp()).max(owner.open as f64 / round)
+        };
+        let rounds = 1.0 + ahead + pieces as f64 / round;
+        let fill = (ahead * self.spec.batch as f64 + pieces as f64).min(self.spec.batch as f64);
+        (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
+    }
+}
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -118,8 +118,11 @@
         Self { zone, engine, sites: BTreeMap::new(), usual: usual.0.max(1) as f64 }
     }
 
-    /// A server may be used; what was known of an earlier process with its id is forgotten.
+    /// A server may be used. What is known of it is kept, unless it was removed before.
     pub fn add(&mut self, replica: Replica) {
+        if self.sites.contains_key(&replica.id) {
+            return;
+        }
         let site = Site {
             open: 0,
             failures: 0.0,
--- /dev/null
+++ b/crates/direct/src/calls.rs
@@ -0,0 +1,343 @@
+//! The owner's side of stages: pieces of all entries, gathered into calls to the servers that it owns.
+
+use crate::http::HttpError;
+use crate::log::{Kind, Value};
+use crate::node::Node;
+use crate::peers::{GroupAnswer, GroupCall, Release};
+use crate::stages::{Made, Miss};
+use crate::wire::{Item, PieceEnd, Wire};
+use damaskweir_core::batch::{Batch, CallEnd, PieceId, Waiting};
+use damaskweir_core::fleet::Replica;
+use damaskweir_core::ids::{PoolId, ServerId};
+use damaskweir_core::owner::EntryAt;
+use damaskweir_core::time::{Span, Time};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
+
+/// Time for which results to give back are gathered. Their room is needed soon.
+const FREE_GATHER: Duration = Duration::from_millis(12);
+/// Time for an answer to giving results back.
+const FREE_WAIT: Duration = Duration::from_secs(1);
+
+/// Who waits for a piece.
+#[derive(Debug)]
+pub(crate) struct PieceWaiter {
+    item: Item,
+    deadline: Time,
+    sender: oneshot::Sender<Result<Made, Miss>>,
+}
+
+/// Results to give back.
+struct Frees {
+    /// Handles at servers that this entry owns.
+    own: Vec<(Replica, Vec<String>)>,
+    /// What other owners give back.
+    others: Vec<(EntryAt, Vec<Release>)>,
+}
+
+impl PieceWaiter {
+    /// The receiver is gone when the request has ended meanwhile.
+    pub(crate) fn miss(self, miss: Miss) {
+        drop(self.sender.send(Err(miss)));
+    }
+}
+
+/// Pieces of one group that wait or are worked on; forgotten when dropped.
+struct GroupGuard<W: Wire> {
+    node: Rc<Node<W>>,
+    pool: PoolId,
+    ids: Vec<PieceId>,
+}
+
+impl<W: Wire> Drop for GroupGuard<W> {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        for id in self.ids.drain(..) {
+            state.waiters.remove(&id);
+            if let Some(batcher) = state.batchers.get_mut(&self.pool) {
+                batcher.cancel(id);
+            }
+        }
+    }
+}
+
+impl<W: Wire> Node<W> {
+    /// Does a group with the servers that this entry owns.
+    pub(crate) async fn serve_group(self: &Rc<Self>, call: GroupCall) -> GroupAnswer {
+        let now = self.now();
+        let pool = call.pool.clone();
+        let mut guard = GroupGuard { node: self.clone(), pool: pool.clone(), ids: Vec::new() };
+        let mut receivers = Vec::with_capacity(call.items.len());
+        {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            let owned = state.batchers.get_mut(&pool).filter(|batcher| batcher.servers() > 0);
+            let Some(batcher) = owned else {
+                return GroupAnswer {
+                    ends: vec![Err(Miss::Moved); call.items.len()],
+                    fullness: 1.0,
+                };
+            };
+            let group = state.next_piece + 1;
+            for item in call.items {
+                state.next_piece += 1;
+                let id = PieceId(state.next_piece);
+                let (sender, receiver) = oneshot::channel();
+                receivers.push(receiver);
+                guard.ids.push(id);
+                let deadline = now + call.left;
+                state.waiters.insert(id, PieceWaiter { item, deadline, sender });
+                let (due, bytes) = (now + call.due, call.bytes);
+                batcher.push(Waiting { id, group, due, deadline, bytes, arrived: now });
+            }
+        }
+        self.pump(&pool);
+        let mut ends = Vec::with_capacity(receivers.len());
+        for receiver in receivers {
+            // A waiter that is dropped without an answer had its call lost.
+            ends.push(receiver.await.unwrap_or(Err(Miss::Failed)));
+        }
+        let now = self.now();
+        let state = self.state.borrow();
+        let fullness = state.batchers.get(&pool).map_or(0.0, |batcher| batcher.fullness(now));
+        GroupAnswer { ends, fullness }
+    }
+
+    /// Makes the calls of a pool that are due.
+    pub(crate) fn pump(self: &Rc<Self>, pool: &PoolId) {
+        let now = self.now();
+        loop {
+            let mut state = self.state.borrow_mut();
+            let Some(batcher) = state.batchers.get_mut(pool) else { return };
+            let expired = batcher.expired(now);
+            let batch = batcher.plan(now);
+            expired.iter().for_each(|id| state.miss(*id, Miss::Late));
+            drop(state);
+            let Some(batch) = batch else { break };
+            let (node, pool) = (self.clone(), pool.clone());
+            tokio::task::spawn_local(async move { node.call(now, &pool, batch).await });
+        }
+        let mut state = self.state.borrow_mut();
+        let wake = state.batchers.get(pool).and_then(|batcher| batcher.wake(now));
+        let Some(wake) = wake else { return };
+        let planned = state.wakes.get(pool).is_some_and(|at| *at > now && *at <= wake);
+        if !planned {
+            state.wakes.insert(pool.clone(), wake);
+            let (node, pool) = (self.clone(), pool.clone());
+            tokio::task::spawn_local(async move {
+                sleep_until(node.instant(wake)).await;
+                node.state.borrow_mut().wakes.remove(&pool);
+                node.pump(&pool);
+            });
+        }
+    }
+
+    /// Makes one call and hands out its results.
+    async fn call(self: Rc<Self>, sent: Time, pool: &PoolId, batch: Batch) {
+        let server = &batch.server;
+        let (items, wanted) = self.items(&batch);
+        let late = self.instant(batch.late);
+        let (end, ends) = match timeout_at(late, self.exchange(server, &items)).await {
+            Ok(Ok(ended)) => ended,
+            Ok(Err(error)) => {
+                let text = error.to_string();
+                let fields =
+                    [("server", server.id.as_str().into()), ("error", Value::from(text.as_str()))];
+                self.log.process(Kind::StageEnd, &fields);
+                (CallEnd::Failed, Vec::new())
+            }
+            Err(_) => (CallEnd::Late, Vec::new()),
+        };
+        let now = self.now();
+        self.note_call(server, &batch, end, &ends, now.since(sent));
+        for piece in &batch.pieces {
+            let position = wanted.iter().position(|id| *id == piece.id);
+            match position.and_then(|i| ends.get(i)) {
+                Some(PieceEnd::Made(handle)) => self.deliver(
+                    piece.id,
+                    Made {
+                        handle: handle.clone(),
+                        server: server.id.clone(),
+                        zone: server.zone.clone(),
+                        bytes: piece.bytes,
+                    },
+                ),
+                other => {
+                    let mut state = self.state.borrow_mut();
+                    if let Some(batcher) = state.batchers.get_mut(pool) {
+                        batcher.freed(&server.id, piece.bytes);
+                    }
+                    state.miss(piece.id, miss_of(end, other));
+                }
+            }
+        }
+        if let Some(batcher) = self.state.borrow_mut().batchers.get_mut(pool) {
+            batcher.ended(now, &server.id, batch.pieces.len(), end);
+        }
+        self.pump(pool);
+    }
+
+    /// Items of the pieces that are still wanted, and their ids.
+    fn items(&self, batch: &Batch) -> (Vec<Item>, Vec<PieceId>) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let mut items = Vec::with_capacity(batch.pieces.len());
+        let mut ids = Vec::with_capacity(batch.pieces.len());
+        for piece in &batch.pieces {
+            if let Some(waiter) = state.waiters.get(&piece.id) {
+                let left = waiter.deadline.since(now);
+                items.push(Item { left, ..waiter.item.clone() });
+                ids.push(piece.id);
+            }
+        }
+        (items, ids)
+    }
+
+    async fn exchange(
+        &self,
+        server: &Replica,
+        items: &[Item],
+    ) -> Result<(CallEnd, Vec<PieceEnd>), HttpError> {
+        if items.is_empty() {
+            return Ok((CallEnd::Done { roomy: true }, Vec::new()));
+        }
+        let mut conn = self.connection(server).await?;
+        conn.send(&self.wire.stage_call(server, items), &[]).await?;
+        let head = conn.head(|_| true).await?;
+        let body = conn.body().await?;
+        self.keep(&server.id, conn);
+        if head.status.is_success() {
+            let ends = self.wire.stage_ends(&body).filter(|ends| ends.len() == items.len());
+            let ends = ends.ok_or(HttpError::Malformed("bad results of a stage call"))?;
+            return Ok((CallEnd::Done { roomy: !ends.contains(&PieceEnd::Room) }, ends));
+        }
+        let skipped = self.wire.reply(&head).skipped;
+        Ok((if skipped { CallEnd::Full } else { CallEnd::Failed }, Vec::new()))
+    }
+
+    fn deliver(&self, id: PieceId, made: Made) {
+        let waiter = self.state.borrow_mut().waiters.remove(&id);
+        let unused = match waiter {
+            Some(waiter) => waiter.sender.send(Ok(made)).err(),
+            None => Some(Ok(made)),
+        };
+        if let Some(Ok(made)) = unused {
+            self.metrics.unused.add(1, &[]);
+            self.free(made);
+        }
+    }
+
+    fn note_call(
+        &self,
+        server: &Replica,
+        batch: &Batch,
+        end: CallEnd,
+        ends: &[PieceEnd],
+        took: Span,
+    ) {
+        let outcome = match end {
+            CallEnd::Done { .. } => "done",
+            CallEnd::Full => "full",
+            CallEnd::Failed => "failed",
+            CallEnd::Late => "late",
+        };
+        let count = |wanted: PieceEnd| ends.iter().filter(|end| **end == wanted).count() as u64;
+        let fields = [
+            ("server", server.id.as_str().into()),
+            ("pool", server.pool.as_str().into()),
+            ("no_room", count(PieceEnd::Room).into()),
+            ("inputs_gone", count(PieceEnd::Gone).into()),
+            ("pieces", (batch.pieces.len() as u64).into()),
+            ("took_ms", took.as_millis().into()),
+            ("outcome", outcome.into()),
+        ];
+        self.log.process(Kind::StageCall, &fields);
+        self.metrics.stage_call(server.pool.as_str(), outcome, took);
+    }
+
+    /// Gives a result back, sooner or later.
+    pub(crate) fn free(&self, made: Made) {
+        let Made { server, handle, bytes, .. } = made;
+        self.state.borrow_mut().frees.push(Release { server, handle, bytes });
+    }
+
+    /// Gives results back that other entries are done with.
+    pub(crate) fn take_releases(&self, releases: Vec<Release>) {
+        self.state.borrow_mut().frees.extend(releases);
+    }
+
+    /// Gives results back for as long as the process runs.
+    pub async fn free_results(self: Rc<Self>) {
+        loop {
+            sleep(FREE_GATHER).await;
+            let Frees { own, others } = self.sort_frees();
+            for (server, handles) in own {
+                let node = self.clone();
+                tokio::task::spawn_local(async move {
+                    let released = timeout(FREE_WAIT, node.release(&server, &handles)).await;
+                    node.note_release(server.id.as_str(), matches!(released, Ok(Ok(()))));
+                });
+            }
+            for (owner, releases) in others {
+                let node = self.clone();
+                tokio::task::spawn_local(async move {
+                    let released = node.release_through(&owner, &releases).await;
+                    node.note_release(&owner.name, released.is_ok());
+                });
+            }
+        }
+    }
+
+    /// Results to give back: to servers that this entry owns, and through other owners.
+    fn sort_frees(&self) -> Frees {
+        let mut state = self.state.borrow_mut();
+        let mut own = BTreeMap::<ServerId, (Replica, Vec<String>)>::new();
+        let mut others = BTreeMap::<EntryAt, Vec<Release>>::new();
+        for release in std::mem::take(&mut state.frees) {
+            // Results are gone with their server.
+            let Some(replica) = state.fleet.get(&release.server).cloned() else { continue };
+            let owner = state.owners.get(&replica.pool).and_then(|o| o.owner_of(&replica.id));
+            match owner.filter(|owner| owner.name != self.setup.entry.name) {
+                Some(owner) => others.entry(owner.clone()).or_default().push(release),
+                None => {
+                    if let Some(batcher) = state.batchers.get_mut(&replica.pool) {
+                        batcher.freed(&replica.id, release.bytes);
+                    }
+                    let handles = own.entry(replica.id.clone()).or_insert((replica, Vec::new()));
+                    handles.1.push(release.handle);
+                }
+            }
+        }
+        Frees { own: own.into_values().collect(), others: others.into_iter().collect() }
+    }
+
+    async fn release(&self, server: &Replica, handles: &[String]) -> Result<(), HttpError> {
+        let mut conn = self.connection(server).await?;
+        conn.send(&self.wire.release(server, handles), &[]).await?;
+        conn.head(|_| true).await?;
+        conn.body().await?;
+        self.keep(&server.id, conn);
+        Ok(())
+    }
+
+    /// Results that could not be given back are dropped by their maker after a while.
+    fn note_release(&self, peer: &str, released: bool) {
+        if !released {
+            let fields = [("peer", peer.into()), ("error", "results not given back".into())];
+            self.log.process(Kind::StageEnd, &fields);
+        }
+    }
+}
+
+fn miss_of(end: CallEnd, piece: Option<&PieceEnd>) -> Miss {
+    match (end, piece) {
+        (CallEnd::Done { .. }, Some(PieceEnd::Late)) => Miss::Late,
+        (CallEnd::Done { .. }, Some(PieceEnd::Gone)) => Miss::Gone,
+        (CallEnd::Done { .. }, Some(PieceEnd::Room)) => Miss::Room,
+        (CallEnd::Full, _) => Miss::Full,
+        _ => Miss::Failed,
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,7 +5,9 @@
 //! callers, backend servers and the store is behind the traits of [`wire`].
 
 mod body;
+mod calls;
 mod event;
+mod peers;
 mod request;
 mod stages;
 
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -1,16 +1,18 @@
 //! State of one entry that all its tasks share. Everything runs on one thread.
 
+use crate::calls::PieceWaiter;
 use crate::http::{Conn, HttpError};
 use crate::log::{Kind, Log};
 use crate::metrics::Metrics;
-use crate::stages::PieceWaiter;
+use crate::peers::Release;
+use crate::stages::Miss;
 use crate::wire::Wire;
 use damaskweir_core::Rng;
 use damaskweir_core::batch::{Batcher, PieceId};
 use damaskweir_core::catalog::{Catalog, Work};
 use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
-use damaskweir_core::home::EntryAt;
 use damaskweir_core::ids::{PoolId, ServerId};
+use damaskweir_core::owner::{EntryAt, Owners};
 use damaskweir_core::place::Placer;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
@@ -64,8 +66,12 @@
     pub budgets: BTreeMap<PoolId, WindowBudget>,
     /// Who waits for which piece.
     pub(crate) waiters: HashMap<PieceId, PieceWaiter>,
-    /// Results to give back, by server.
-    pub(crate) frees: BTreeMap<ServerId, Vec<(String, u64)>>,
+    /// Owners of servers by stage pool.
+    pub(crate) owners: BTreeMap<PoolId, Owners>,
+    /// Results to give back.
+    pub(crate) frees: Vec<Release>,
+    /// Idle connections to other entries, by address.
+    pub(crate) links: HashMap<String, Vec<Conn>>,
     /// When a pool's batcher will be asked again.
     pub(crate) wakes: BTreeMap<PoolId, Time>,
     pub(crate) next_piece: u64,
@@ -107,7 +113,9 @@
             batchers: BTreeMap::new(),
             budgets: BTreeMap::new(),
             waiters: HashMap::new(),
-            frees: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            frees: Vec::new(),
+            links: HashMap::new(),
             wakes: BTreeMap::new(),
             next_piece: 0,
             idle: HashMap::new(),
@@ -178,6 +186,7 @@
                 }
             }
         }
+        state.assign_owners(&self.setup);
     }
 
     /// Takes the list of all entries.
@@ -188,9 +197,9 @@
         if state.entries == entries {
             return;
         }
-        state.batchers.values_mut().for_each(|batcher| batcher.set_entries(&entries));
         self.log.process(Kind::Entries, &[("entries", (entries.len() as u64).into())]);
         state.entries = entries;
+        state.assign_owners(&self.setup);
     }
 
     /// Longest time that callers of a route have waited so far, this one included.
@@ -249,12 +258,6 @@
 
 impl State {
     fn adopt(&mut self, catalog: Catalog, setup: &Setup) {
-        for (id, pool) in &catalog.pools {
-            let Work::Pieces(spec) = pool.work else { continue };
-            if let Some(batcher) = self.batchers.get_mut(id) {
-                batcher.set_spec(spec);
-            }
-        }
         let named =
             |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
         self.waits.retain(|name, _| named(name));
@@ -263,6 +266,7 @@
         for replica in known {
             self.add(replica, setup);
         }
+        self.assign_owners(setup);
     }
 
     /// Adds a server to its pool, unless it is there.
@@ -274,17 +278,6 @@
         let budget =
             || WindowBudget::new(setup.repeat_ratio, setup.repeat_slack, setup.repeat_window);
         self.budgets.entry(replica.pool.clone()).or_insert_with(budget);
-        if let Work::Pieces(spec) = pool.work {
-            let entries = &self.entries;
-            let batcher = self.batchers.entry(replica.pool.clone()).or_insert_with(|| {
-                let mut batcher = Batcher::new(spec, setup.entry.clone());
-                if !entries.is_empty() {
-                    batcher.set_entries(entries);
-                }
-                batcher
-            });
-            batcher.add(replica.clone());
-        }
         let placer = self
             .placers
             .entry(replica.pool.clone())
@@ -295,8 +288,32 @@
     /// Gives a server no new work, and closes its idle connections.
     fn forget(&mut self, id: &ServerId) {
         self.placers.values_mut().for_each(|placer| placer.remove(id));
-        self.batchers.values_mut().for_each(|batcher| batcher.remove(id));
         self.idle.remove(id);
-        self.frees.remove(id);
+    }
+
+    /// Computes the owners of all stage pools again.
+    fn assign_owners(&mut self, setup: &Setup) {
+        let Some(catalog) = self.catalog.clone() else { return };
+        for (id, pool) in &catalog.pools {
+            let Work::Pieces(spec) = pool.work else { continue };
+            let usable = |replica: &&Replica| replica.pool == *id && !replica.leaving;
+            let servers: Vec<Replica> = self.fleet.replicas().filter(usable).cloned().collect();
+            let blank = || Owners::new(setup.entry.clone(), spec);
+            let owners = self.owners.entry(id.clone()).or_insert_with(blank);
+            owners.set_spec(spec);
+            let mine = owners.assign(id, &self.entries, &servers);
+            let batcher = self.batchers.entry(id.clone()).or_insert_with(|| Batcher::new(spec));
+            batcher.set_spec(spec);
+            batcher.set_servers(&mine);
+            let moved = if mine.is_empty() { batcher.drain() } else { Vec::new() };
+            moved.into_iter().for_each(|piece| self.miss(piece, Miss::Moved));
+        }
+    }
+
+    /// Tells who waits for a piece that there is no result. Nobody may wait any more.
+    pub(crate) fn miss(&mut self, id: PieceId, miss: Miss) {
+        if let Some(waiter) = self.waiters.remove(&id) {
+            waiter.miss(miss);
+        }
     }
 }
--- /dev/null
+++ b/crates/direct/src/peers.rs
@@ -0,0 +1,134 @@
+//! What entries say to each other about pieces: groups handed to the owner of a server, and results that
+//! are given back.
+
+use crate::http::{Conn, HttpError};
+use crate::node::Node;
+use crate::stages::{Made, Miss};
+use crate::wire::{Item, Wire};
+use damaskweir_core::ids::{PoolId, ServerId};
+use damaskweir_core::owner::EntryAt;
+use damaskweir_core::time::Span;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time to open a connection to another entry.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time beyond that of two rounds of calls in which an owner must answer.
+const OWNER_MORE: Span = Span::from_millis(400);
+/// Rounds of calls that an owner may take.
+const OWNER_ROUNDS: f64 = 3.0;
+/// Time for an answer to results given back.
+const RELEASE_WAIT: Duration = Duration::from_millis(700);
+/// Idle connections kept to one entry.
+const IDLE_MAX: usize = 16;
+
+/// Pieces of one stage of one request. Times count from the moment of sending.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct GroupCall {
+    pub(crate) pool: PoolId,
+    pub(crate) items: Vec<Item>,
+    /// When it is due for an answer within the objective.
+    pub(crate) due: Span,
+    /// When it is of no use any more.
+    pub(crate) left: Span,
+    /// Size of each result.
+    pub(crate) bytes: u64,
+}
+
+/// What came of a group, in the order of its items.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct GroupAnswer {
+    pub(crate) ends: Vec<Result<Made, Miss>>,
+    /// How full the owner's batcher is.
+    pub(crate) fullness: f64,
+}
+
+/// A result to give back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Release {
+    pub(crate) server: ServerId,
+    pub(crate) handle: String,
+    pub(crate) bytes: u64,
+}
+
+impl<W: Wire> Node<W> {
+    /// Has a group done by another entry.
+    pub(crate) async fn ask_owner(
+        &self,
+        owner: &EntryAt,
+        call: &GroupCall,
+    ) -> Result<GroupAnswer, HttpError> {
+        let round = {
+            let state = self.state.borrow();
+            let owners = state.owners.get(&call.pool);
+            let predicted = owners.and_then(|o| o.predict(self.now(), call.items.len(), 0.0));
+            predicted.unwrap_or(call.left)
+        };
+        let within = Span((round.scale(OWNER_ROUNDS) + OWNER_MORE).0.min(call.left.0));
+        self.ask_entry(owner, "/pieces", call, within.into()).await
+    }
+
+    /// Gives results back through the owner of their server.
+    pub(crate) async fn release_through(
+        &self,
+        owner: &EntryAt,
+        releases: &[Release],
+    ) -> Result<(), HttpError> {
+        self.ask_entry(owner, "/release", releases, RELEASE_WAIT).await
+    }
+
+    async fn ask_entry<Q, A>(
+        &self,
+        entry: &EntryAt,
+        path: &str,
+        question: &Q,
+        within: Duration,
+    ) -> Result<A, HttpError>
+    where
+        Q: Serialize + ?Sized,
+        A: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(question).map_err(|_| HttpError::Malformed("question"))?;
+        let exchange = async {
+            let mut conn = self.entry_connection(entry).await?;
+            let head = format!(
+                "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n",
+                entry.address,
+                body.len()
+            );
+            conn.send(head.as_bytes(), &body).await?;
+            let head = conn.head(|_| true).await?;
+            let answer = conn.body().await?;
+            self.keep_entry(entry, conn);
+            if !head.status.is_success() {
+                return Err(HttpError::Malformed("refusal of another entry"));
+            }
+            serde_json::from_slice(&answer).map_err(|_| HttpError::Malformed("bad answer"))
+        };
+        timeout(within, exchange).await.map_err(|_| HttpError::Late)?
+    }
+
+    async fn entry_connection(&self, entry: &EntryAt) -> Result<Conn, HttpError> {
+        loop {
+            let kept = self.state.borrow_mut().links.get_mut(&entry.address).and_then(Vec::pop);
+            let Some(mut conn) = kept else { break };
+            if conn.usable() {
+                return Ok(conn);
+            }
+        }
+        let address: SocketAddr =
+            entry.address.parse().map_err(|_| HttpError::Malformed("bad address of an entry"))?;
+        Conn::connect(address, CONNECT).await
+    }
+
+    fn keep_entry(&self, entry: &EntryAt, mut conn: Conn) {
+        let mut state = self.state.borrow_mut();
+        let idle = state.links.entry(entry.address.clone()).or_default();
+        if idle.len() < IDLE_MAX && conn.usable() {
+            idle.push(conn);
+        }
+    }
+}
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -16,6 +16,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -37,6 +39,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// When to come back if no configuration is known yet.
 const STARTING_RETRY: Span = Span::from_millis(500);
+/// Bytes of a question of another entry.
+const QUESTION_MAX: usize = 1024 * 1024;
 /// Pause after a failed accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -70,7 +74,7 @@
 pub async fn serve_admin<W: Wire>(node: Rc<Node<W>>, listener: TcpListener) {
     let handler = move |request: Request<Incoming>| {
         let node = node.clone();
-        async move { admin(&node, &request) }
+        async move { admin(&node, request).await }
     };
     accept(&listener, handler).await;
 }
@@ -201,15 +205,23 @@
     Some((Some(caller.workspace.clone()), caller.rank.unwrap_or(route.rank)))
 }
 
-fn admin<W: Wire>(node: &Rc<Node<W>>, request: &Request<Incoming>) -> Response<Body> {
+async fn admin<W: Wire>(node: &Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         "/snapshot" => {
             let known = request.uri().query().and_then(|query| query.parse().ok()).unwrap_or(0);
-            match serde_json::to_vec(&Snapshot::of(node, known)) {
-                Ok(bytes) => plain(StatusCode::OK, Bytes::from(bytes)),
-                Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
-            }
+            json(&Snapshot::of(node, known))
         }
+        "/pieces" => match question(request).await {
+            Some(call) => json(&node.serve_group(call).await),
+            None => plain(StatusCode::BAD_REQUEST, Bytes::new()),
+        },
+        "/release" => match question(request).await {
+            Some(releases) => {
+                node.take_releases(releases);
+                json(&())
+            }
+            None => plain(StatusCode::BAD_REQUEST, Bytes::new()),
+        },
         "/metrics" => match node.metrics.text() {
             Ok(text) => plain(StatusCode::OK, Bytes::from(text)),
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
@@ -218,6 +230,19 @@
     }
 }
 
+/// What another entry asks. `None`: it can't be read.
+async fn question<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = Limited::new(request.into_body(), QUESTION_MAX).collect().await.ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
+
+fn json<T: Serialize>(answer: &T) -> Response<Body> {
+    match serde_json::to_vec(answer) {
+        Ok(bytes) => plain(StatusCode::OK, Bytes::from(bytes)),
+        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    }
+}
+
 fn plain(status: StatusCode, bytes: Bytes) -> Response<Body> {
     let mut response = Response::new(Body::full(bytes));
     *response.status_mut() = status;
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -7,7 +7,7 @@
 use crate::wire::{Source, SourceError, SourceFault, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Listing;
-use damaskweir_core::home::EntryAt;
+use damaskweir_core::owner::EntryAt;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -2,14 +2,14 @@
 //! the list of servers come from.
 
 use crate::http::Head;
-use damaskweir_core::batch::Load;
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::{Listing, Replica};
-use damaskweir_core::home::EntryAt;
+use damaskweir_core::owner::EntryAt;
 use damaskweir_core::place::Part;
 use damaskweir_core::time::Span;
 use http::StatusCode;
 use http::request::Parts;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::future::Future;
 
@@ -67,12 +67,10 @@
     pub signed: bool,
     /// The server states that it has not run the request and never will.
     pub skipped: bool,
-    /// Load of the server.
-    pub load: Option<Load>,
 }
 
 /// One piece of a call to a stage's server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Item {
     /// Id of the request.
     pub id: String,
@@ -87,7 +85,8 @@
 }
 
 /// What a piece works on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Input {
     /// The request's own data, under this key.
     Key(String),
@@ -124,10 +123,6 @@
     fn passes(&self, name: &str) -> bool;
     /// A whole call to a stage's server.
     fn stage_call(&self, server: &Replica, items: &[Item]) -> Vec<u8>;
-    /// A whole question for a server's load.
-    fn load_call(&self, server: &Replica) -> Vec<u8>;
-    /// The load that a stage's server tells.
-    fn load(&self, body: &[u8]) -> Option<Load>;
     /// Results of a call, in the order of its items.
     fn stage_ends(&self, body: &[u8]) -> Option<Vec<PieceEnd>>;
     /// A whole call that gives results back.
