Make results in the zone of the engine that a prompt is best sent to

Cause: results lay where stages had room, so that prompts went to engines that did not hold their shared part. Change: the last stage prefers the zone of the engine that the prompt's hash names; final lines tell the first event and the longest pause.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -55,6 +55,8 @@
         pub timeout: Span,
         /// Time within which an answer, or the first event of a stream, counts in full.
         pub objective: Span,
+        /// Longest pause between events of a stream that counts in full.
+        pub pause: Span,
         /// Rank against other routes; 0 is most urgent.
         pub rank: u8,
         /// Pools by weight; at least one.
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -134,19 +134,19 @@
         self.owners.get(name).map(|owner| &owner.entry)
     }
 
-    /// The owner that is expected to be done first with some pieces. `inputs`: bytes that each piece
-    /// fetches, by zone. `own`: fullness of this entry's own batcher.
+    /// The owner that is expected to be done first with some pieces. `near`: bytes that each piece
+    /// exchanges with a zone. `own`: fullness of this entry's own batcher.
     pub fn choose(
         &self,
         now: Time,
         pieces: usize,
-        inputs: &[(AvailabilityZone, u64)],
+        near: &[(AvailabilityZone, u64)],
         own: f64,
     ) -> Option<&EntryAt> {
         let trusted = self.owners.values().filter(|owner| owner.suspect <= now);
         let delay = |owner: &&Owner| {
             let far = |zone: &AvailabilityZone| !owner.zones.contains_key(zone);
-            let bytes: u64 = inputs.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
+            let bytes: u64 = near.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
             let cross = CROSS_DELAY.scale(bytes as f64 * pieces as f64 / 1e6);
             let zone = if owner.entry.zone == self.own.zone { Span::ZERO } else { ZONE_DELAY };
             self.delay(now, owner, pieces, own) + cross + zone
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -22,8 +22,6 @@
 /// Delay by which 1 MB of results that cross availability zones counts. At 7 ms, about what the price of
 /// the bytes says, three GB crossed in half a minute and no fewer prompts were read again.
 const CROSS_DELAY: Span = Span::from_millis(40);
-/// Results below this size may cross availability zones, in bytes.
-const CROSS_MIN: u64 = 100_000;
 /// Part of a shared prompt that the server chosen by its hash is expected to hold, because another entry
 /// has sent it there.
 const HASH_KEPT: f64 = 0.5;
@@ -170,7 +168,7 @@
             !need.avoid.contains(&site.replica.id) && (need.most == 0 || site.open < need.most)
         };
         let rested = |site: &&Site| site.paused <= now;
-        let hashed = self.hashed(now, need);
+        let hashed = self.hashed(now, need.parts);
         let best = |sites: &mut dyn Iterator<Item = &Site>, rng: &mut Rng| {
             sites
                 .map(|site| {
@@ -186,6 +184,12 @@
         self.sites.get(&id).map(|site| &site.replica)
     }
 
+    /// Availability zone of the server that a prompt is best sent to.
+    pub fn zone_for(&self, now: Time, parts: &[Part]) -> Option<&AvailabilityZone> {
+        let id = self.hashed(now, parts)?;
+        self.sites.get(id).map(|site| &site.replica.zone)
+    }
+
     /// Tokens of a prompt that a server has to read.
     pub fn unread(&self, now: Time, id: &ServerId, parts: &[Part]) -> u64 {
         self.sites.get(id).map_or(0, |site| site.unread(now, parts))
@@ -239,17 +243,8 @@
     }
 
     /// The server to which all entries send prompts with the same shared part: the one with the highest
-    /// hash of both, so that a server that comes or goes moves only its own prompts. A request with results
-    /// to fetch has one in the availability zone of most of them.
-    fn hashed(&self, now: Time, need: &Need<'_>) -> Option<&ServerId> {
-        let parts = need.parts;
-        let zone = need.results.iter().max_by_key(|(zone, bytes)| {
-            let all = need.results.iter().filter(|(z, _)| z == zone).map(|(_, b)| b).sum::<u64>();
-            (all, *bytes)
-        });
-        let near = |site: &&Site| {
-            zone.is_none_or(|(zone, bytes)| *bytes < CROSS_MIN || site.replica.zone == *zone)
-        };
+    /// hash of both, so that a server that comes or goes moves only its own prompts.
+    fn hashed(&self, now: Time, parts: &[Part]) -> Option<&ServerId> {
         // The last part belongs to the request alone.
         let shared = parts.len().checked_sub(2).and_then(|i| parts.get(i))?;
         let rank = |id: &ServerId| {
@@ -258,7 +253,7 @@
             xxh3_64(&bytes)
         };
         let rested = self.sites.values().filter(|site| site.paused <= now);
-        rested.filter(near).map(|site| &site.replica.id).max_by_key(|id| rank(id))
+        rested.map(|site| &site.replica.id).max_by_key(|id| rank(id))
     }
 
     fn delay(&self, now: Time, site: &Site, need: &Need<'_>, preferred: bool) -> u64 {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -11,7 +11,7 @@
 use damaskweir_core::catalog::{Repeat, Route, Work};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::forecast::{Arrival, Decision, decide};
-use damaskweir_core::ids::{PoolId, ServerId, WorkspaceId};
+use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId, WorkspaceId};
 use damaskweir_core::place::{Ending, Need};
 use damaskweir_core::time::{Span, Time};
 use http::request::Parts;
@@ -76,6 +76,7 @@
     ran: Vec<ServerId>,
     /// Servers that it was sent to.
     sent: Vec<ServerId>,
+    timing: Timing,
     ended: bool,
 }
 
@@ -108,6 +109,15 @@
     last: Option<u64>,
 }
 
+/// Times of a stream, for its final line.
+#[derive(Default)]
+struct Timing {
+    first: Span,
+    latest: Time,
+    /// Longest pause between events.
+    pause: Span,
+}
+
 /// An answer with its stream, if it has one.
 pub(crate) struct Stream<W: Wire> {
     run: Run<W>,
@@ -177,6 +187,7 @@
             deadline,
             ran,
             sent,
+            timing: Timing::default(),
             ended: false,
         })
     }
@@ -272,6 +283,7 @@
             key: &key,
             due: self.arrived + self.route.objective - usual,
             deadline: self.deadline - usual,
+            toward: self.toward(),
         };
         let done = self.node.prepare(&job).await;
         done.map(Some).map_err(|fault: StageFault| match self.ran.is_empty() {
@@ -280,6 +292,13 @@
         })
     }
 
+    /// Zone of the server that the prompt is best sent to.
+    fn toward(&self) -> Option<AvailabilityZone> {
+        let now = self.node.now();
+        let state = self.node.state.borrow();
+        state.placers.get(&self.pool)?.zone_for(now, &self.ask.parts).cloned()
+    }
+
     fn usual(&self) -> Span {
         let state = self.node.state.borrow();
         state.placers.get(&self.pool).map_or(Span::ZERO, |placer| placer.usual())
@@ -572,6 +591,18 @@
         }
     }
 
+    /// Notes the time of events that are passed on.
+    fn note_events(&mut self) {
+        let now = self.node.now();
+        let timing = &mut self.timing;
+        if timing.latest == Time::default() {
+            timing.first = now.since(self.arrived);
+        } else {
+            timing.pause = timing.pause.max(now.since(timing.latest));
+        }
+        timing.latest = now;
+    }
+
     /// Writes the one final line of the request.
     fn note_end(&mut self, kind: Kind, outcome: &'static str, cause: &'static str) {
         if std::mem::replace(&mut self.ended, true) {
@@ -579,12 +610,15 @@
         }
         let now = self.node.now();
         let took = now.since(self.arrived);
-        let late = took > self.route.objective && !self.route.repeat.streams();
+        let first = if self.route.repeat.streams() { self.timing.first } else { took };
+        let late = first > self.route.objective || self.timing.pause > self.route.pause;
         let fields = [
             ("route", Value::from(self.route.name.as_str())),
             ("outcome", outcome.into()),
             ("cause", cause.into()),
             ("took_ms", took.as_millis().into()),
+            ("first_ms", first.as_millis().into()),
+            ("pause_ms", self.timing.pause.as_millis().into()),
             ("objective_ms", self.route.objective.as_millis().into()),
             ("late", u64::from(late).into()),
             ("sends", (self.sent.len() as u64).into()),
@@ -635,6 +669,7 @@
                 }
             }
             if !out.is_empty() {
+                self.run.note_events();
                 return Ok(Some(out.freeze()));
             }
             let Some(conn) = &mut self.rest.conn else { return Ok(None) };
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -124,6 +124,8 @@
     /// When the first part of the answer is due.
     pub(crate) due: Time,
     pub(crate) deadline: Time,
+    /// Availability zone in which the results of the last stages are best needed.
+    pub(crate) toward: Option<AvailabilityZone>,
 }
 
 /// Progress of one request through its stages.
@@ -249,7 +251,7 @@
         let node = self.node;
         let now = node.now();
         let stage = &self.job.route.stages[group[0].stage];
-        let inputs = self.inputs(group[0].stage);
+        let near = self.near(group[0].stage);
         let owner = {
             let mut state = node.state.borrow_mut();
             let state = &mut *state;
@@ -259,7 +261,7 @@
             }
             let own = state.batchers.get(&stage.pool).map_or(0.0, |b| b.fullness(now));
             let owners = state.owners.get_mut(&stage.pool).ok_or(StageFault::Away)?;
-            let chosen = owners.choose(now, group.len(), &inputs, own).cloned();
+            let chosen = owners.choose(now, group.len(), &near, own).cloned();
             let chosen = chosen.ok_or(StageFault::Away)?;
             owners.sent(&chosen.name, group.len());
             chosen
@@ -291,10 +293,16 @@
         Item { id: self.job.id.to_owned(), stage: at.stage, piece: at.piece, left, source }
     }
 
-    /// Bytes that each piece of a stage fetches, by availability zone.
-    fn inputs(&self, stage: usize) -> Vec<(AvailabilityZone, u64)> {
+    /// Bytes that each piece of a stage fetches or sends on, by availability zone.
+    fn near(&self, stage: usize) -> Vec<(AvailabilityZone, u64)> {
         let inputs = self.graph.inputs(stage);
-        inputs.iter().map(|made| (made.zone.clone(), made.bytes)).collect()
+        let mut near: Vec<_> =
+            inputs.iter().map(|made| (made.zone.clone(), made.bytes)).collect();
+        let stages = &self.job.route.stages;
+        if !stages.iter().any(|later| later.after.contains(&stage)) {
+            near.extend(self.job.toward.clone().map(|zone| (zone, stages[stage].bytes)));
+        }
+        near
     }
 }
 
