--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -32,6 +32,8 @@
 const ROOM_PART: f64 = 0.95;
 /// One place in this many of a batch is kept for late pieces.
 const LATE_PART: usize = 6;
+/// Weight of a new call in the usual size of calls.
+const USUAL_WEIGHT: f64 = 0.2;
 /// Growth of the believed size of results after one found no room, the most of it, and the step back
 /// after each call for which there was room.
 const SWELL: (f64, f64, f64) = (1.1, 2.0, 0.99);
@@ -111,12 +113,14 @@
     waiting: Vec<Waiting>,
     /// Size of results as a multiple of the stated one, since sizes are stated approximately.
     swell: f64,
+    /// Pieces that a call takes while more wait; fewer than the limit if room is short.
+    usual: f64,
 }
 
 impl Batcher {
     /// A pool without servers.
     pub fn new(spec: PieceSpec) -> Self {
-        Self { spec, makers: BTreeMap::new(), waiting: Vec::new(), swell: 1.0 }
+        Self { spec, makers: BTreeMap::new(), waiting: Vec::new(), swell: 1.0, usual: spec.batch as f64 }
     }
 
     /// Takes new limits.
@@ -241,7 +245,7 @@
     pub fn fullness(&self, now: Time) -> f64 {
         let usable = self.makers.values().filter(|m| m.paused <= now).count();
         let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
-        let round = (usable * self.spec.batch).max(1) as f64;
+        let round = (usable as f64 * self.usual).max(1.0);
         self.waiting.len() as f64 / round + busy as f64 * 0.5 / usable.max(1) as f64
     }
 
@@ -279,6 +283,8 @@
         }
         let chosen: BTreeSet<PieceId> = pieces.iter().map(|piece| piece.id).collect();
         self.waiting.retain(|piece| !chosen.contains(&piece.id));
+        let full = if self.waiting.is_empty() { self.spec.batch } else { pieces.len() };
+        self.usual += (full as f64 - self.usual) * USUAL_WEIGHT;
         let work = self.work(pieces.len());
         let maker = self.makers.get_mut(id)?;
         let expected = work.scale(maker.paced_at(now).max(1.0));
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -11,6 +11,8 @@
 const OBJECTIVE_PART: f64 = 1.0;
 /// Part of the time until the deadline that the request of a returning caller may be predicted to take.
 const DEADLINE_PART: f64 = 0.6;
+/// The same as a part of the objective: results of earlier stages are kept for a few seconds only.
+const RETURN_PART: f64 = 1.6;
 /// A caller whose deadline is shorter than the longest of its route by more than this has come back.
 const RETURN_SLACK: Span = Span::from_millis(60);
 /// Shortest and longest hint when to come back.
@@ -77,12 +79,13 @@
 pub fn decide(arrival: &Arrival) -> Decision {
     let returns = arrival.returns();
     let by_deadline = arrival.left.scale(DEADLINE_PART);
-    let by_objective = arrival.objective.scale(OBJECTIVE_PART);
-    let allowed = if returns { by_deadline } else { Span(by_objective.0.min(by_deadline.0)) };
+    let part = if returns { RETURN_PART } else { OBJECTIVE_PART };
+    let allowed = Span(arrival.objective.scale(part).0.min(by_deadline.0));
     if arrival.whole <= allowed {
         return Decision::Take;
     }
     // Later, the caller will be served if its deadline can be met.
-    let over = arrival.whole.saturating_sub(by_deadline);
+    let promised = Span(arrival.objective.scale(RETURN_PART).0.min(by_deadline.0));
+    let over = arrival.whole.saturating_sub(promised);
     Decision::Refuse(Span(over.0.clamp(HINTS.0.0, HINTS.1.0)))
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -89,6 +89,8 @@
 struct Site {
     replica: Replica,
     open: u32,
+    /// Prompt tokens of requests from here that have not got the first part of their answer.
+    reading: u64,
     /// Share of its requests that failed lately, when `failed` was set.
     failures: f64,
     failed: Time,
@@ -123,6 +125,7 @@
         }
         let site = Site {
             open: 0,
+            reading: 0,
             failures: 0.0,
             failed: Time::default(),
             pace: 1.0,
@@ -195,20 +198,25 @@
         self.sites.get(id).map_or(0, |site| site.unread(now, parts))
     }
 
-    /// A request was sent.
-    pub fn sent(&mut self, now: Time, id: &ServerId, parts: &[Part]) {
-        let Some(site) = self.sites.get_mut(id) else { return };
+    /// A request was sent. Tells the prompt tokens that the server has to read, which `answered` and
+    /// `ended` take back.
+    pub fn sent(&mut self, now: Time, id: &ServerId, parts: &[Part]) -> u64 {
+        let Some(site) = self.sites.get_mut(id) else { return 0 };
+        let unread = site.unread(now, parts);
         site.open += 1;
+        site.reading += unread;
         if site.parts.len() > PARTS_MAX {
             site.parts.retain(|_, at| now.since(*at) < PART_MEMORY);
         }
         site.parts.extend(parts.iter().map(|part| (part.id, now)));
+        unread
     }
 
     /// The first part of an answer came after `first`.
-    pub fn answered(&mut self, now: Time, id: &ServerId, first: Span) {
+    pub fn answered(&mut self, now: Time, id: &ServerId, unread: u64, first: Span) {
         let usual = self.usual;
         let Some(site) = self.sites.get_mut(id) else { return };
+        site.reading = site.reading.saturating_sub(unread);
         let seen = first.0 as f64;
         self.usual += (seen.min(usual * 4.0) - usual) * PACE_WEIGHT / 4.0;
         let ratio = (seen / usual).clamp(0.2, 20.0);
@@ -219,9 +227,18 @@
         site.paused = Time::default();
     }
 
-    /// A request ended. `parts`: its prompt, which the server may not have read.
-    pub fn ended(&mut self, now: Time, id: &ServerId, parts: &[Part], ending: Ending) {
+    /// A request ended. `parts`: its prompt, which the server may not have read; `unread`: what was not
+    /// taken back yet.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        id: &ServerId,
+        parts: &[Part],
+        unread: u64,
+        ending: Ending,
+    ) {
         let Some(site) = self.sites.get_mut(id) else { return };
+        site.reading = site.reading.saturating_sub(unread);
         site.open = site.open.saturating_sub(1);
         match ending {
             Ending::Whole => {}
@@ -262,7 +279,8 @@
             let unread = site.unread(now, need.parts);
             let own = need.parts.last().map_or(0, |part| u64::from(part.tokens));
             let kept = if preferred { unread.saturating_sub(own) as f64 * HASH_KEPT } else { 0.0 };
-            let reading = (unread as f64 - kept) * 1_000.0 / READ_RATE as f64;
+            // Prompts are read one after another, and stall the streams of their server.
+            let reading = (unread as f64 - kept + site.reading as f64) * 1_000.0 / READ_RATE as f64;
             reading + (CROWD_DELAY * u64::from(site.open)).0 as f64 + self.usual * 0.2
         } else {
             let busy = f64::from(site.open) / f64::from(site.replica.slots.max(1));
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -130,15 +130,18 @@
     pool: PoolId,
     server: ServerId,
     parts: Vec<damaskweir_core::place::Part>,
+    /// Prompt tokens that the server has still to read.
+    unread: u64,
     done: bool,
 }
 
 impl<W: Wire> OpenGuard<W> {
-    fn answered(&self, first: Span) {
+    fn answered(&mut self, first: Span) {
         let now = self.node.now();
+        let unread = std::mem::take(&mut self.unread);
         let mut state = self.node.state.borrow_mut();
         if let Some(placer) = state.placers.get_mut(&self.pool) {
-            placer.answered(now, &self.server, first);
+            placer.answered(now, &self.server, unread, first);
         }
     }
 
@@ -147,7 +150,7 @@
             let now = self.node.now();
             let mut state = self.node.state.borrow_mut();
             if let Some(placer) = state.placers.get_mut(&self.pool) {
-                placer.ended(now, &self.server, &self.parts, ending);
+                placer.ended(now, &self.server, &self.parts, self.unread, ending);
             }
         }
     }
@@ -371,17 +374,17 @@
         let node = self.node.clone();
         let began = node.now();
         self.sent.push(server.id.clone());
-        {
+        let unread = {
             let mut state = node.state.borrow_mut();
-            if let Some(placer) = state.placers.get_mut(&self.pool) {
-                placer.sent(began, &server.id, &self.ask.parts);
-            }
-        }
+            let placer = state.placers.get_mut(&self.pool);
+            placer.map_or(0, |placer| placer.sent(began, &server.id, &self.ask.parts))
+        };
         let mut guard = OpenGuard {
             node: node.clone(),
             pool: self.pool.clone(),
             server: server.id.clone(),
             parts: self.ask.parts.clone(),
+            unread,
             done: false,
         };
         let mut conn = match node.connection(server).await {
