Refuse what comes on kept connections late in a drain

Change: 2.6 s after SIGTERM a stream is refused at once as not run; a plain call while 2 s are left.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -120,7 +120,13 @@
 impl Batcher {
     /// A pool without servers.
     pub fn new(spec: PieceSpec) -> Self {
-        Self { spec, makers: BTreeMap::new(), waiting: Vec::new(), swell: 1.0, usual: spec.batch as f64 }
+        Self {
+            spec,
+            makers: BTreeMap::new(),
+            waiting: Vec::new(),
+            swell: 1.0,
+            usual: spec.batch as f64,
+        }
     }
 
     /// Takes new limits.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -229,14 +229,7 @@
 
     /// A request ended. `parts`: its prompt, which the server may not have read; `unread`: what was not
     /// taken back yet.
-    pub fn ended(
-        &mut self,
-        now: Time,
-        id: &ServerId,
-        parts: &[Part],
-        unread: u64,
-        ending: Ending,
-    ) {
+    pub fn ended(&mut self, now: Time, id: &ServerId, parts: &[Part], unread: u64, ending: Ending) {
         let Some(site) = self.sites.get_mut(id) else { return };
         site.reading = site.reading.saturating_sub(unread);
         site.open = site.open.saturating_sub(1);
--- a/crates/damaskweir/src/platform.rs
+++ b/crates/damaskweir/src/platform.rs
@@ -4,7 +4,7 @@
 use damaskweir_core::time::Span;
 use damaskweir_direct::log::{Kind, Log};
 use damaskweir_direct::metrics::{Metrics, MetricsError};
-use damaskweir_direct::node::Node;
+use damaskweir_direct::node::{LEAVING, Node};
 use damaskweir_direct::serve::{listen, serve_admin, serve_callers, serve_readiness};
 use damaskweir_direct::sync::Sync;
 use damaskweir_platform::{Headers, Settings, Store};
@@ -18,9 +18,6 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Time after SIGTERM in which callers may still be sent here: the platform asks for readiness once a
-/// second and goes by two answers.
-const LEAVING: Duration = Duration::from_millis(2_600);
 /// Kept of the grace time for the end of the process.
 const GRACE_REST: Span = Span::from_millis(400);
 /// Time between two looks at the requests in progress.
@@ -131,7 +128,7 @@
     let end = began + Duration::from(node.setup.grace.saturating_sub(GRACE_REST));
     let active = {
         let mut state = node.state.borrow_mut();
-        state.draining = true;
+        state.draining = Some(node.now());
         state.active as u64
     };
     node.log.process(Kind::Draining, &[("active", active.into())]);
@@ -142,7 +139,7 @@
     }
     while Instant::now() < end {
         let idle = node.state.borrow().active == 0;
-        if idle && began.elapsed() >= LEAVING {
+        if idle && began.elapsed() >= Duration::from(LEAVING) {
             break;
         }
         sleep(DRAIN_PACE).await;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -25,6 +25,13 @@
 /// Time to open a connection. Zones are a few milliseconds apart; a lost packet is sent again after
 /// about a second, which is longer than another server takes.
 const CONNECT: Duration = Duration::from_millis(400);
+/// Time after SIGTERM in which callers may still be sent here: the platform asks for readiness once a
+/// second and goes by two answers.
+pub const LEAVING: Span = Span::from_millis(2_600);
+/// Time that must be left of the grace time for a stream that begins.
+const LEAVING_STREAMS: Span = Span::from_secs(60);
+/// The same for a plain call.
+const LEAVING_CALLS: Span = Span::from_secs(2);
 /// Idle connections kept for one server.
 const IDLE_MAX: usize = 64;
 /// Entries to share budgets with while their list is not known.
@@ -78,8 +85,8 @@
     idle: HashMap<ServerId, Vec<Conn>>,
     /// Longest time that callers of a route wait, by the route's name.
     waits: HashMap<String, Span>,
-    /// Takes no new connections.
-    pub draining: bool,
+    /// When the process was told to stop.
+    pub draining: Option<Time>,
     /// Requests in progress.
     pub active: usize,
     /// Random numbers for choices.
@@ -120,7 +127,7 @@
             next_piece: 0,
             idle: HashMap::new(),
             waits: HashMap::new(),
-            draining: false,
+            draining: None,
             active: 0,
             rng,
         };
@@ -140,7 +147,18 @@
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
-        state.catalog.is_some() && !state.draining && state.fleet.replicas().next().is_some()
+        state.catalog.is_some()
+            && state.draining.is_none()
+            && state.fleet.replicas().next().is_some()
+    }
+
+    /// Whether the process ends too soon for a request that comes now. Callers are sent elsewhere by
+    /// then; what still comes uses a kept connection.
+    pub(crate) fn ends_before(&self, streams: bool) -> bool {
+        let Some(since) = self.state.borrow().draining else { return false };
+        let passed = self.now().since(since);
+        let least = if streams { LEAVING_STREAMS } else { LEAVING_CALLS };
+        passed > LEAVING && passed + least > self.setup.grace
     }
 
     /// Puts a configuration in force if it is newer.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -36,6 +36,8 @@
 const WORTH_SENDING: Span = Span::from_millis(40);
 /// When to come back if no server may be used.
 const AWAY_RETRY: Span = Span::from_millis(500);
+/// When to come back if this entry ends; another one takes the request.
+const MOVED_RETRY: Span = Span::from_millis(50);
 /// When to come back if all servers are full.
 const FULL_RETRY: Span = Span::from_millis(250);
 /// Bytes of an answer that are collected before any is passed on.
@@ -238,6 +240,9 @@
     fn admit(&self) -> Result<(), Refusal> {
         let node = &self.node;
         let now = node.now();
+        if node.ends_before(self.route.repeat.streams()) {
+            return Err(Refusal::NotRun { cause: "draining", retry: MOVED_RETRY });
+        }
         let known = {
             let mut state = node.state.borrow_mut();
             if let Some(budget) = state.budgets.get_mut(&self.pool) {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -121,7 +121,7 @@
 
 async fn answer<W: Wire>(node: Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     let mut response = respond(node.clone(), request).await;
-    if node.state.borrow().draining {
+    if node.state.borrow().draining.is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -296,8 +296,7 @@
     /// Bytes that each piece of a stage fetches or sends on, by availability zone.
     fn near(&self, stage: usize) -> Vec<(AvailabilityZone, u64)> {
         let inputs = self.graph.inputs(stage);
-        let mut near: Vec<_> =
-            inputs.iter().map(|made| (made.zone.clone(), made.bytes)).collect();
+        let mut near: Vec<_> = inputs.iter().map(|made| (made.zone.clone(), made.bytes)).collect();
         let stages = &self.job.route.stages;
         if !stages.iter().any(|later| later.after.contains(&stage)) {
             near.extend(self.job.toward.clone().map(|zone| (zone, stages[stage].bytes)));
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -190,7 +190,7 @@
 
     async fn announce(&self) {
         loop {
-            if self.node.state.borrow().draining {
+            if self.node.state.borrow().draining.is_some() {
                 return;
             }
             match self.lease.get() {
