--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -15,8 +15,6 @@
 const CROSS_DELAY: Span = Span::from_millis(120);
 /// Delay by which an owner in another zone counts.
 const ZONE_DELAY: Span = Span::from_millis(4);
-/// Time for which an owner that did not answer gets nothing.
-const SUSPECT: Span = Span::from_secs(2);
 /// Time after which what an owner told counts for about a third.
 const TOLD_MEMORY: Span = Span::from_millis(600);
 
@@ -69,7 +67,6 @@
     /// Its fullness when it last answered.
     told: f64,
     told_at: Time,
-    suspect: Time,
 }
 
 /// The owners of one pool, as one entry sees them.
@@ -93,20 +90,26 @@
         self.spec = spec;
     }
 
-    /// Takes the lists of entries and servers, and tells which servers this entry owns.
+    /// Takes the lists of entries and servers, and tells which servers this entry owns. It owns those of
+    /// suspects as well: the others may not have seen yet that these do not answer.
     pub fn assign(
         &mut self,
         pool: &PoolId,
         entries: &[EntryAt],
+        suspects: &BTreeMap<String, Time>,
         servers: &[Replica],
     ) -> Vec<Replica> {
         let alone = [self.own.clone()];
         let entries = if entries.is_empty() { &alone[..] } else { entries };
-        let owners = assign_owners(pool, entries, servers);
+        let mut owners = assign_owners(pool, entries, servers);
+        for owner in owners.values_mut().filter(|owner| suspects.contains_key(*owner)) {
+            owner.clone_from(&self.own.name);
+        }
         let mut known = std::mem::take(&mut self.owners);
         for server in servers {
             let Some(name) = owners.get(&server.id) else { continue };
-            let Some(entry) = entries.iter().find(|entry| entry.name == *name) else { continue };
+            let listed = entries.iter().find(|entry| entry.name == *name);
+            let entry = listed.unwrap_or(&self.own);
             let owner = self.owners.entry(name.clone()).or_insert_with(|| {
                 let blank = || Owner {
                     entry: entry.clone(),
@@ -115,7 +118,6 @@
                     open: 0,
                     told: 0.0,
                     told_at: Time::default(),
-                    suspect: Time::default(),
                 };
                 let old = known.remove(name).unwrap_or_else(blank);
                 Owner { entry: entry.clone(), zones: BTreeMap::new(), servers: 0, ..old }
@@ -143,7 +145,6 @@
         near: &[(AvailabilityZone, u64)],
         own: f64,
     ) -> Option<&EntryAt> {
-        let trusted = self.owners.values().filter(|owner| owner.suspect <= now);
         let delay = |owner: &&Owner| {
             let far = |zone: &AvailabilityZone| !owner.zones.contains_key(zone);
             let bytes: u64 = near.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
@@ -151,16 +152,12 @@
             let zone = if owner.entry.zone == self.own.zone { Span::ZERO } else { ZONE_DELAY };
             self.delay(now, owner, pieces, own) + cross + zone
         };
-        trusted
-            .min_by_key(delay)
-            .or_else(|| self.owners.values().min_by_key(delay))
-            .map(|owner| &owner.entry)
+        self.owners.values().min_by_key(delay).map(|owner| &owner.entry)
     }
 
     /// Predicted time until pieces that come now are done.
     pub fn predict(&self, now: Time, pieces: usize, own: f64) -> Option<Span> {
-        let trusted = self.owners.values().filter(|owner| owner.suspect <= now);
-        trusted.map(|owner| self.delay(now, owner, pieces, own)).min()
+        self.owners.values().map(|owner| self.delay(now, owner, pieces, own)).min()
     }
 
     /// Pieces were handed to an owner.
@@ -180,13 +177,6 @@
         }
     }
 
-    /// An owner does not answer; its servers are as good as lost for a while.
-    pub fn suspect(&mut self, now: Time, name: &str) {
-        if let Some(owner) = self.owners.get_mut(name) {
-            owner.suspect = now + SUSPECT;
-        }
-    }
-
     /// A round of calls lasts its call time and a part for the pieces; what comes now waits for half of
     /// the round that is on its way and for all pieces ahead of it.
     fn delay(&self, now: Time, owner: &Owner, pieces: usize, own: f64) -> Span {
--- /dev/null
+++ b/crates/core/tests/graph.rs
@@ -0,0 +1,96 @@
+//! Tests of the stages of one request.
+
+use damaskweir_core::catalog::StageSpec;
+use damaskweir_core::forecast::{Arrival, Decision, Forecast, decide};
+use damaskweir_core::graph::{Graph, PieceAt};
+use damaskweir_core::ids::PoolId;
+use damaskweir_core::time::Span;
+use rstest::rstest;
+
+fn stage(after: &[usize]) -> StageSpec {
+    StageSpec { pool: PoolId::from("pool"), after: after.to_vec(), bytes: 1_000 }
+}
+
+fn at(stage: usize, piece: usize) -> PieceAt {
+    PieceAt { stage, piece }
+}
+
+/// Guards against a piece that is worked on without all of its inputs.
+#[test]
+fn a_stage_waits_for_all_pieces_before_it() {
+    let stages = [stage(&[]), stage(&[0])];
+    let mut graph = Graph::new(&stages, &[2, 1]).expect("counts fit");
+    assert_eq!(graph.ready(), [at(0, 0), at(0, 1)]);
+    assert!(graph.finish(at(0, 0), "x"));
+    assert_eq!(graph.ready(), []);
+    assert!(graph.finish(at(0, 1), "y"));
+    assert_eq!(graph.ready(), [at(1, 0)]);
+    assert_eq!(graph.inputs(1), [&"x", &"y"]);
+}
+
+/// Guards against a result that is taken twice, or for a piece that does not exist.
+#[test]
+fn each_piece_has_one_result() {
+    let mut graph = Graph::new(&[stage(&[])], &[1]).expect("counts fit");
+    graph.ready();
+    assert!(graph.finish(at(0, 0), 1));
+    assert!(!graph.finish(at(0, 0), 2));
+    assert!(!graph.finish(at(0, 7), 3));
+    assert_eq!(graph.outputs(), [&1]);
+}
+
+/// Guards against results that lie at their servers although no piece needs them.
+#[test]
+fn results_are_spent_when_all_followers_are_done() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[0])];
+    let mut graph = Graph::new(&stages, &[1, 1, 1]).expect("counts fit");
+    graph.ready();
+    graph.finish(at(0, 0), "a");
+    graph.ready();
+    graph.finish(at(1, 0), "b");
+    assert!(graph.spent().is_empty(), "stage 2 still needs it");
+    graph.finish(at(2, 0), "c");
+    assert_eq!(graph.spent(), ["a"]);
+    assert!(graph.spent().is_empty(), "told once");
+    assert_eq!(graph.outputs(), [&"b", &"c"]);
+}
+
+/// Guards against a request that never begins because a stage is left out.
+#[test]
+fn a_stage_without_pieces_is_done() {
+    let stages = [stage(&[]), stage(&[0])];
+    let mut graph = Graph::<()>::new(&stages, &[0, 1]).expect("counts fit");
+    assert_eq!(graph.ready(), [at(1, 0)]);
+    assert!(Graph::<()>::new(&stages, &[1]).is_none(), "a count for each stage");
+}
+
+/// Guards against forecasts that add up stages which run side by side.
+#[test]
+fn the_longest_chain_counts() {
+    let stages = [stage(&[]), stage(&[]), stage(&[0, 1])];
+    let times = [300, 500, 200].map(|n| Some(Span::from_millis(n)));
+    let forecast = Forecast::new(&stages, &times);
+    assert_eq!(forecast.stages, Span::from_millis(700));
+    assert_eq!(forecast.tails[0], Span::from_millis(200));
+}
+
+/// Guards against queues that make every answer late, and against refusing a caller that was told to
+/// come back.
+#[rstest]
+#[case::in_time(800, 6_000, Decision::Take)]
+#[case::late(1_200, 6_000, Decision::Refuse(Span::from_millis(150)))]
+#[case::late_but_returning(1_200, 5_000, Decision::Take)]
+#[case::hopeless(5_000, 4_000, Decision::Refuse(Span::from_millis(3_000)))]
+fn new_callers_are_refused_before_answers_are_late(
+    #[case] whole: u64,
+    #[case] left: u64,
+    #[case] expected: Decision,
+) {
+    let arrival = Arrival {
+        whole: Span::from_millis(whole),
+        left: Span::from_millis(left),
+        longest: Span::from_secs(6),
+        objective: Span::from_secs(1),
+    };
+    assert_eq!(decide(&arrival), expected);
+}
--- /dev/null
+++ b/crates/core/tests/owner.rs
@@ -0,0 +1,169 @@
+//! Tests of the owners of stage servers, with a load that shows what they gain.
+#![allow(clippy::expect_used, reason = "the lint knows only test functions")]
+
+use damaskweir_core::batch::{Batch, Batcher, CallEnd, PieceId, Waiting};
+use damaskweir_core::catalog::PieceSpec;
+use damaskweir_core::fleet::Replica;
+use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
+use damaskweir_core::owner::{EntryAt, Owners, assign_owners};
+use damaskweir_core::time::{Span, Time};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const SPEC: PieceSpec = PieceSpec {
+    slots: 1,
+    queue: 2,
+    batch: 14,
+    call: Span::from_millis(200),
+    item: Span::from_millis(12),
+    room: 32_000_000,
+};
+
+fn server(n: usize, zone: &str) -> Replica {
+    Replica {
+        id: ServerId::from(format!("s{n:03}").as_str()),
+        pool: PoolId::from("catalog"),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: AvailabilityZone::from(zone),
+        slots: 1,
+        leaving: false,
+        born: Some(1),
+    }
+}
+
+fn entry(n: usize, zone: &str) -> EntryAt {
+    let address = format!("127.0.0.1:{n}");
+    EntryAt { name: format!("e{n:03}"), zone: AvailabilityZone::from(zone), address }
+}
+
+fn fleet(entries: usize, servers: usize) -> (Vec<EntryAt>, Vec<Replica>) {
+    let zones = ["a", "b", "c", "d"];
+    let entries = (0..entries).map(|n| entry(n, zones[n % 4])).collect();
+    (entries, (0..servers).map(|n| server(n, zones[n % 4])).collect())
+}
+
+/// Guards against a server that nobody calls, or that entries count as their own twice.
+#[rstest]
+#[case(1, 5)]
+#[case(4, 5)]
+#[case(31, 18)]
+#[case(3, 40)]
+fn each_server_has_one_owner_of_its_zone(#[case] entries: usize, #[case] servers: usize) {
+    let (entries, servers) = fleet(entries, servers);
+    let pool = PoolId::from("catalog");
+    let owners = assign_owners(&pool, &entries, &servers);
+    assert_eq!(owners.len(), servers.len());
+    for server in &servers {
+        let owner = entries.iter().find(|e| e.name == owners[&server.id]).expect("it lives");
+        let near = entries.iter().any(|entry| entry.zone == server.zone);
+        assert_eq!(owner.zone == server.zone, near);
+    }
+    let mut shuffled = servers.clone();
+    shuffled.reverse();
+    assert_eq!(assign_owners(&pool, &entries, &shuffled), owners, "the order does not matter");
+}
+
+/// Guards against servers that nobody calls after their owner is gone.
+#[test]
+fn servers_of_an_entry_that_is_gone_get_other_owners() {
+    let (entries, servers) = fleet(2, 4);
+    let mut owners = Owners::new(entries[0].clone(), SPEC);
+    let pool = PoolId::from("catalog");
+    let trusted = BTreeMap::new();
+    assert_eq!(owners.assign(&pool, &entries, &trusted, &servers).len(), 2);
+    assert_eq!(owners.assign(&pool, &entries[..1], &trusted, &servers).len(), 4);
+    assert_eq!(owners.assign(&pool, &entries, &trusted, &servers).len(), 2);
+    let suspects = BTreeMap::from([("e001".to_owned(), Time::default())]);
+    assert_eq!(owners.assign(&pool, &entries, &suspects, &servers).len(), 4);
+    assert_eq!(owners.owner_of(&servers[1].id), Some(&entries[0]));
+}
+
+/// Guards against results that cross zones although the owner at hand is about as fast.
+#[test]
+fn large_inputs_keep_a_stage_in_its_zone() {
+    let (entries, servers) = fleet(4, 4);
+    let mut owners = Owners::new(entries[0].clone(), SPEC);
+    owners.assign(&PoolId::from("catalog"), &entries, &BTreeMap::new(), &servers);
+    let near = [(AvailabilityZone::from("c"), 400_000)];
+    let chosen = owners.choose(Time::default(), 10, &near, 0.0).expect("owners live");
+    assert_eq!(chosen.zone.as_str(), "c");
+}
+
+/// Plays a load of pieces in virtual time: `entries` gather for the servers that they own, or each entry
+/// calls all servers with its own pieces only. Gives the share of pieces done within the objective.
+fn play(shared: bool, per_second: f64) -> f64 {
+    let (entries, servers) = fleet(4, 5);
+    let pool = PoolId::from("catalog");
+    let objective = Span::from_millis(900);
+    let mut batchers: Vec<Batcher> = entries.iter().map(|_| Batcher::new(SPEC)).collect();
+    let mut owners: Vec<Owners> =
+        entries.iter().map(|entry| Owners::new(entry.clone(), SPEC)).collect();
+    for (batcher, owners) in batchers.iter_mut().zip(&mut owners) {
+        let mine = owners.assign(&pool, &entries, &BTreeMap::new(), &servers);
+        batcher.set_servers(if shared { &mine } else { &servers });
+    }
+    // A server works on one call at a time; the others wait in order.
+    let mut busy: BTreeMap<ServerId, Time> = BTreeMap::new();
+    let mut open: Vec<(Time, usize, Batch)> = Vec::new();
+    let (mut arrived, mut done) = (0_u64, 0_u64);
+    let mut owed = 0.0;
+    for tick in 0..20_000_u64 {
+        let now = Time::default() + Span::from_millis(tick);
+        owed += per_second / 1_000.0;
+        while owed >= 2.0 {
+            owed -= 2.0;
+            // Callers are spread unevenly, as behind a hash.
+            let home = [0, 1, 2, 3, 3, 2, 3][(arrived / 2 % 7) as usize];
+            let full = batchers[home].fullness(now);
+            let target = if shared {
+                let chosen = owners[home].choose(now, 2, &[], full).expect("owners live");
+                let name = chosen.name.clone();
+                owners[home].sent(&name, 2);
+                entries.iter().position(|entry| entry.name == name).expect("it lives")
+            } else {
+                home
+            };
+            for _ in 0..2 {
+                batchers[target].push(Waiting {
+                    id: PieceId(arrived),
+                    group: arrived / 2,
+                    due: now + objective,
+                    deadline: now + Span::from_secs(6),
+                    bytes: 100_000,
+                    arrived: now,
+                });
+                arrived += 1;
+            }
+        }
+        for (at, batcher) in batchers.iter_mut().enumerate() {
+            batcher.expired(now);
+            while let Some(batch) = batcher.plan(now) {
+                let start = busy.get(&batch.server.id).copied().unwrap_or(now).max(now);
+                let end = start + SPEC.call + SPEC.item * batch.pieces.len() as u64;
+                busy.insert(batch.server.id.clone(), end);
+                open.push((end, at, batch));
+            }
+        }
+        for (end, at, batch) in open.extract_if(.., |(end, ..)| *end <= now) {
+            let ended = CallEnd::Done { roomy: true };
+            batchers[at].ended(end, &batch.server.id, batch.pieces.len(), ended);
+            for piece in &batch.pieces {
+                batchers[at].freed(&batch.server.id, piece.bytes);
+                done += u64::from(end.since(piece.arrived) <= objective);
+            }
+            let full = batchers[at].fullness(now);
+            for owners in &mut owners {
+                owners.ended(now, &entries[at].name, batch.pieces.len(), Some(full));
+            }
+        }
+    }
+    done as f64 / arrived as f64
+}
+
+/// The load that owners answer: calls that take 200 ms whatever they carry. Guards the gain for callers.
+#[test]
+fn owners_serve_in_time_what_entries_alone_cannot() {
+    let (shared, alone) = (play(true, 130.0), play(false, 130.0));
+    assert!(shared > 0.9, "shared: {shared:.3}");
+    assert!(alone < shared, "alone: {alone:.3}, shared: {shared:.3}");
+}
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -32,6 +32,8 @@
 const LEAVING_STREAMS: Span = Span::from_secs(60);
 /// The same for a plain call.
 const LEAVING_CALLS: Span = Span::from_secs(2);
+/// Time for which an entry that did not answer owns nothing.
+const SUSPECT: Span = Span::from_secs(2);
 /// Idle connections kept for one server.
 const IDLE_MAX: usize = 64;
 /// Entries to share budgets with while their list is not known.
@@ -75,6 +77,8 @@
     pub(crate) waiters: HashMap<PieceId, PieceWaiter>,
     /// Owners of servers by stage pool.
     pub(crate) owners: BTreeMap<PoolId, Owners>,
+    /// Entries that did not answer, and until when they own nothing here.
+    pub(crate) suspects: BTreeMap<String, Time>,
     /// Results to give back.
     pub(crate) frees: Vec<Release>,
     /// Idle connections to other entries, by address.
@@ -121,6 +125,7 @@
             budgets: BTreeMap::new(),
             waiters: HashMap::new(),
             owners: BTreeMap::new(),
+            suspects: BTreeMap::new(),
             frees: Vec::new(),
             links: HashMap::new(),
             wakes: BTreeMap::new(),
@@ -220,6 +225,26 @@
         state.assign_owners(&self.setup);
     }
 
+    /// An entry did not answer: others own its servers for a while, in the view of this entry.
+    pub(crate) fn suspect(&self, name: &str) {
+        let until = self.now() + SUSPECT;
+        let mut state = self.state.borrow_mut();
+        if state.suspects.insert(name.to_owned(), until).is_none() {
+            state.assign_owners(&self.setup);
+        }
+    }
+
+    /// Trusts entries again whose time has passed.
+    pub(crate) fn trust_again(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let before = state.suspects.len();
+        state.suspects.retain(|_, until| *until > now);
+        if state.suspects.len() < before {
+            state.assign_owners(&self.setup);
+        }
+    }
+
     /// Longest time that callers of a route have waited so far, this one included.
     pub(crate) fn longest_wait(&self, route: &str, wait: Span) -> Span {
         let mut state = self.state.borrow_mut();
@@ -319,7 +344,7 @@
             let blank = || Owners::new(setup.entry.clone(), spec);
             let owners = self.owners.entry(id.clone()).or_insert_with(blank);
             owners.set_spec(spec);
-            let mine = owners.assign(id, &self.entries, &servers);
+            let mine = owners.assign(id, &self.entries, &self.suspects, &servers);
             let batcher = self.batchers.entry(id.clone()).or_insert_with(|| Batcher::new(spec));
             batcher.set_spec(spec);
             batcher.set_servers(&mine);
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -1,5 +1,6 @@
 //! Work before a request: its stages, one group of pieces after another.
 
+use crate::http::HttpError;
 use crate::log::Kind;
 use crate::node::Node;
 use crate::peers::{GroupAnswer, GroupCall};
@@ -358,12 +359,10 @@
                     ("error", text.as_str().into()),
                 ];
                 self.log.request(Kind::Lost, &id, &fields);
-                let now = self.now();
-                let mut state = self.state.borrow_mut();
-                if let Some(owners) = state.owners.get_mut(&open.pool) {
-                    owners.suspect(now, &owner.name);
-                }
-                vec![Err(Miss::Failed); group.len()]
+                self.suspect(&owner.name);
+                // Without a connection the owner has got nothing, so that nothing is repeated.
+                let connected = !matches!(error, HttpError::Connect(_));
+                vec![Err(if connected { Miss::Failed } else { Miss::Moved }); group.len()]
             }
         };
         drop(open);
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -277,6 +277,7 @@
             let now = self.node.now();
             let gone = self.node.state.borrow_mut().fleet.expire(now);
             self.node.take_changes(gone);
+            self.node.trust_again();
         }
     }
 
