Tell a busy owner from a dead one

Ruled out: longer timeouts, which would keep pieces at an owner that is gone. Change: an owner begins its answer at once and shows signs of life; pieces on which a server has not worked wait again at the owner.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -16,6 +16,9 @@
 const GATHER: Span = Span::from_millis(6);
 /// Time after a refusal as full in which a server is left alone.
 const CROWD_MEMORY: Span = Span::from_millis(100);
+/// Time after a call without room for all results in which a server is left alone. Others may have results
+/// there that this entry does not know of.
+const ROOM_PAUSE: Span = Span::from_millis(150);
 /// A call that takes this many times the expected time, and a while longer, is taken as lost.
 const LATE_FACTOR: f64 = 2.2;
 /// Added to that.
@@ -225,7 +228,10 @@
         let ratio = now.since(open.sent).0 as f64 / work.0.max(1) as f64;
         let pace = maker.paced_at(now);
         match end {
-            CallEnd::Done { .. } => {
+            CallEnd::Done { roomy } => {
+                if !roomy {
+                    maker.paused = now + ROOM_PAUSE;
+                }
                 maker.pace = pace + (ratio.clamp(0.5, 10.0) - pace) * PACE_WEIGHT;
                 maker.paced = now;
                 maker.pause = PAUSES.0;
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -153,6 +153,7 @@
         };
         let now = self.now();
         self.note_call(server, &batch, end, &ends, now.since(sent));
+        let mut unworked = Vec::new();
         for piece in &batch.pieces {
             let position = wanted.iter().position(|id| *id == piece.id);
             match position.and_then(|i| ends.get(i)) {
@@ -166,20 +167,41 @@
                     },
                 ),
                 other => {
+                    let miss = miss_of(end, other);
                     let mut state = self.state.borrow_mut();
                     if let Some(batcher) = state.batchers.get_mut(pool) {
                         batcher.freed(&server.id, piece.bytes);
                     }
-                    state.miss(piece.id, miss_of(end, other));
+                    if matches!(miss, Miss::Full | Miss::Room) && position.is_some() {
+                        unworked.push(*piece);
+                    } else {
+                        state.miss(piece.id, miss);
+                    }
                 }
             }
         }
+        self.put_back(pool, &unworked);
         if let Some(batcher) = self.state.borrow_mut().batchers.get_mut(pool) {
             batcher.ended(now, &server.id, batch.pieces.len(), end);
         }
         self.pump(pool);
     }
 
+    /// Lets pieces wait again on which a server has not worked, if the budget allows it.
+    fn put_back(&self, pool: &PoolId, pieces: &[Waiting]) {
+        if pieces.is_empty() {
+            return;
+        }
+        let funded = self.withdraw(pool);
+        let mut state = self.state.borrow_mut();
+        for piece in pieces {
+            match state.batchers.get_mut(pool) {
+                Some(batcher) if funded && batcher.servers() > 0 => batcher.push(*piece),
+                _ => state.miss(piece.id, Miss::Full),
+            }
+        }
+    }
+
     /// Items of the pieces that are still wanted, and their ids.
     fn items(&self, batch: &Batch) -> (Vec<Item>, Vec<PieceId>) {
         let now = self.now();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, Wire};
+use bytes::BytesMut;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
 use damaskweir_core::time::Span;
@@ -16,10 +17,11 @@
 
 /// Time to open a connection to another entry.
 const CONNECT: Duration = Duration::from_millis(300);
-/// Time beyond that of two rounds of calls in which an owner must answer.
-const OWNER_MORE: Span = Span::from_millis(400);
-/// Rounds of calls that an owner may take.
-const OWNER_ROUNDS: f64 = 3.0;
+/// Time in which an owner must begin its answer, and between signs of life until it is whole. The answer
+/// itself may take as long as the pieces wait.
+const OWNER_WAIT: Duration = Duration::from_millis(1_000);
+/// Time between two signs of life of an owner.
+pub(crate) const OWNER_BEAT: Duration = Duration::from_millis(400);
 /// Time for an answer to results given back.
 const RELEASE_WAIT: Duration = Duration::from_millis(700);
 /// Idle connections kept to one entry.
@@ -61,14 +63,7 @@
         owner: &EntryAt,
         call: &GroupCall,
     ) -> Result<GroupAnswer, HttpError> {
-        let round = {
-            let state = self.state.borrow();
-            let owners = state.owners.get(&call.pool);
-            let predicted = owners.and_then(|o| o.predict(self.now(), call.items.len(), 0.0));
-            predicted.unwrap_or(call.left)
-        };
-        let within = Span((round.scale(OWNER_ROUNDS) + OWNER_MORE).0.min(call.left.0));
-        self.ask_entry(owner, "/pieces", call, within.into()).await
+        self.ask_entry(owner, "/pieces", call).await
     }
 
     /// Gives results back through the owner of their server.
@@ -77,7 +72,8 @@
         owner: &EntryAt,
         releases: &[Release],
     ) -> Result<(), HttpError> {
-        self.ask_entry(owner, "/release", releases, RELEASE_WAIT).await
+        let released = timeout(RELEASE_WAIT, self.ask_entry(owner, "/release", releases)).await;
+        released.map_err(|_| HttpError::Late)?
     }
 
     async fn ask_entry<Q, A>(
@@ -85,30 +81,34 @@
         entry: &EntryAt,
         path: &str,
         question: &Q,
-        within: Duration,
     ) -> Result<A, HttpError>
     where
         Q: Serialize + ?Sized,
         A: DeserializeOwned,
     {
         let body = serde_json::to_vec(question).map_err(|_| HttpError::Malformed("question"))?;
-        let exchange = async {
-            let mut conn = self.entry_connection(entry).await?;
-            let head = format!(
-                "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n",
-                entry.address,
-                body.len()
-            );
+        let mut conn = self.entry_connection(entry).await?;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n",
+            entry.address,
+            body.len()
+        );
+        let begun = timeout(OWNER_WAIT, async {
             conn.send(head.as_bytes(), &body).await?;
-            let head = conn.head(|_| true).await?;
-            let answer = conn.body().await?;
-            self.keep_entry(entry, conn);
-            if !head.status.is_success() {
-                return Err(HttpError::Malformed("refusal of another entry"));
-            }
-            serde_json::from_slice(&answer).map_err(|_| HttpError::Malformed("bad answer"))
-        };
-        timeout(within, exchange).await.map_err(|_| HttpError::Late)?
+            conn.head(|_| true).await
+        });
+        let head = begun.await.map_err(|_| HttpError::Late)??;
+        let mut answer = BytesMut::new();
+        while let Some(part) =
+            timeout(OWNER_WAIT, conn.chunk()).await.map_err(|_| HttpError::Late)??
+        {
+            answer.extend_from_slice(&part);
+        }
+        self.keep_entry(entry, conn);
+        if !head.status.is_success() {
+            return Err(HttpError::Malformed("refusal of another entry"));
+        }
+        serde_json::from_slice(&answer).map_err(|_| HttpError::Malformed("bad answer"))
     }
 
     async fn entry_connection(&self, entry: &EntryAt) -> Result<Conn, HttpError> {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,7 +1,8 @@
 //! The entry's own listeners: callers, readiness, and other entries.
 
-use crate::body::Body;
+use crate::body::{Body, StreamEnd};
 use crate::node::Node;
+use crate::peers::{GroupAnswer, GroupCall, OWNER_BEAT};
 use crate::request::{Run, refused};
 use crate::sync::Snapshot;
 use crate::wire::Wire;
@@ -22,6 +23,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -212,7 +214,7 @@
             json(&Snapshot::of(node, known))
         }
         "/pieces" => match question(request).await {
-            Some(call) => json(&node.serve_group(call).await),
+            Some(call) => group(node.clone(), call),
             None => plain(StatusCode::BAD_REQUEST, Bytes::new()),
         },
         "/release" => match question(request).await {
@@ -230,6 +232,26 @@
     }
 }
 
+/// Answers a group of pieces: the head at once, spaces as signs of life, and the results when they are
+/// there. JSON allows spaces before a value.
+fn group<W: Wire>(node: Rc<Node<W>>, call: GroupCall) -> Response<Body> {
+    let work: Pin<Box<dyn Future<Output = GroupAnswer>>> =
+        Box::pin(async move { node.serve_group(call).await });
+    let parts = futures::stream::unfold(Some(work), |work| async {
+        let mut work = work?;
+        match tokio::time::timeout(OWNER_BEAT, &mut work).await {
+            Err(_) => Some((Ok(Bytes::from_static(b" ")), Some(work))),
+            Ok(answer) => {
+                let whole = serde_json::to_vec(&answer).map(Bytes::from);
+                Some((whole.map_err(|_| StreamEnd("unwritable")), None))
+            }
+        }
+    });
+    let mut response = Response::new(Body::stream(parts));
+    *response.status_mut() = StatusCode::OK;
+    response
+}
+
 /// What another entry asks. `None`: it can't be read.
 async fn question<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
     let body = Limited::new(request.into_body(), QUESTION_MAX).collect().await.ok()?;
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -59,8 +59,8 @@
 pub(crate) enum StageFault {
     /// They can't be done in time any more.
     Late,
-    /// Servers failed and the budget of repeats is used up.
-    Failed,
+    /// A piece could not be done, and may not be tried again.
+    Failed(Miss),
     /// The request does not say how many pieces its stages have.
     Counts,
     /// No server of a stage may be used.
@@ -71,7 +71,12 @@
     pub(crate) fn cause(self) -> &'static str {
         match self {
             Self::Late => "stage_late",
-            Self::Failed => "stage_failed",
+            Self::Failed(Miss::Late) => "stage_late",
+            Self::Failed(Miss::Gone) => "stage_input_gone",
+            Self::Failed(Miss::Room) => "stage_without_room",
+            Self::Failed(Miss::Failed) => "stage_server_failed",
+            Self::Failed(Miss::Full) => "stage_server_full",
+            Self::Failed(Miss::Moved) => "stage_moved",
             Self::Counts => "stage_counts",
             Self::Away => "stage_away",
         }
@@ -203,7 +208,7 @@
             }
             // The sender is kept here, so that the channel never closes.
             let Some((at, end)) = self.receiver.recv().await else {
-                return Err(StageFault::Failed);
+                return Err(StageFault::Failed(Miss::Failed));
             };
             match end {
                 Ok(made) => self.keep(at, made),
@@ -239,7 +244,7 @@
         let pool = &self.job.route.stages[at.stage].pool;
         let funded = miss == Miss::Moved || self.node.withdraw(pool);
         if *tried > TRIES_MAX || !funded {
-            return Err(StageFault::Failed);
+            return Err(StageFault::Failed(miss));
         }
         if miss == Miss::Room {
             sleep(ROOM_PAUSE).await;
