--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod ids;
 pub mod lease;
 pub mod message;
+pub mod nearest;
 pub mod owner;
 pub mod place;
 pub mod policy;
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::future::Future;
-use std::io::Write;
+use std::io::{Read as _, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +36,7 @@
   entry --config FILE    run an entry: takes callers' requests
   side --config FILE     run the side process next to a backend server
   platform entry         run an entry on the users' platform
+  explain ID [FILE...]   tell the life of one request from the logs of platform entries
   demo [--serve]         run a whole deployment with stand-ins in this process
   load --target URL      send bounded load to a loopback address
   bundle COMMAND         check, compare, approve and roll back bundles; see who has which
@@ -56,6 +57,12 @@
 The codes of 'bundle' are in docs/operators/bundles.md.
 ";
 
+/// All commands, for suggestions.
+const COMMANDS: &[&str] = &[
+    "entry", "side", "platform", "explain", "demo", "load", "bundle", "key", "bench", "scenario",
+    "model",
+];
+
 const ENTRY_HELP: &str = "\
 Usage: damaskweir entry --config FILE
 
@@ -74,6 +81,17 @@
 The settings are described in docs/settings.md. Exit codes: damaskweir --help.
 ";
 
+const EXPLAIN_HELP: &str = "\
+Usage: damaskweir explain ID [FILE...]
+
+Reads log lines of platform entries from the files, or from standard input, prints all lines about the
+request in the order of time, and the cause of its end in one sentence. Lines marked with * are about the
+process, not the request. Give the logs of all entries: a request's stages are worked on by several.
+
+Example: damaskweir explain 9c41d07be2a35f68 edge-*.log
+docs/OPERATIONS.md shows three failures. Exits with 1 if no line is about the request.
+";
+
 const PLATFORM_HELP: &str = "\
 Usage: damaskweir platform entry [OPTIONS]
 
@@ -225,6 +243,8 @@
         Some("entry") => entry(arguments),
         Some("side") if help => print(out, SIDE_HELP),
         Some("side") => side(arguments),
+        Some("explain") if help => print(out, EXPLAIN_HELP),
+        Some("explain") => explain(arguments, out),
         Some("platform") if help => print(out, PLATFORM_HELP),
         Some("platform") => platform(arguments, out),
         Some("demo") if help => print(out, DEMO_HELP),
@@ -238,7 +258,11 @@
         Some("model") if help => print(out, MODEL_HELP),
         Some("model") => model(arguments, out),
         None if help => print(out, HELP),
-        Some(other) => Err(CommandError::Usage(format!("unknown command '{other}'"))),
+        Some(other) => {
+            let meant = damaskweir_core::nearest::nearest(other, COMMANDS);
+            let hint = meant.map(|name| format!("; did you mean '{name}'?")).unwrap_or_default();
+            Err(CommandError::Usage(format!("unknown command '{other}'{hint}")))
+        }
         None => Err(CommandError::Usage("a command is required".to_owned())),
     }
 }
@@ -294,6 +318,28 @@
     Ok(())
 }
 
+fn explain(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
+    let id: String = arguments.free_from_str()?;
+    let files = arguments.finish();
+    let failure = |name: &str, error: std::io::Error| {
+        CommandError::Failure(format!("{name} can't be read: {error}"))
+    };
+    let mut logs = String::new();
+    if files.is_empty() {
+        let read = std::io::stdin().read_to_string(&mut logs);
+        read.map_err(|error| failure("standard input", error))?;
+    }
+    for file in files {
+        let name = file.to_string_lossy();
+        logs.push_str(&std::fs::read_to_string(&file).map_err(|error| failure(&name, error))?);
+        logs.push('\n');
+    }
+    match damaskweir_direct::explain::explain(&id, &logs) {
+        Some(explanation) => print(out, &explanation.to_string()),
+        None => Err(CommandError::Failure(format!("no line is about request '{id}'"))),
+    }
+}
+
 fn platform(mut arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
     if arguments.subcommand()?.as_deref() != Some("entry") {
         return Err(CommandError::Usage(
--- a/crates/damaskweir/tests/command.rs
+++ b/crates/damaskweir/tests/command.rs
@@ -25,10 +25,39 @@
     assert!(text.contains(wanted), "{text}");
 }
 
+/// Guards against commands that take `--help` for a file or an option of theirs.
+#[rstest]
+#[case(&["platform", "entry"])]
+#[case(&["explain"])]
+#[case(&["bundle"])]
+#[case(&["bundle", "check"])]
+#[case(&["bundle", "diff"])]
+#[case(&["bundle", "approve"])]
+#[case(&["bundle", "rollback"])]
+#[case(&["bundle", "status"])]
+#[case(&["bundle", "history"])]
+#[case(&["key"])]
+#[case(&["key", "new"])]
+#[case(&["bench"])]
+#[case(&["scenario", "run"])]
+#[case(&["model", "check"])]
+fn every_subcommand_has_help(#[case] command: &[&str]) {
+    let arguments: Vec<_> = command.iter().copied().chain(["--help"]).collect();
+    let (code, text, errors) = run(&arguments);
+    assert_eq!((code, errors.as_str()), (0, ""));
+    assert!(text.to_lowercase().contains("usage"), "{text}");
+    assert!(!std::path::Path::new("--help").exists(), "it was taken for a file");
+}
+
 /// Guards against exit codes that differ from `damaskweir --help`.
 #[rstest]
 #[case(&[], 2, "a command is required")]
 #[case(&["serve"], 2, "unknown command 'serve'")]
+#[case(&["entri"], 2, "did you mean 'entry'?")]
+#[case(&["bundle", "chek"], 2, "did you mean 'check'?")]
+#[case(&["platform", "entry", "--config", "/nowhere/boot.conf"], 3, "cannot read /nowhere/boot.conf")]
+#[case(&["platform", "side"], 2, "platform entry")]
+#[case(&["explain", "id-1", "/nowhere/log"], 1, "/nowhere/log can't be read")]
 #[case(&["entry"], 2, "--config")]
 #[case(&["entry", "--config", "a.ini", "--loud"], 2, "unknown argument '--loud'")]
 #[case(&["entry", "--config", "/nowhere/a.ini"], 3, "/nowhere/a.ini: can't be read")]
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -146,7 +146,7 @@
                 let text = error.to_string();
                 let fields =
                     [("server", server.id.as_str().into()), ("error", Value::from(text.as_str()))];
-                self.log.process(Kind::StageEnd, &fields);
+                self.log.process(Kind::StageFault, &fields);
                 (CallEnd::Failed, Vec::new())
             }
             Err(_) => (CallEnd::Late, Vec::new()),
@@ -349,7 +349,7 @@
     fn note_release(&self, peer: &str, released: bool) {
         if !released {
             let fields = [("peer", peer.into()), ("error", "results not given back".into())];
-            self.log.process(Kind::StageEnd, &fields);
+            self.log.process(Kind::StageFault, &fields);
         }
     }
 }
--- /dev/null
+++ b/crates/direct/src/explain.rs
@@ -0,0 +1,147 @@
+//! Explains one request from the log lines of all entries.
+
+use crate::log::Kind;
+use serde_json::{Map, Value};
+use std::fmt;
+
+/// Fields that every line has, or that are shown in a place of their own.
+const COMMON: &[&str] = &["msg", "level", "ts", "process", "request"];
+/// Kinds of lines about a process that may bear on its requests.
+const CONTEXT: &[Kind] = &[
+    Kind::Started,
+    Kind::Draining,
+    Kind::Stopped,
+    Kind::Lost,
+    Kind::Regained,
+    Kind::CatalogTaken,
+    Kind::ServerLeaving,
+    Kind::ServerGone,
+    Kind::Omitted,
+];
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    /// RFC 3339, so that the order of text is that of time.
+    time: String,
+    process: String,
+    kind: Kind,
+    request: Option<String>,
+    fields: Map<String, Value>,
+}
+
+/// What the logs say about one request.
+#[derive(Clone, Debug)]
+pub struct Explanation {
+    request: String,
+    lines: Vec<Line>,
+    /// Why it ended as it did, in one sentence.
+    pub cause: String,
+}
+
+/// Reads logs and explains the request with an id. `None`: no line is about it. Lines that are no log
+/// lines of ours are passed over.
+pub fn explain(request: &str, logs: &str) -> Option<Explanation> {
+    let mut all: Vec<Line> = logs.lines().filter_map(read_line).collect();
+    all.sort_by(|a, b| a.time.cmp(&b.time));
+    let own = |line: &&Line| line.request.as_deref() == Some(request);
+    let (first, last) = (all.iter().find(own)?, all.iter().rfind(own)?);
+    let (from, to) = (first.time.clone(), last.time.clone());
+    let processes: Vec<_> = all.iter().filter(own).map(|line| line.process.clone()).collect();
+    let context = |line: &Line| {
+        let near = line.time >= from && line.time <= to && processes.contains(&line.process);
+        line.request.is_none() && near && CONTEXT.contains(&line.kind)
+    };
+    let lines: Vec<Line> = all.iter().filter(|line| own(line) || context(line)).cloned().collect();
+    let cause = conclude(&lines);
+    Some(Explanation { request: request.to_owned(), lines, cause })
+}
+
+fn read_line(text: &str) -> Option<Line> {
+    let start = text.find('{')?;
+    let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+    let kind = Kind::named(fields.get("msg")?.as_str()?)?;
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_owned);
+    let (time, request) = (text("ts")?, text("request"));
+    let process = text("process").unwrap_or_default();
+    COMMON.iter().for_each(|name| drop(fields.remove(*name)));
+    Some(Line { time, process, kind, request, fields })
+}
+
+fn conclude(lines: &[Line]) -> String {
+    let Some(end) = lines.iter().rfind(|line| line.request.is_some() && line.kind.is_final())
+    else {
+        return "No final line: the process ended first, or its lines are missing.".to_owned();
+    };
+    let number = |name: &str| end.fields.get(name).and_then(Value::as_u64).unwrap_or(0);
+    let cause = end.fields.get("cause").and_then(Value::as_str).unwrap_or_default();
+    match end.kind {
+        Kind::Refused => refusal(cause, &number),
+        Kind::Failed => format!("Failed after it was sent, so that it may have run: {cause}."),
+        Kind::Cut => format!("The stream was broken off after {} ms: {cause}.", number("took_ms")),
+        Kind::Left => {
+            format!("The caller left after {} ms, before the answer was whole.", number("took_ms"))
+        }
+        _ if number("late") == 1 => lateness(lines, &number),
+        _ => format!("Answered in {} ms.", number("took_ms")),
+    }
+}
+
+fn refusal(cause: &str, number: &dyn Fn(&str) -> u64) -> String {
+    let (predicted, left) = (number("predicted_ms"), number("left_ms"));
+    let (objective, retry) = (number("objective_ms"), number("retry_ms"));
+    match cause {
+        "overload" => format!(
+            "Refused on arrival: its stages and first part were predicted to take {predicted} ms, \
+             with an objective of {objective} ms and {left} ms until the deadline. \
+             The caller was told to come back in {retry} ms."
+        ),
+        _ => format!("Refused without having run: {cause}. To come back in {retry} ms."),
+    }
+}
+
+/// Names the longest part of a late answer.
+fn lateness(lines: &[Line], number: &dyn Fn(&str) -> u64) -> String {
+    let of = |line: &Line, name: &str| line.fields.get(name).and_then(Value::as_u64).unwrap_or(0);
+    let stages = lines.iter().filter(|line| line.kind == Kind::StageDone);
+    let slowest = stages.max_by_key(|line| of(line, "took_ms"));
+    let (first, objective) = (number("first_ms"), number("objective_ms"));
+    if first <= objective {
+        return format!("Late by a pause of {} ms between events.", number("pause_ms"));
+    }
+    match slowest.filter(|line| of(line, "took_ms") * 3 > first) {
+        Some(line) => {
+            let text = |name: &str| line.fields.get(name).and_then(Value::as_str).unwrap_or("?");
+            format!(
+                "Late through stage {} of pool {}: {} of {first} ms until the first part, at owner {} \
+                 that was {}% full; the objective is {objective} ms.",
+                of(line, "stage"),
+                text("pool"),
+                of(line, "took_ms"),
+                text("owner"),
+                of(line, "fullness_percent"),
+            )
+        }
+        None => format!(
+            "Late at its server: first part after {first} ms, the objective is {objective} ms."
+        ),
+    }
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "request {}", self.request)?;
+        for line in &self.lines {
+            let mark = if line.request.is_some() { ' ' } else { '*' };
+            write!(f, "{mark} {} {} {}", line.time, line.process, line.kind.name())?;
+            for (name, value) in &line.fields {
+                match value {
+                    Value::String(text) => write!(f, " {name}={text}")?,
+                    other => write!(f, " {name}={other}")?,
+                }
+            }
+            writeln!(f)?;
+        }
+        writeln!(f, "{}", self.cause)
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod request;
 mod stages;
 
+pub mod explain;
 pub mod http;
 pub mod log;
 pub mod metrics;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -59,12 +59,16 @@
     Admitted = "admitted"
     /// A request was refused and has not run.
     Refused = "refused"
-    /// Pieces of stages were sent.
+    /// Pieces of one stage of a request are done or failed.
+    StageDone = "stage_done"
+    /// A call with pieces of several requests ended.
     StageCall = "stage_call"
-    /// A call with pieces ended.
-    StageEnd = "stage_end"
+    /// A call to a stage's server broke, or results could not be given back.
+    StageFault = "stage_fault"
     /// A request was sent to a backend server.
     Sent = "sent"
+    /// A backend server broke off, or did not answer.
+    Broken = "broken"
     /// A request goes to another backend server.
     Retried = "retried"
     /// A stream goes on at another backend server.
@@ -81,6 +85,18 @@
     Omitted = "lines_omitted"
 }
 
+impl Kind {
+    /// Whether it is the one final line of a request.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Answered | Self::Refused | Self::Failed | Self::Cut | Self::Left)
+    }
+
+    /// The kind with this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|kind| kind.name() == name)
+    }
+}
+
 /// A value in a line.
 #[derive(Clone, Copy, Debug)]
 pub enum Value<'a> {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -79,6 +79,10 @@
     /// Servers that it was sent to.
     sent: Vec<ServerId>,
     timing: Timing,
+    /// Time that its stages and the first part of its answer were predicted to take.
+    predicted: Span,
+    /// When its caller was told to come back.
+    retry: Span,
     ended: bool,
 }
 
@@ -193,6 +197,8 @@
             ran,
             sent,
             timing: Timing::default(),
+            predicted: Span::ZERO,
+            retry: Span::ZERO,
             ended: false,
         })
     }
@@ -237,8 +243,8 @@
     }
 
     /// Refuses what can't be served in time.
-    fn admit(&self) -> Result<(), Refusal> {
-        let node = &self.node;
+    fn admit(&mut self) -> Result<(), Refusal> {
+        let node = self.node.clone();
         let now = node.now();
         if node.ends_before(self.route.repeat.streams()) {
             return Err(Refusal::NotRun { cause: "draining", retry: MOVED_RETRY });
@@ -255,6 +261,7 @@
         };
         let stages = node.forecast(&self.route, &self.ask.pieces).stages;
         let left = self.deadline.since(now);
+        self.predicted = stages + usual;
         let wait = self.ask.deadline.unwrap_or(left);
         let longest = node.longest_wait(&self.route.name, wait);
         let arrival =
@@ -413,6 +420,7 @@
         let fields = [
             ("server", server.id.as_str().into()),
             ("left_ms", left.as_millis().into()),
+            ("unread_tokens", guard.unread.into()),
             ("reused", u64::from(conn.uses()).into()),
         ];
         node.log.request(Kind::Sent, &self.ask.id, &fields);
@@ -544,7 +552,7 @@
     fn note_broken(&self, server: &Replica, error: &HttpError) {
         let text = error.to_string();
         let fields = [("server", server.id.as_str().into()), ("error", Value::from(&*text))];
-        self.node.log.request(Kind::Retried, &self.ask.id, &fields);
+        self.node.log.request(Kind::Broken, &self.ask.id, &fields);
     }
 
     fn kind(&self) -> &'static str {
@@ -585,6 +593,7 @@
     fn refuse(mut self, refusal: &Refusal) -> Response<Body> {
         match refusal {
             Refusal::NotRun { cause, retry } => {
+                self.retry = *retry;
                 self.note_end(Kind::Refused, "not_run", cause);
                 refused(StatusCode::SERVICE_UNAVAILABLE, cause, Some(*retry))
             }
@@ -627,6 +636,9 @@
             ("took_ms", took.as_millis().into()),
             ("first_ms", first.as_millis().into()),
             ("pause_ms", self.timing.pause.as_millis().into()),
+            ("predicted_ms", self.predicted.as_millis().into()),
+            ("left_ms", self.deadline.since(now).as_millis().into()),
+            ("retry_ms", self.retry.as_millis().into()),
             ("objective_ms", self.route.objective.as_millis().into()),
             ("late", u64::from(late).into()),
             ("sends", (self.sent.len() as u64).into()),
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -346,6 +346,7 @@
             pieces: group.len(),
             told: None,
         };
+        let (began, pool) = (self.now(), call.pool.clone());
         let own = owner.name == self.setup.entry.name;
         let id = call.items.first().map(|item| item.id.clone()).unwrap_or_default();
         let answer =
@@ -370,7 +371,19 @@
                 vec![Err(if connected { Miss::Failed } else { Miss::Moved }); group.len()]
             }
         };
+        let told = open.told;
         drop(open);
+        let failed = ends.iter().filter(|end| end.is_err()).count();
+        let fields = [
+            ("pool", pool.as_str().into()),
+            ("stage", (group[0].stage as u64).into()),
+            ("pieces", (group.len() as u64).into()),
+            ("failed", (failed as u64).into()),
+            ("owner", owner.name.as_str().into()),
+            ("fullness_percent", ((told.unwrap_or(0.0) * 100.0) as u64).into()),
+            ("took_ms", self.now().since(began).as_millis().into()),
+        ];
+        self.log.request(Kind::StageDone, &id, &fields);
         for (at, end) in group.iter().zip(ends) {
             // The request has ended meanwhile; its results are not needed.
             if let Err(unused) = sender.send((*at, end))
--- a/crates/operators/src/command.rs
+++ b/crates/operators/src/command.rs
@@ -33,6 +33,69 @@
   damaskweir key new KEYFILE
 --store may be given more than once; --seen 0 stands for no bundle at all";
 
+const CHECK_HELP: &str = "\
+Usage: damaskweir bundle check FILE
+
+Reads a bundle file and prints all of its faults, or its pools, pipelines and workspaces.
+
+Example: damaskweir bundle check board.ini
+";
+const DIFF_HELP: &str = "\
+Usage: damaskweir bundle diff FILE FILE
+       damaskweir bundle diff FILE --store URL
+
+Prints what the second bundle changes; with a store, what FILE would change of the bundle in force.
+
+Example: damaskweir bundle diff board.ini --store http://127.0.0.1:7000
+";
+const APPROVE_HELP: &str = "\
+Usage: damaskweir bundle approve FILE --seen VERSION --reason TEXT --key KEYFILE --store URL
+
+Signs a bundle and puts it in force as the next version, unless another approval came after --seen.
+
+Options:
+  --seen VERSION         version that the change is made against; 0 if there is none
+  --reason TEXT          why, for the audit trail
+  --key KEYFILE          the operator's key
+  --store URL            the store; may be given more than once
+
+Example: damaskweir bundle approve board.ini --seen 7 --reason 'more slots' --key me.key --store URL
+";
+const ROLLBACK_HELP: &str = "\
+Usage: damaskweir bundle rollback VERSION --seen VERSION --reason TEXT --key KEYFILE --store URL
+
+Puts the content of an earlier version in force as the next version. Options as of 'bundle approve'.
+
+Example: damaskweir bundle rollback 6 --seen 7 --reason 'slower' --key me.key --store URL
+";
+const STATUS_HELP: &str = "\
+Usage: damaskweir bundle status --store URL
+
+Prints the version in force and which instances have it.
+
+Example: damaskweir bundle status --store http://127.0.0.1:7000
+";
+const HISTORY_HELP: &str = "\
+Usage: damaskweir bundle history [--last N | --all] --store URL
+
+Prints the audit trail and checks its signatures: the last 20 records, the last N, or all.
+
+Example: damaskweir bundle history --last 5 --store http://127.0.0.1:7000
+";
+const KEY_HELP: &str = "\
+Usage: damaskweir key new KEYFILE
+
+Makes an operator's key, writes it to a file that must not exist, and prints the public key.
+
+Example: damaskweir key new me.key
+";
+const CODES_HELP: &str = "
+Exit codes:
+  0  done           1  refused       2  command line     3  faults in the file
+  4  another approval came first     5  store            6  not known if accepted
+  7  the audit trail is damaged
+";
+
 /// How a command ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -125,9 +188,37 @@
     }
 }
 
+/// Help of a command, or of all commands of a group.
+fn help(group: &str, command: &str) -> Result<String, CommandError> {
+    let text = match (group, command) {
+        ("bundle", "check") => CHECK_HELP,
+        ("bundle", "diff") => DIFF_HELP,
+        ("bundle", "approve") => APPROVE_HELP,
+        ("bundle", "rollback") => ROLLBACK_HELP,
+        ("bundle", "status") => STATUS_HELP,
+        ("bundle", "history") => HISTORY_HELP,
+        ("key", "new") => KEY_HELP,
+        ("bundle" | "key", "") => return Ok(format!("{USAGE}\n")),
+        _ => return Err(unknown(group, command)),
+    };
+    Ok(text.to_owned())
+}
+
+/// Tells that there is no such command, and one that its name is close to.
+fn unknown(group: &str, command: &str) -> CommandError {
+    const COMMANDS: &[&str] = &["check", "diff", "approve", "rollback", "status", "history", "new"];
+    let meant = damaskweir_core::nearest::nearest(command, COMMANDS);
+    let hint = meant.map(|name| format!("; did you mean '{name}'?")).unwrap_or_default();
+    CommandError::Usage(format!("unknown command '{group} {command}'{hint}"))
+}
+
 async fn dispatch(mut arguments: Arguments, output: &mut dyn Write) -> Result<Exit, CommandError> {
     let group = arguments.subcommand()?.unwrap_or_default();
     let command = arguments.subcommand()?.unwrap_or_default();
+    if arguments.contains("--help") {
+        write!(output, "{}{CODES_HELP}", help(&group, &command)?)?;
+        return Ok(Exit::Done);
+    }
     match (group.as_str(), command.as_str()) {
         ("bundle", "check") => check(arguments, output),
         ("bundle", "diff") => compare(arguments, output).await,
@@ -136,7 +227,7 @@
         ("bundle", "status") => run_status(arguments, output).await,
         ("bundle", "history") => run_history(arguments, output).await,
         ("key", "new") => new_key(arguments, output),
-        _ => Err(CommandError::Usage(format!("unknown command {group:?} {command:?}"))),
+        _ => Err(unknown(&group, &command)),
     }
 }
 
