Let three entries read the store for all

Change: three entries, ranked by a hash, read; the others ask them every 0.4 s and read themselves when none answers.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -65,6 +65,8 @@
 pub struct Fleet {
     records: BTreeMap<ServerId, Record>,
     as_of: u64,
+    /// Store revision of the last change that was applied.
+    changed: u64,
     /// When contact with the store came back after an outage.
     returned: Option<Time>,
     /// Whether the store is out of reach, so that records may lapse although the servers live.
@@ -77,6 +79,11 @@
         self.as_of
     }
 
+    /// Store revision of the newest record, or as of which one was last seen to be missing.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// All servers that are not gone.
     pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
         self.records.values().map(|record| &record.replica)
@@ -114,6 +121,7 @@
     pub fn apply(&mut self, now: Time, as_of: u64, changes: &[Listing]) -> Vec<FleetChange> {
         let mut out = Vec::new();
         for change in changes {
+            self.changed = self.changed.max(change.revision);
             self.change(now, change, &mut out);
         }
         self.as_of = self.as_of.max(as_of);
@@ -130,10 +138,14 @@
             .map(|record| record.replica.id.clone())
             .collect();
         let mut out = Vec::new();
+        if !absent.is_empty() {
+            self.changed = as_of;
+        }
         for id in absent {
             self.miss(now, &id, &mut out);
         }
         for listing in list {
+            self.changed = self.changed.max(listing.revision);
             self.change(now, listing, &mut out);
         }
         self.as_of = self.as_of.max(as_of);
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -56,6 +56,22 @@
     owners
 }
 
+/// Entries that read the store for the others, of all that are listed. Two may be lost at once.
+const READERS: usize = 3;
+
+/// Whether an entry reads the store itself. The others ask one of the readers, since each call to the
+/// store is paid for and its rates grow more slowly than the number of entries.
+pub fn reads_store(entries: &[EntryAt], own: &str) -> bool {
+    entries.is_empty() || readers(entries).any(|entry| entry.name == own)
+}
+
+/// The entries that read the store.
+pub fn readers(entries: &[EntryAt]) -> impl Iterator<Item = &EntryAt> {
+    let mut ranked: Vec<_> = entries.iter().collect();
+    ranked.sort_by_key(|entry| xxh3_64(entry.name.as_bytes()));
+    ranked.into_iter().take(READERS)
+}
+
 #[derive(Clone, Debug)]
 struct Owner {
     entry: EntryAt,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -89,6 +89,8 @@
     idle: HashMap<ServerId, Vec<Conn>>,
     /// Longest time that callers of a route wait, by the route's name.
     waits: HashMap<String, Span>,
+    /// The store answers this entry.
+    pub current: bool,
     /// When the process was told to stop.
     pub draining: Option<Time>,
     /// Requests in progress.
@@ -132,6 +134,7 @@
             next_piece: 0,
             idle: HashMap::new(),
             waits: HashMap::new(),
+            current: false,
             draining: None,
             active: 0,
             rng,
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -210,8 +210,10 @@
 async fn admin<W: Wire>(node: &Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         "/snapshot" => {
-            let known = request.uri().query().and_then(|query| query.parse().ok()).unwrap_or(0);
-            json(&Snapshot::of(node, known))
+            let query = request.uri().query().unwrap_or_default();
+            let (catalog, list) = query.split_once(',').unwrap_or((query, ""));
+            let number = |text: &str| text.parse().unwrap_or(0);
+            json(&Snapshot::of(node, (number(catalog), number(list))))
         }
         "/pieces" => match question(request).await {
             Some(call) => group(node.clone(), call),
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -7,7 +7,8 @@
 use crate::wire::{Source, SourceError, SourceFault, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Listing;
-use damaskweir_core::owner::EntryAt;
+use damaskweir_core::owner::{EntryAt, readers, reads_store};
+use damaskweir_core::time::{Span, Time};
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 const RENEW: Duration = Duration::from_secs(2);
 /// Time between two questions to other entries while the store is away.
 const PEER_PACE: Duration = Duration::from_millis(400);
+/// Time after the last answer of another entry in which this one does not read the store.
+const SERVED: Span = Span::from_millis(1_400);
 /// Time for the answer of another entry.
 const PEER_WAIT: Duration = Duration::from_millis(700);
 /// Time between two looks at servers whose records are missing.
@@ -35,19 +38,25 @@
     /// Left out if the other one has it.
     catalog: Option<Catalog>,
     as_of: u64,
-    listings: Vec<Listing>,
+    /// Left out if the other one knows this change.
+    listings: Option<Vec<Listing>>,
+    /// Whether the store answers this entry.
+    current: bool,
     entries: Vec<EntryAt>,
 }
 
 impl Snapshot {
-    /// What a node knows, for another that knows the configuration of revision `known`.
-    pub(crate) fn of<W: Wire>(node: &Node<W>, known: u64) -> Self {
+    /// What a node knows, for another that knows the configuration of one revision and the change of the
+    /// list of another.
+    pub(crate) fn of<W: Wire>(node: &Node<W>, (known, changed): (u64, u64)) -> Self {
         let state = node.state.borrow();
         let newer = state.catalog.as_ref().filter(|catalog| catalog.revision > known);
+        let fleet = &state.fleet;
         Self {
             catalog: newer.map(|catalog| (**catalog).clone()),
-            as_of: state.fleet.as_of(),
-            listings: state.fleet.listings(),
+            as_of: fleet.as_of(),
+            listings: (fleet.changed() > changed).then(|| fleet.listings()),
+            current: state.current,
             entries: state.entries.clone(),
         }
     }
@@ -60,7 +69,6 @@
 }
 
 /// Everything that keeps a node current.
-#[derive(Debug)]
 pub struct Sync<W, S> {
     node: Rc<Node<W>>,
     source: S,
@@ -68,12 +76,24 @@
     /// Addresses of other entries from the settings.
     seeds: Vec<SocketAddr>,
     lease: Cell<Option<u64>>,
+    /// When another entry, to which the store answers, last told what it knows.
+    served: Cell<Option<Time>>,
+    /// Kept connection to the entry that was asked last.
+    link: Cell<Option<(SocketAddr, Conn)>>,
 }
 
 impl<W: Wire, S: Source> Sync<W, S> {
     /// Nothing has been read yet.
     pub fn new(node: Rc<Node<W>>, source: S, seeds: Vec<SocketAddr>) -> Self {
-        Self { node, source, contact: Contact::default(), seeds, lease: Cell::new(None) }
+        Self {
+            node,
+            source,
+            contact: Contact::default(),
+            seeds,
+            lease: Cell::default(),
+            served: Cell::default(),
+            link: Cell::default(),
+        }
     }
 
     /// Starts all loops.
@@ -100,6 +120,7 @@
         let mut pause = PAUSES.0;
         let mut after = None;
         loop {
+            self.wait_to_read().await;
             let read = match after {
                 None => self.source.catalog().await,
                 Some(after) => self.source.next_catalog(after).await,
@@ -129,6 +150,10 @@
         let mut pause = PAUSES.0;
         let mut after = None;
         loop {
+            // Changes that came from another entry meanwhile need not be read again.
+            if self.wait_to_read().await {
+                after = None;
+            }
             let whole = after.is_none();
             let read = match after {
                 None => self.source.listings().await,
@@ -166,6 +191,7 @@
     async fn follow_entries(&self) {
         let mut pause = PAUSES.0;
         loop {
+            self.wait_to_read().await;
             let read = self.source.entries().await;
             self.note("entries", read.as_ref().err());
             let changed = match read {
@@ -212,25 +238,57 @@
         }
     }
 
+    /// Waits while another entry reads the store for this one. Tells whether it had to wait.
+    async fn wait_to_read(&self) -> bool {
+        let mut waited = false;
+        loop {
+            let now = self.node.now();
+            let served = self.served.get().is_some_and(|at| now.since(at) < SERVED);
+            if !served || self.reads() {
+                return waited;
+            }
+            waited = true;
+            sleep(PEER_PACE).await;
+        }
+    }
+
+    /// Whether this entry is one of those that read the store for all.
+    fn reads(&self) -> bool {
+        reads_store(&self.node.state.borrow().entries, &self.node.setup.entry.name)
+    }
+
     async fn ask_peers(&self) {
         let mut turn = 0;
         loop {
             sleep(PEER_PACE).await;
-            if !self.contact.away.get() && self.node.ready() {
+            let reads = self.reads();
+            let known = self.node.state.borrow().catalog.is_some();
+            let current = reads && !self.contact.away.get() && known;
+            self.node.state.borrow_mut().current = current;
+            if current && self.node.ready() {
                 continue;
             }
-            let peers = self.peers();
+            let peers = if reads { self.peers() } else { self.readers() };
             if peers.is_empty() {
                 continue;
             }
             turn = (turn + 1) % peers.len();
             // Other entries may be down as well; after an error the next one is asked soon.
             if let Ok(Ok(snapshot)) = timeout(PEER_WAIT, self.fetch(peers[turn])).await {
+                if snapshot.current {
+                    self.served.set(Some(self.node.now()));
+                }
                 self.merge(snapshot);
             }
         }
     }
 
+    /// Addresses of the entries that read the store.
+    fn readers(&self) -> Vec<SocketAddr> {
+        let state = self.node.state.borrow();
+        readers(&state.entries).filter_map(|entry| entry.address.parse().ok()).collect()
+    }
+
     fn peers(&self) -> Vec<SocketAddr> {
         let state = self.node.state.borrow();
         let listed = state.entries.iter().filter_map(|entry| entry.address.parse().ok());
@@ -242,13 +300,21 @@
     }
 
     async fn fetch(&self, peer: SocketAddr) -> Result<Snapshot, HttpError> {
-        let known = self.node.state.borrow().catalog.as_ref().map_or(0, |c| c.revision);
-        let mut conn = Conn::connect(peer, PEER_WAIT).await?;
-        let head =
-            format!("GET /snapshot?{known} HTTP/1.1\r\nhost: {peer}\r\nconnection: close\r\n\r\n");
+        let (known, changed) = {
+            let state = self.node.state.borrow();
+            (state.catalog.as_ref().map_or(0, |c| c.revision), state.fleet.changed())
+        };
+        let kept = self.link.take().filter(|(address, _)| *address == peer);
+        let usable = kept.map(|(_, conn)| conn).and_then(|mut conn| conn.usable().then_some(conn));
+        let mut conn = match usable {
+            Some(conn) => conn,
+            None => Conn::connect(peer, PEER_WAIT).await?,
+        };
+        let head = format!("GET /snapshot?{known},{changed} HTTP/1.1\r\nhost: {peer}\r\n\r\n");
         conn.send(head.as_bytes(), &[]).await?;
         conn.head(|_| true).await?;
         let body = conn.body().await?;
+        self.link.set(Some((peer, conn)));
         serde_json::from_slice(&body).map_err(|_| HttpError::Malformed("bad snapshot"))
     }
 
@@ -259,14 +325,20 @@
         let now = self.node.now();
         let changes = {
             let fleet = &mut self.node.state.borrow_mut().fleet;
-            if snapshot.as_of > fleet.as_of() {
-                fleet.replace(now, snapshot.as_of, &snapshot.listings)
-            } else {
-                Vec::new()
+            match &snapshot.listings {
+                Some(list) if snapshot.as_of > fleet.as_of() => {
+                    if snapshot.current {
+                        fleet.regained(now);
+                    }
+                    fleet.replace(now, snapshot.as_of, list)
+                }
+                _ => Vec::new(),
             }
         };
         self.node.take_changes(changes);
-        if self.node.state.borrow().entries.is_empty() {
+        let named = |entry: &EntryAt| entry.name == self.node.setup.entry.name;
+        let listed = snapshot.entries.iter().any(named) && snapshot.current;
+        if listed || self.node.state.borrow().entries.is_empty() {
             self.node.take_entries(snapshot.entries);
         }
     }
