Count owners that have not told lately as the mean of their pool

Cause: with 31 entries each hears of an owner every few seconds; what was told faded to 'empty', so that overload was admitted, and pieces waited until the results before them were gone (2,129 pieces). Change: the mean of what owners tell takes the place of old news; pieces wait no longer than their inputs are kept.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -138,6 +138,8 @@
         pub item: Span,
         /// Room for results at one server, in bytes.
         pub room: u64,
+        /// Time for which a server keeps a result.
+        pub keep: Span,
     }
 }
 
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -17,6 +17,10 @@
 const ZONE_DELAY: Span = Span::from_millis(4);
 /// Time after which what an owner told counts for about a third.
 const TOLD_MEMORY: Span = Span::from_millis(600);
+/// Weight of a new answer in the mean fullness of a pool.
+const MEAN_WEIGHT: f64 = 0.15;
+/// Time without answers after which the mean counts for about a third.
+const MEAN_MEMORY: Span = Span::from_secs(2);
 
 value! {
     /// Another entry, or this one.
@@ -91,6 +95,9 @@
     own: EntryAt,
     spec: PieceSpec,
     owners: BTreeMap<String, Owner>,
+    /// Mean fullness of the pool, as the owners told lately, and when the last of them did.
+    mean: f64,
+    mean_at: Time,
     /// Name of each server's owner.
     servers: BTreeMap<ServerId, String>,
 }
@@ -98,7 +105,14 @@
 impl Owners {
     /// Nobody owns anything yet.
     pub fn new(own: EntryAt, spec: PieceSpec) -> Self {
-        Self { own, spec, owners: BTreeMap::new(), servers: BTreeMap::new() }
+        Self {
+            own,
+            spec,
+            owners: BTreeMap::new(),
+            mean: 0.0,
+            mean_at: Time::default(),
+            servers: BTreeMap::new(),
+        }
     }
 
     /// Takes new limits.
@@ -188,6 +202,8 @@
         let Some(owner) = self.owners.get_mut(name) else { return };
         owner.open = owner.open.saturating_sub(pieces);
         if let Some(told) = told {
+            self.mean += (told - self.mean) * MEAN_WEIGHT;
+            self.mean_at = now;
             owner.told = told;
             owner.told_at = now;
         }
@@ -200,11 +216,17 @@
         let ahead = if owner.entry.name == self.own.name {
             own
         } else {
-            let age = now.since(owner.told_at).as_secs_f64() / TOLD_MEMORY.as_secs_f64();
-            (owner.told * (-age).exp()).max(owner.open as f64 / round)
+            // What an owner told long ago says less than what the others told since.
+            let keep = decay(now, owner.told_at, TOLD_MEMORY);
+            let mean = self.mean * decay(now, self.mean_at, MEAN_MEMORY);
+            (owner.told * keep + mean * (1.0 - keep)).max(owner.open as f64 / round)
         };
         let rounds = 1.0 + ahead + pieces as f64 / round;
         let fill = (ahead * self.spec.batch as f64 + pieces as f64).min(self.spec.batch as f64);
         (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
     }
 }
+
+fn decay(now: Time, since: Time, memory: Span) -> f64 {
+    (-(now.since(since).as_secs_f64() / memory.as_secs_f64())).exp()
+}
--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -14,6 +14,7 @@
     call: Span::from_millis(200),
     item: Span::from_millis(10),
     room: 10_000_000,
+    keep: Span::from_secs(4),
 };
 
 fn server(id: &str) -> Replica {
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -17,6 +17,7 @@
     call: Span::from_millis(200),
     item: Span::from_millis(12),
     room: 32_000_000,
+    keep: Span::from_secs(4),
 };
 
 fn server(n: usize, zone: &str) -> Replica {
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::peers::{GroupAnswer, GroupCall};
 use crate::wire::{Input, Item, Wire};
-use damaskweir_core::catalog::Route;
+use damaskweir_core::catalog::{Route, Work};
 use damaskweir_core::forecast::Forecast;
 use damaskweir_core::graph::{Graph, PieceAt};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
@@ -21,6 +21,8 @@
 
 /// Calls that one piece may be part of.
 const TRIES_MAX: u32 = 3;
+/// Taken off the time for which results are kept, for the call that fetches them.
+const KEEP_MARGIN: Span = Span::from_millis(600);
 /// Pause of a piece for which a server had no room.
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 
@@ -272,12 +274,13 @@
             owners.sent(&chosen.name, group.len());
             chosen
         };
+        let kept = self.kept(group[0].stage);
         let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
         let call = GroupCall {
             pool: stage.pool.clone(),
             items: group.iter().map(|at| self.item(*at, now)).collect(),
             due: (self.job.due - tail).since(now),
-            left: (self.job.deadline - tail).since(now),
+            left: Span((self.job.deadline - tail).since(now).0.min(kept.0)),
             bytes: stage.bytes,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
@@ -299,6 +302,21 @@
         Item { id: self.job.id.to_owned(), stage: at.stage, piece: at.piece, left, source }
     }
 
+    /// Time for which the inputs of a stage are kept; pieces that wait longer would be worked on in vain.
+    fn kept(&self, stage: usize) -> Span {
+        let state = self.node.state.borrow();
+        let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
+        let keep = |before: &usize| {
+            let pool = &self.job.route.stages[*before].pool;
+            match pools.and_then(|pools| pools.get(pool))?.work {
+                Work::Pieces(spec) => Some(spec.keep.saturating_sub(KEEP_MARGIN)),
+                _ => None,
+            }
+        };
+        let after = &self.job.route.stages[stage].after;
+        after.iter().filter_map(keep).min().unwrap_or(Span(u64::MAX))
+    }
+
     /// Bytes that each piece of a stage fetches or sends on, by availability zone.
     fn near(&self, stage: usize) -> Vec<(AvailabilityZone, u64)> {
         let inputs = self.graph.inputs(stage);
