Keep entries listed that lapsed with the store; do not suspect an entry for a reset connection

Change: for 4 s after the store's return entries are only added; only silence and refused connections make a suspect.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -228,6 +228,15 @@
         state.assign_owners(&self.setup);
     }
 
+    /// Takes entries that are listed, and keeps those that are not.
+    pub(crate) fn add_entries(&self, mut entries: Vec<EntryAt>) {
+        let known = self.state.borrow().entries.clone();
+        let missing = |old: &EntryAt| !entries.iter().any(|entry| entry.name == old.name);
+        let kept: Vec<_> = known.into_iter().filter(missing).collect();
+        entries.extend(kept);
+        self.take_entries(entries);
+    }
+
     /// An entry did not answer: others own its servers for a while, in the view of this entry.
     pub(crate) fn suspect(&self, name: &str) {
         let until = self.now() + SUSPECT;
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -383,7 +383,10 @@
                     ("error", text.as_str().into()),
                 ];
                 self.log.request(Kind::Lost, &id, &fields);
-                self.suspect(&owner.name);
+                // A connection that was reset says nothing about the entry; the next one will.
+                if matches!(error, HttpError::Late | HttpError::Connect(_)) {
+                    self.suspect(&owner.name);
+                }
                 // Without a connection the owner has got nothing, so that nothing is repeated.
                 let connected = !matches!(error, HttpError::Connect(_));
                 vec![Err(if connected { Miss::Failed } else { Miss::Moved }); group.len()]
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -27,6 +27,9 @@
 const PEER_PACE: Duration = Duration::from_millis(400);
 /// Time after the last answer of another entry in which this one does not read the store.
 const SERVED: Span = Span::from_millis(1_400);
+/// Time after the store's return in which each entry has renewed its lease or announced itself again:
+/// two renewals.
+const ANNOUNCED: Span = Span::from_secs(4);
 /// Time for the answer of another entry.
 const PEER_WAIT: Duration = Duration::from_millis(700);
 /// Time between two looks at servers whose records are missing.
@@ -78,6 +81,8 @@
     lease: Cell<Option<u64>>,
     /// When another entry, to which the store answers, last told what it knows.
     served: Cell<Option<Time>>,
+    /// When the store last answered again after it had not.
+    regained: Cell<Option<Time>>,
     /// Kept connection to the entry that was asked last.
     link: Cell<Option<(SocketAddr, Conn)>>,
 }
@@ -92,6 +97,7 @@
             seeds,
             lease: Cell::default(),
             served: Cell::default(),
+            regained: Cell::default(),
             link: Cell::default(),
         }
     }
@@ -195,13 +201,19 @@
             let read = self.source.entries().await;
             self.note("entries", read.as_ref().err());
             let changed = match read {
-                Ok(read) => {
-                    // After an outage entries are missing until they have renewed their leases.
-                    if read.value.iter().any(|entry| entry.name == self.node.setup.entry.name) {
-                        self.node.take_entries(read.value);
+                Ok(read) => match self.until_announced() {
+                    Some(rest) => {
+                        self.node.add_entries(read.value);
+                        sleep(rest).await;
+                        Ok(())
                     }
-                    self.source.entries_changed(read.as_of).await.map(|_| ())
-                }
+                    None => {
+                        if read.value.iter().any(|e| e.name == self.node.setup.entry.name) {
+                            self.node.take_entries(read.value);
+                        }
+                        self.source.entries_changed(read.as_of).await.map(|_| ())
+                    }
+                },
                 Err(error) => Err(error),
             };
             match changed {
@@ -214,6 +226,14 @@
         }
     }
 
+    /// Time until all entries that live have announced themselves again after an outage in which leases
+    /// may have lapsed. Until then a missing record says nothing.
+    fn until_announced(&self) -> Option<Duration> {
+        let since = self.node.now().since(self.regained.get()?);
+        let rest = ANNOUNCED.saturating_sub(since);
+        (rest > Span::ZERO).then(|| rest.into())
+    }
+
     async fn announce(&self) {
         loop {
             if self.node.state.borrow().draining.is_some() {
@@ -366,6 +386,9 @@
         if self.contact.away.replace(away) == away {
             return;
         }
+        if !away {
+            self.regained.set(Some(self.node.now()));
+        }
         let text = error.map(ToString::to_string).unwrap_or_default();
         let kind = if away { Kind::Lost } else { Kind::Regained };
         let fields = [
