--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -4,12 +4,14 @@
 //! Decisions come from `damaskweir_core`; this package carries them out on one thread. What is spoken to
 //! callers, backend servers and the store is behind the traits of [`wire`].
 
+mod attempt;
 mod body;
 mod calls;
 mod event;
 mod peers;
 mod request;
 mod stages;
+mod stream;
 
 pub mod explain;
 pub mod http;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -1,14 +1,14 @@
 //! One request from its admission to its one final answer.
 
-use crate::body::{Body, StreamEnd};
-use crate::event::Splitter;
-use crate::http::{Conn, Head, HttpError};
+use crate::attempt::{Answer, Outcome};
+use crate::body::Body;
 use crate::log::{Kind, Value};
 use crate::node::Node;
 use crate::stages::{Held, StageFault, StageJob};
-use crate::wire::{Ask, Order, Reply, Wire, promises};
-use bytes::{Bytes, BytesMut};
-use damaskweir_core::catalog::{Repeat, Route, Work};
+use crate::stream::Stream;
+use crate::wire::{Ask, Wire};
+use bytes::Bytes;
+use damaskweir_core::catalog::{Repeat, Route};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::forecast::{Arrival, Decision, decide};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId, WorkspaceId};
@@ -23,25 +23,14 @@
 
 /// Servers that one request is sent to at most, refusals included.
 const SENDS_MAX: u32 = 4;
-/// Time beyond the usual one after which a server that has sent nothing is given up, if the request may
-/// be sent elsewhere: this many times the usual time, and a while longer.
-const PATIENCE_FACTOR: f64 = 5.0;
-/// Added to that for plain calls.
-const PATIENCE_PLAIN: Span = Span::from_millis(150);
-/// Added to that for generation.
-const PATIENCE_ENGINE: Span = Span::from_millis(700);
-/// Pause between events after which a stream that can be resumed goes on elsewhere.
-const STALL: Span = Span::from_millis(1_500);
 /// Time that a request must have left to be worth sending once more.
-const WORTH_SENDING: Span = Span::from_millis(40);
+pub(crate) const WORTH_SENDING: Span = Span::from_millis(40);
 /// When to come back if no server may be used.
 const AWAY_RETRY: Span = Span::from_millis(500);
 /// When to come back if this entry ends; another one takes the request.
 const MOVED_RETRY: Span = Span::from_millis(50);
 /// When to come back if all servers are full.
 const FULL_RETRY: Span = Span::from_millis(250);
-/// Bytes of an answer that are collected before any is passed on.
-const COLLECT_MAX: usize = 256 * 1024;
 
 /// A final answer that is not a backend server's.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,9 +64,9 @@
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
     /// Servers that it may have run on.
-    ran: Vec<ServerId>,
+    pub(crate) ran: Vec<ServerId>,
     /// Servers that it was sent to.
-    sent: Vec<ServerId>,
+    pub(crate) sent: Vec<ServerId>,
     timing: Timing,
     /// Time that its stages and the first part of its answer were predicted to take.
     predicted: Span,
@@ -86,35 +75,6 @@
     ended: bool,
 }
 
-/// What came of sending a request once.
-enum Outcome<W: Wire> {
-    /// A whole answer, or the beginning of a stream.
-    Answer(Box<Answer<W>>),
-    /// The server states that it has not run it.
-    NotRun(Ending),
-    /// Inputs of the request are gone; it has not run.
-    InputsGone,
-    /// It may have run.
-    Broken(&'static str),
-}
-
-struct Answer<W: Wire> {
-    head: Head,
-    bytes: Bytes,
-    /// The rest of a stream.
-    rest: Option<Rest<W>>,
-}
-
-/// A stream that has begun.
-struct Rest<W: Wire> {
-    /// `None`: the server has sent all of it.
-    conn: Option<Conn>,
-    splitter: Splitter,
-    guard: OpenGuard<W>,
-    /// Last event that was passed on.
-    last: Option<u64>,
-}
-
 /// Times of a stream, for its final line.
 #[derive(Default)]
 struct Timing {
@@ -124,50 +84,6 @@
     pause: Span,
 }
 
-/// An answer with its stream, if it has one.
-pub(crate) struct Stream<W: Wire> {
-    run: Run<W>,
-    rest: Rest<W>,
-}
-
-/// Counts a request as open at a server until it ends.
-struct OpenGuard<W: Wire> {
-    node: Rc<Node<W>>,
-    pool: PoolId,
-    server: ServerId,
-    parts: Vec<damaskweir_core::place::Part>,
-    /// Prompt tokens that the server has still to read.
-    unread: u64,
-    done: bool,
-}
-
-impl<W: Wire> OpenGuard<W> {
-    fn answered(&mut self, first: Span) {
-        let now = self.node.now();
-        let unread = std::mem::take(&mut self.unread);
-        let mut state = self.node.state.borrow_mut();
-        if let Some(placer) = state.placers.get_mut(&self.pool) {
-            placer.answered(now, &self.server, unread, first);
-        }
-    }
-
-    fn end(&mut self, ending: Ending) {
-        if !std::mem::replace(&mut self.done, true) {
-            let now = self.node.now();
-            let mut state = self.node.state.borrow_mut();
-            if let Some(placer) = state.placers.get_mut(&self.pool) {
-                placer.ended(now, &self.server, &self.parts, self.unread, ending);
-            }
-        }
-    }
-}
-
-impl<W: Wire> Drop for OpenGuard<W> {
-    fn drop(&mut self) {
-        self.end(Ending::Unknown);
-    }
-}
-
 impl<W: Wire> Run<W> {
     pub(crate) fn new(
         node: Rc<Node<W>>,
@@ -285,7 +201,7 @@
         }
     }
 
-    async fn prepare(&self) -> Result<Option<Held<W>>, Refusal> {
+    pub(crate) async fn prepare(&self) -> Result<Option<Held<W>>, Refusal> {
         if self.route.stages.is_empty() {
             return Ok(None);
         }
@@ -314,12 +230,12 @@
         state.placers.get(&self.pool)?.zone_for(now, &self.ask.parts).cloned()
     }
 
-    fn usual(&self) -> Span {
+    pub(crate) fn usual(&self) -> Span {
         let state = self.node.state.borrow();
         state.placers.get(&self.pool).map_or(Span::ZERO, |placer| placer.usual())
     }
 
-    fn choose(&self, held: Option<&Held<W>>) -> Result<Replica, Refusal> {
+    pub(crate) fn choose(&self, held: Option<&Held<W>>) -> Result<Replica, Refusal> {
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         let state = &mut *state;
@@ -370,192 +286,13 @@
         Err(Refusal::Unknown { cause })
     }
 
-    fn may_repeat(&self) -> bool {
+    pub(crate) fn may_repeat(&self) -> bool {
         self.route.repeat.allowed()
             && (self.ran.len() as u32) < self.route.attempts
             && (self.sent.len() as u32) < SENDS_MAX
     }
 
-    /// Sends the request to a server and waits for a whole answer, or for the first event of a stream.
-    async fn send(
-        &mut self,
-        server: &Replica,
-        held: Option<&Held<W>>,
-        resume: Option<u64>,
-    ) -> Outcome<W> {
-        let node = self.node.clone();
-        let began = node.now();
-        self.sent.push(server.id.clone());
-        let unread = {
-            let mut state = node.state.borrow_mut();
-            let placer = state.placers.get_mut(&self.pool);
-            placer.map_or(0, |placer| placer.sent(began, &server.id, &self.ask.parts))
-        };
-        let mut guard = OpenGuard {
-            node: node.clone(),
-            pool: self.pool.clone(),
-            server: server.id.clone(),
-            parts: self.ask.parts.clone(),
-            unread,
-            done: false,
-        };
-        let mut conn = match node.connection(server).await {
-            Ok(conn) => conn,
-            Err(error) => {
-                self.note_broken(server, &error);
-                guard.end(Ending::Silent);
-                return Outcome::NotRun(Ending::Silent);
-            }
-        };
-        let left = self.deadline.since(node.now());
-        let order = Order {
-            server,
-            workspace: self.workspace.as_ref().map(WorkspaceId::as_str),
-            left,
-            resume: resume.or(self.ask.resume),
-            inputs: held.map(|held| held.outputs.iter().map(String::as_str).collect()),
-            rank: self.rank,
-        };
-        let head = node.wire.request(&self.head, self.body.len(), &order);
-        let fields = [
-            ("server", server.id.as_str().into()),
-            ("left_ms", left.as_millis().into()),
-            ("unread_tokens", guard.unread.into()),
-            ("reused", u64::from(conn.uses()).into()),
-        ];
-        node.log.request(Kind::Sent, &self.ask.id, &fields);
-        self.ran.push(server.id.clone());
-        let limit = node.instant(self.patience(began));
-        let body = self.body.clone();
-        let exchange = self.exchange(&mut conn, &head, &body);
-        let result = match timeout_at(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(HttpError::Late),
-        };
-        let outcome = match result {
-            Err(error) => {
-                self.note_broken(server, &error);
-                let silent = matches!(error, HttpError::Late);
-                guard.end(if silent { Ending::Silent } else { Ending::Failed });
-                Outcome::Broken(if silent { "server_silent" } else { "connection_broke" })
-            }
-            Ok((head, reply, bytes, splitter)) => {
-                let took = node.now().since(began);
-                self.judge(guard, (head, reply, bytes), (conn, splitter), took)
-            }
-        };
-        if matches!(outcome, Outcome::NotRun(_) | Outcome::InputsGone) {
-            self.ran.pop();
-        }
-        outcome
-    }
-
-    /// The latest moment for the first part of the answer.
-    fn patience(&self, began: Time) -> Time {
-        if !self.may_repeat() {
-            return self.deadline;
-        }
-        let engine = self.is_engine();
-        let more = if engine { PATIENCE_ENGINE } else { PATIENCE_PLAIN };
-        let at = began + self.usual().scale(PATIENCE_FACTOR) + more;
-        // What comes after the patience must still be of use.
-        if at + WORTH_SENDING < self.deadline { at } else { self.deadline }
-    }
-
-    fn is_engine(&self) -> bool {
-        let state = self.node.state.borrow();
-        let pool = state.catalog.as_ref().and_then(|catalog| catalog.pools.get(&self.pool));
-        pool.is_some_and(|pool| matches!(pool.work, Work::Engine { .. }))
-    }
-
-    /// Sends the request and reads the whole answer, or the first event of a stream.
-    async fn exchange(
-        &self,
-        conn: &mut Conn,
-        head: &[u8],
-        body: &[u8],
-    ) -> Result<(Head, Reply, Bytes, Option<Splitter>), HttpError> {
-        conn.send(head, body).await?;
-        let wire = &self.node.wire;
-        let own = |head: &Head| wire.reply(head).echo.as_deref() == Some(self.ask.id.as_str());
-        let head = conn.head(own).await?;
-        let reply = wire.reply(&head);
-        if self.route.repeat.streams() && head.status.is_success() {
-            let mut splitter = Splitter::default();
-            while !splitter.has_event() {
-                match conn.chunk().await? {
-                    Some(bytes) if splitter.push(&bytes) => {}
-                    Some(_) => return Err(HttpError::Malformed("event too long")),
-                    None if splitter.partial() => return Err(HttpError::Early),
-                    None => return Ok((head, reply, Bytes::new(), None)),
-                }
-            }
-            return Ok((head, reply, Bytes::new(), Some(splitter)));
-        }
-        let mut all = BytesMut::new();
-        while let Some(bytes) = conn.chunk().await? {
-            all.extend_from_slice(&bytes);
-            if all.len() > COLLECT_MAX * 64 {
-                return Err(HttpError::Malformed("body too large"));
-            }
-        }
-        Ok((head, reply, all.freeze(), None))
-    }
-
-    /// Tells what an answer means for the request and for what is believed of the server.
-    fn judge(
-        &self,
-        mut guard: OpenGuard<W>,
-        (head, reply, bytes): (Head, Reply, Bytes),
-        (conn, splitter): (Conn, Option<Splitter>),
-        took: Span,
-    ) -> Outcome<W> {
-        let status = head.status;
-        if status.is_success() && reply.signed {
-            self.node.metrics.first_part(self.kind(), took);
-            guard.answered(took);
-            let rest = match splitter {
-                Some(splitter) => {
-                    Some(Rest { conn: Some(conn), splitter, guard, last: self.ask.resume })
-                }
-                None => {
-                    guard.end(Ending::Whole);
-                    self.node.keep(&guard.server, conn);
-                    None
-                }
-            };
-            return Outcome::Answer(Box::new(Answer { head, bytes, rest }));
-        }
-        self.node.keep(&guard.server, conn);
-        if reply.skipped || status == StatusCode::MISDIRECTED_REQUEST {
-            if status == StatusCode::CONFLICT {
-                guard.end(Ending::Unknown);
-                return Outcome::InputsGone;
-            }
-            let ending = match status.as_u16() {
-                421 => Ending::Silent,
-                _ => Ending::Full,
-            };
-            guard.end(ending);
-            return Outcome::NotRun(Ending::Full);
-        }
-        guard.end(Ending::Failed);
-        // A failure of the server is its answer, unless it can be tried elsewhere or would promise
-        // that nothing ran.
-        let final_answer = reply.signed && !promises(status) && !status.is_success();
-        if final_answer && !self.may_repeat() {
-            return Outcome::Answer(Box::new(Answer { head, bytes, rest: None }));
-        }
-        Outcome::Broken("server_failed")
-    }
-
-    fn note_broken(&self, server: &Replica, error: &HttpError) {
-        let text = error.to_string();
-        let fields = [("server", server.id.as_str().into()), ("error", Value::from(&*text))];
-        self.node.log.request(Kind::Broken, &self.ask.id, &fields);
-    }
-
-    fn kind(&self) -> &'static str {
+    pub(crate) fn kind(&self) -> &'static str {
         match self.route.repeat {
             Repeat::Idempotent => "idempotent",
             Repeat::Never => "once",
@@ -609,7 +346,7 @@
     }
 
     /// Notes the time of events that are passed on.
-    fn note_events(&mut self) {
+    pub(crate) fn note_events(&mut self) {
         let now = self.node.now();
         let timing = &mut self.timing;
         if timing.latest == Time::default() {
@@ -621,7 +358,7 @@
     }
 
     /// Writes the one final line of the request.
-    fn note_end(&mut self, kind: Kind, outcome: &'static str, cause: &'static str) {
+    pub(crate) fn note_end(&mut self, kind: Kind, outcome: &'static str, cause: &'static str) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
@@ -657,112 +394,6 @@
     }
 }
 
-impl<W: Wire> Stream<W> {
-    fn into_body(self) -> Body {
-        Body::stream(futures::stream::unfold(Some(self), |stream| async {
-            let mut stream = stream?;
-            match stream.next().await {
-                Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
-                Ok(None) => {
-                    stream.run.note_end(Kind::Answered, "whole", "");
-                    None
-                }
-                Err(end) => {
-                    stream.run.note_end(Kind::Cut, "cut", end.0);
-                    Some((Err(end), None))
-                }
-            }
-        }))
-    }
-
-    /// The next whole events. `None`: the stream is complete.
-    async fn next(&mut self) -> Result<Option<Bytes>, StreamEnd> {
-        let deadline = self.run.node.instant(self.run.deadline);
-        loop {
-            let mut out = BytesMut::new();
-            while let Some(event) = self.rest.splitter.take() {
-                let old =
-                    matches!((event.id, self.rest.last), (Some(id), Some(last)) if id <= last);
-                if !old {
-                    self.rest.last = event.id.or(self.rest.last);
-                    out.extend_from_slice(&event.bytes);
-                }
-            }
-            if !out.is_empty() {
-                self.run.note_events();
-                return Ok(Some(out.freeze()));
-            }
-            let Some(conn) = &mut self.rest.conn else { return Ok(None) };
-            let stall = self.run.node.instant(self.run.node.now() + STALL);
-            let limit = if self.run.may_repeat() { stall.min(deadline) } else { deadline };
-            let cause = match timeout_at(limit, conn.chunk()).await {
-                Ok(Ok(Some(bytes))) if self.rest.splitter.push(&bytes) => continue,
-                Ok(Ok(Some(_))) => "event_too_long",
-                Ok(Ok(None)) if self.rest.splitter.partial() => "partial_event",
-                Ok(Ok(None)) => {
-                    self.finish();
-                    continue;
-                }
-                Ok(Err(_)) => "server_broke",
-                Err(_) if tokio::time::Instant::now() >= deadline => "deadline",
-                Err(_) => "server_stalled",
-            };
-            if cause == "deadline" {
-                return Err(StreamEnd(cause));
-            }
-            match timeout_at(deadline, self.resume(cause)).await {
-                Ok(Ok(())) => {}
-                Ok(Err(end)) => return Err(end),
-                Err(_) => return Err(StreamEnd("deadline")),
-            }
-        }
-    }
-
-    /// The server has sent the whole stream.
-    fn finish(&mut self) {
-        self.rest.guard.end(Ending::Whole);
-        if let Some(conn) = self.rest.conn.take() {
-            self.run.node.keep(&self.rest.guard.server, conn);
-        }
-    }
-
-    /// Goes on at another server after the last event that was passed on.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), StreamEnd> {
-        let run = &mut self.run;
-        // The server must not go on with what another one is about to do.
-        self.rest.conn = None;
-        self.rest.guard.end(Ending::Failed);
-        let (Some(last), true) = (self.rest.last, run.may_repeat()) else {
-            return Err(StreamEnd(cause));
-        };
-        if !run.node.withdraw(&run.pool) {
-            return Err(StreamEnd(cause));
-        }
-        let held = run.prepare().await.map_err(|_| StreamEnd("stages_after_break"))?;
-        let server = run.choose(held.as_ref()).map_err(|_| StreamEnd("no_other_server"))?;
-        let fields = [
-            ("cause", cause.into()),
-            ("server", server.id.as_str().into()),
-            ("after_event", last.into()),
-        ];
-        run.node.log.request(Kind::Resumed, &run.ask.id, &fields);
-        match run.send(&server, held.as_ref(), Some(last)).await {
-            Outcome::Answer(answer) => match answer.rest {
-                Some(rest) => {
-                    self.rest = Rest { last: Some(last), ..rest };
-                    Ok(())
-                }
-                None if answer.head.status.is_success() => {
-                    self.rest.splitter = Splitter::default();
-                    Ok(())
-                }
-                None => Err(StreamEnd("failed_after_break")),
-            },
-            _ => Err(StreamEnd("failed_after_break")),
-        }
-    }
-}
-
 /// An answer of the entry's own.
 pub(crate) fn refused(status: StatusCode, cause: &str, retry: Option<Span>) -> Response<Body> {
     let text = format!("{{\"error\":\"{cause}\"}}");
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -56,8 +56,12 @@
 
 /// Answers callers for as long as the process runs.
 pub async fn serve_callers<W: Wire>(node: Rc<Node<W>>, listener: TcpListener) {
+    let bounds = {
+        let node = node.clone();
+        move || Bounds::of(&node)
+    };
     let handler = move |request| answer(node.clone(), request);
-    accept(&listener, handler).await;
+    accept(&listener, bounds, handler).await;
 }
 
 /// Answers whether callers should be sent here.
@@ -69,7 +73,7 @@
             plain(status, Bytes::new())
         }
     };
-    accept(&listener, handler).await;
+    accept(&listener, Bounds::default, handler).await;
 }
 
 /// Answers other entries, and those who collect metrics.
@@ -78,10 +82,33 @@
         let node = node.clone();
         async move { admin(&node, request).await }
     };
-    accept(&listener, handler).await;
+    accept(&listener, Bounds::default, handler).await;
+}
+
+/// Bounds of one connection.
+struct Bounds {
+    /// Bytes of a request head.
+    header: usize,
+    /// Time that it may be idle.
+    idle: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { header: HEADER_DEFAULT, idle: IDLE_DEFAULT }
+    }
+}
+
+impl Bounds {
+    /// Those of the configuration in force.
+    fn of<W: Wire>(node: &Node<W>) -> Self {
+        let state = node.state.borrow();
+        let limits = state.catalog.as_ref().map(|catalog| &catalog.limits);
+        limits.map_or_else(Self::default, |l| Self { header: l.header, idle: l.idle.into() })
+    }
 }
 
-async fn accept<F, R>(listener: &TcpListener, handler: F)
+async fn accept<F, R>(listener: &TcpListener, bounds: impl Fn() -> Bounds, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<Body>> + 'static,
@@ -89,15 +116,15 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
-                tokio::task::spawn_local(async move { connection(stream, handler).await });
+                let (bounds, handler) = (bounds(), handler.clone());
+                tokio::task::spawn_local(async move { connection(stream, bounds, handler).await });
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn connection<F, R>(stream: TcpStream, handler: F)
+async fn connection<F, R>(stream: TcpStream, bounds: Bounds, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<Body>> + 'static,
@@ -113,8 +140,8 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout also ends connections that are idle between requests.
-        .header_read_timeout(IDLE_DEFAULT + IDLE_MARGIN)
-        .max_buf_size(HEADER_DEFAULT.max(BUFFER_MIN))
+        .header_read_timeout(bounds.idle + IDLE_MARGIN)
+        .max_buf_size(bounds.header.max(BUFFER_MIN))
         .serve_connection(TokioIo::new(stream), service)
         .await;
     // An error here is a caller that left or sent no HTTP; the request has its own line.
