--- /dev/null
+++ b/crates/direct/tests/http.rs
@@ -0,0 +1,128 @@
+//! Tests of the HTTP client against servers that answer what they like, and of the cutting of events.
+#![allow(clippy::expect_used, reason = "the lint knows only test functions")]
+
+use damaskweir_direct::Splitter;
+use damaskweir_direct::http::{Conn, HttpError};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// A connection to a server that reads the head of a request and sends these bytes.
+async fn connect(answer: &'static [u8], close: bool) -> Conn {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client");
+        let mut bytes = Vec::new();
+        while !bytes.windows(4).any(|w| w == b"\r\n\r\n") {
+            stream.read_buf(&mut bytes).await.expect("a request");
+        }
+        stream.write_all(answer).await.expect("the client reads");
+        if !close {
+            std::future::pending::<()>().await;
+        }
+    });
+    Conn::connect(address, Duration::from_secs(1)).await.expect("it listens")
+}
+
+async fn get(answer: &'static [u8], close: bool) -> (Conn, Result<(u16, Vec<u8>), HttpError>) {
+    let mut conn = connect(answer, close).await;
+    let read = async {
+        conn.send(b"GET / HTTP/1.1\r\n\r\n", &[]).await?;
+        let head = conn.head(|head| !head.headers.contains_key("other")).await?;
+        Ok((head.status.as_u16(), conn.body().await?.to_vec()))
+    };
+    let answer = tokio::time::timeout(Duration::from_secs(5), read).await.expect("no hang");
+    (conn, answer)
+}
+
+/// Guards against bodies that are cut short or run into the next answer.
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, true)]
+#[case::chunks(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nt: 1\r\n\r\n", false, true)]
+#[case::close(b"HTTP/1.1 200 OK\r\n\r\nbody", true, false)]
+#[case::not_reused(
+    b"HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 4\r\n\r\nbody",
+    false,
+    false
+)]
+#[case::interim(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+    false,
+    true
+)]
+#[case::others(b"HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, true)]
+#[tokio::test]
+async fn answers_are_read_whole(
+    #[case] answer: &'static [u8],
+    #[case] close: bool,
+    #[case] reused: bool,
+) {
+    let (mut conn, read) = get(answer, close).await;
+    assert_eq!(read.expect("a good answer"), (200, b"body".to_vec()));
+    assert_eq!(conn.usable(), reused);
+}
+
+/// Guards against answers that broke off and look whole, and against bytes that are no answer.
+#[rstest]
+#[case::short(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", true)]
+#[case::cut_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody", true)]
+#[case::no_last_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", true)]
+#[case::bad_chunk(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", false)]
+#[case::two_lengths(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nbody",
+    false
+)]
+#[case::coding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody", false)]
+#[case::garbage(b"\x00\x01\x02\r\n\r\n", false)]
+#[case::nothing(b"", true)]
+#[tokio::test]
+async fn broken_answers_are_errors(#[case] answer: &'static [u8], #[case] close: bool) {
+    let (mut conn, read) = get(answer, close).await;
+    assert!(read.is_err(), "{read:?}");
+    assert!(!conn.usable());
+}
+
+/// Guards against a second answer on a kept connection that is taken for the next one.
+#[tokio::test]
+async fn a_connection_with_extra_bytes_is_not_used_again() {
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n";
+    let (mut conn, read) = get(answer, false).await;
+    assert!(read.is_ok());
+    assert!(!conn.usable());
+}
+
+/// Guards against a client that waits to send a long body which the server has refused already.
+#[tokio::test]
+async fn a_server_may_answer_before_it_has_read_the_body() {
+    let answer = b"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
+    let mut conn = connect(answer, false).await;
+    let body = vec![0; 32 * 1024 * 1024];
+    let read = async {
+        conn.send(b"POST / HTTP/1.1\r\nContent-Length: 33554432\r\n\r\n", &body).await?;
+        conn.head(|_| true).await
+    };
+    let head = tokio::time::timeout(Duration::from_secs(5), read).await.expect("no hang");
+    assert_eq!(head.expect("an answer").status.as_u16(), 413);
+    conn.body().await.expect("empty");
+    assert!(!conn.usable(), "the rest of the body is not sent");
+}
+
+/// Guards against events that are split, joined or changed by the sizes of reads.
+#[rstest]
+fn events_are_cut_at_empty_lines(#[values(1, 2, 3, 7, 100)] size: usize) {
+    let text = "id: 4\ndata: a\n\nid:5\r\ndata: b\r\n\r\ndata: no id\n\nid: 6\nda";
+    let mut splitter = Splitter::default();
+    let (mut ids, mut bytes) = (Vec::new(), Vec::new());
+    for part in text.as_bytes().chunks(size) {
+        assert!(splitter.push(part));
+        while let Some(event) = splitter.take() {
+            ids.push(event.id);
+            bytes.extend_from_slice(&event.bytes);
+        }
+    }
+    assert_eq!(ids, [Some(4), Some(5), None]);
+    assert!(splitter.partial() && !splitter.has_event());
+    assert_eq!(bytes, &text.as_bytes()[..text.len() - "id: 6\nda".len()]);
+}
