Promise that nothing ran only if no server may have begun

Cause: a request that broke off at one server and then found its inputs gone twice was answered 503, though the first may have begun it (found by reading; the test failed first with 503). Only streams that may be resumed could get there. Also: a pool with fewer connections than entries was taken as unlimited. Change: one place decides between 'not run' and 'unknown' for all requests that are given up.

--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -149,9 +149,7 @@
                     drop(held.take());
                     held = self.prepare().await?;
                 }
-                Outcome::InputsGone => {
-                    return Err(Refusal::NotRun { cause: "inputs_gone", retry: FULL_RETRY });
-                }
+                Outcome::InputsGone => return Err(self.gave_up("inputs_gone")),
                 Outcome::NotRun(ending) => self.again(ending)?,
                 Outcome::Broken(cause) => self.repeat(cause)?,
             }
@@ -217,10 +215,16 @@
             toward: self.toward(),
         };
         let done = self.node.prepare(&job).await;
-        done.map(Some).map_err(|fault: StageFault| match self.ran.is_empty() {
-            true => Refusal::NotRun { cause: fault.cause(), retry: FULL_RETRY },
-            false => Refusal::Unknown { cause: fault.cause() },
-        })
+        done.map(Some).map_err(|fault: StageFault| self.gave_up(fault.cause()))
+    }
+
+    /// The final answer of a request that is given up: it promises that nothing ran only if no server may
+    /// have begun.
+    fn gave_up(&self, cause: &'static str) -> Refusal {
+        match self.ran.is_empty() {
+            true => Refusal::NotRun { cause, retry: FULL_RETRY },
+            false => Refusal::Unknown { cause },
+        }
     }
 
     /// Zone of the server that the prompt is best sent to.
@@ -241,7 +245,7 @@
         let state = &mut *state;
         let entries = state.entries.len().max(1) as u32;
         let pool = state.catalog.as_ref().and_then(|c| c.pools.get(&self.pool));
-        let most = pool.map_or(0, |pool| pool.connections / entries);
+        let most = pool.map_or(0, |pool| (pool.connections / entries).max(1));
         let need = Need {
             parts: &self.ask.parts,
             results: held.map_or(&[], |held| &held.zones),
@@ -250,10 +254,7 @@
         };
         let placer = state.placers.get(&self.pool);
         let chosen = placer.and_then(|placer| placer.choose(now, &mut state.rng, &need));
-        chosen.cloned().ok_or(match self.ran.is_empty() {
-            true => Refusal::NotRun { cause: "servers_full", retry: FULL_RETRY },
-            false => Refusal::Unknown { cause: "no_other_server" },
-        })
+        chosen.cloned().ok_or_else(|| self.gave_up("servers_full"))
     }
 
     /// Decides on another try after a server has not run the request.
@@ -268,10 +269,7 @@
             self.node.log.request(Kind::Retried, &self.ask.id, &fields);
             return Ok(());
         }
-        Err(match self.ran.is_empty() {
-            true => Refusal::NotRun { cause, retry: FULL_RETRY },
-            false => Refusal::Unknown { cause },
-        })
+        Err(self.gave_up(cause))
     }
 
     /// Decides on another try after the request may have run.
