Let room expire that nobody gives back

Ruled out: store and manifest. Change: counted results expire with the time for which servers keep them, and such a queue is measured in calls of usual size; both tests failed first.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -10,7 +10,7 @@
 use crate::fleet::Replica;
 use crate::ids::ServerId;
 use crate::time::{Span, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time for which a first piece waits for others, since requests arrive in clumps.
 const GATHER: Span = Span::from_millis(6);
@@ -104,8 +104,9 @@
     pause: Span,
     pace: f64,
     paced: Time,
-    /// Bytes of results that lie there.
-    held: u64,
+    /// Bytes of results that lie there, and when they are gone at the latest, in that order. Whoever has
+    /// them may end without giving them back.
+    held: VecDeque<(Time, u64)>,
 }
 
 /// Waiting pieces and owned servers of one stage pool.
@@ -149,7 +150,7 @@
                 pause: PAUSES.0,
                 pace: 1.0,
                 paced: Time::default(),
-                held: 0,
+                held: VecDeque::new(),
                 replica: replica.clone(),
             };
             self.makers.entry(replica.id.clone()).or_insert_with(maker);
@@ -249,7 +250,7 @@
     /// Results were given back, or will never be made.
     pub fn freed(&mut self, id: &ServerId, bytes: u64) {
         if let Some(maker) = self.makers.get_mut(id) {
-            maker.held = maker.held.saturating_sub(bytes);
+            maker.free(bytes);
         }
     }
 
@@ -257,7 +258,7 @@
     pub fn fullness(&self, now: Time) -> f64 {
         let usable = self.makers.values().filter(|m| m.paused <= now).count();
         let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
-        let round = (usable as f64 * self.usual).max(1.0);
+        let round = (usable.max(1) as f64 * self.usual).max(1.0);
         self.waiting.len() as f64 / round + busy as f64 * 0.5 / usable.max(1) as f64
     }
 
@@ -268,15 +269,17 @@
         let fast = self.makers.values().any(|maker| good(&maker));
         let free = self.makers.values().filter(|m| m.open.is_none() && m.paused <= now);
         free.filter(|maker| !fast || good(maker))
-            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.held))
+            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.held_bytes()))
             .map(|maker| maker.replica.id.clone())
     }
 
     /// The call that a server gets.
     fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
         let least = self.least();
-        let maker = self.makers.get(id)?;
-        let held = (maker.held as f64 * self.swell) as u64;
+        let maker = self.makers.get_mut(id)?;
+        maker.held.retain(|(gone, _)| *gone > now);
+        let lying = maker.held_bytes();
+        let held = (lying as f64 * self.swell) as u64;
         let room = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
         // Pieces that can still be in time go first, the most urgent of them ahead.
         self.waiting
@@ -284,7 +287,7 @@
         let late = self.waiting.iter().filter(|piece| piece.due < now + least).count();
         let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
         let (timely, overdue) = self.waiting.split_at(self.waiting.len() - late);
-        let mut pick = Pick { room, empty: maker.held == 0, swell: self.swell, pieces: Vec::new() };
+        let mut pick = Pick { room, empty: lying == 0, swell: self.swell, pieces: Vec::new() };
         pick.take(timely, self.spec.batch - kept);
         // Late pieces have been promised an answer as well, and hold results of earlier stages.
         pick.take(overdue, self.spec.batch);
@@ -302,7 +305,8 @@
         let expected = work.scale(maker.paced_at(now).max(1.0));
         let late = now + expected.scale(LATE_FACTOR) + LATE_MORE;
         maker.open = Some(Open { sent: now, late });
-        maker.held += pieces.iter().map(|piece| piece.bytes).sum::<u64>();
+        let bytes = pieces.iter().map(|piece| piece.bytes).sum();
+        maker.held.push_back((late + self.spec.keep, bytes));
         Some(Batch { server: maker.replica.clone(), pieces, late })
     }
 
@@ -366,6 +370,22 @@
         1.0 + (self.pace - 1.0) * (-age).exp()
     }
 
+    fn held_bytes(&self) -> u64 {
+        self.held.iter().map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Takes bytes off, the oldest first.
+    fn free(&mut self, mut bytes: u64) {
+        while let Some((_, held)) = self.held.front_mut().filter(|_| bytes > 0) {
+            let taken = bytes.min(*held);
+            *held -= taken;
+            bytes -= taken;
+            if *held == 0 {
+                self.held.pop_front();
+            }
+        }
+    }
+
     fn rest(&mut self, now: Time) {
         self.paused = now + self.pause;
         self.pause = Span((self.pause.0 * 2).min(PAUSES.1.0));
--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -108,6 +108,34 @@
     assert_eq!(batcher.plan(millis(301)).expect("room again").pieces.len(), 1);
 }
 
+/// Guards against room that is lost for good with an entry that ends before it gives its results back
+/// (inc-981f of Teranga's site: one owner was ten rounds full for ten seconds).
+#[test]
+fn results_that_are_never_given_back_free_their_room_in_time() {
+    let mut batcher = batcher(&["a"]);
+    let large = |id, at| Waiting { bytes: 9_000_000, ..piece(id, id, at) };
+    batcher.push(large(1, millis(0)));
+    let batch = batcher.plan(millis(10)).expect("free");
+    batcher.ended(millis(300), &batch.server.id, 1, CallEnd::Done { roomy: true });
+    batcher.push(large(2, millis(300)));
+    assert!(batcher.plan(millis(1_000)).is_none(), "no room");
+    let gone = millis(300) + SPEC.keep + Span::from_secs(1);
+    batcher.push(large(3, gone));
+    assert!(batcher.plan(gone + Span::from_millis(10)).is_some(), "the server has dropped it");
+}
+
+/// Guards against a pause of the only server that looks like a queue of many rounds.
+#[test]
+fn a_pause_does_not_look_like_a_long_queue() {
+    let mut batcher = batcher(&["a"]);
+    batcher.push(piece(1, 1, millis(0)));
+    let batch = batcher.plan(millis(10)).expect("free");
+    batcher.ended(millis(20), &batch.server.id, 1, CallEnd::Failed);
+    (2..12).for_each(|id| batcher.push(piece(id, id, millis(20))));
+    let full = batcher.fullness(millis(30));
+    assert!(full < 2.0, "{full}");
+}
+
 /// Guards against late pieces that wait for ever behind timely ones, and against the reverse.
 #[test]
 fn late_pieces_keep_some_places() {
