--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -9,7 +9,7 @@
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
 use crate::ids::ServerId;
-use crate::time::{Span, Time};
+use crate::time::{Span, Time, decay};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time for which a first piece waits for others, since requests arrive in clumps.
@@ -366,8 +366,7 @@
 
 impl Maker {
     fn paced_at(&self, now: Time) -> f64 {
-        let age = now.since(self.paced).as_secs_f64() / PACE_MEMORY.as_secs_f64();
-        1.0 + (self.pace - 1.0) * (-age).exp()
+        1.0 + (self.pace - 1.0) * decay(now, self.paced, PACE_MEMORY)
     }
 
     fn held_bytes(&self) -> u64 {
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -6,7 +6,7 @@
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
 use crate::ids::{AvailabilityZone, PoolId, ServerId};
-use crate::time::{Span, Time};
+use crate::time::{Span, Time, decay};
 use crate::value;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -226,7 +226,3 @@
         (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
     }
 }
-
-fn decay(now: Time, since: Time, memory: Span) -> f64 {
-    (-(now.since(since).as_secs_f64() / memory.as_secs_f64())).exp()
-}
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -6,7 +6,7 @@
 use crate::Rng;
 use crate::fleet::Replica;
 use crate::ids::{AvailabilityZone, ServerId};
-use crate::time::{Span, Time};
+use crate::time::{Span, Time, decay};
 use crate::value;
 use rand_core::Rng as _;
 use std::collections::{BTreeMap, HashMap};
@@ -193,11 +193,6 @@
         self.sites.get(id).map(|site| &site.replica.zone)
     }
 
-    /// Tokens of a prompt that a server has to read.
-    pub fn unread(&self, now: Time, id: &ServerId, parts: &[Part]) -> u64 {
-        self.sites.get(id).map_or(0, |site| site.unread(now, parts))
-    }
-
     /// A request was sent. Tells the prompt tokens that the server has to read, which `answered` and
     /// `ended` take back.
     pub fn sent(&mut self, now: Time, id: &ServerId, parts: &[Part]) -> u64 {
@@ -315,7 +310,3 @@
         self.paused = self.paused.max(now + pause);
     }
 }
-
-fn decay(now: Time, since: Time, memory: Span) -> f64 {
-    (-(now.since(since).as_secs_f64() / memory.as_secs_f64())).exp()
-}
--- a/crates/core/src/predict.rs
+++ b/crates/core/src/predict.rs
@@ -1,6 +1,6 @@
 //! Predicts service times from the ones that were seen.
 
-use crate::time::{Span, Time};
+use crate::time::{Span, Time, decay};
 
 /// Class of requests of like size, for instance the logarithm of the body's length.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -125,6 +125,6 @@
     }
 
     fn decay(&self, now: Time) -> f64 {
-        (-(now.since(self.updated).as_secs_f64() / PACE_MEMORY.as_secs_f64())).exp()
+        decay(now, self.updated, PACE_MEMORY)
     }
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -106,3 +106,8 @@
         Span(self.0.saturating_mul(factor))
     }
 }
+
+/// What is left at `now` of the weight of something seen at `since`: about a third after `memory`.
+pub(crate) fn decay(now: Time, since: Time, memory: Span) -> f64 {
+    (-(now.since(since).as_secs_f64() / memory.as_secs_f64())).exp()
+}
--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -39,11 +39,6 @@
         }
         allowed
     }
-
-    /// Repeats in the current window.
-    pub fn spent(&self) -> usize {
-        self.repeats.len()
-    }
 }
 
 fn trim(times: &mut VecDeque<Time>, now: Time, window: Span) {
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -293,6 +293,29 @@
     }
 }
 
+/// Connections that are kept for further requests to one peer.
+#[derive(Debug, Default)]
+pub struct Kept(Vec<Conn>);
+
+impl Kept {
+    /// The connection that was kept last and can still be used; the others are closed.
+    pub fn take(&mut self) -> Option<Conn> {
+        while let Some(mut conn) = self.0.pop() {
+            if conn.usable() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection if it can be used again and fewer than `most` are kept.
+    pub fn keep(&mut self, mut conn: Conn, most: usize) {
+        if self.0.len() < most && conn.usable() {
+            self.0.push(conn);
+        }
+    }
+}
+
 fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, HttpError> {
     let mut fields = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut answer = httparse::Response::new(&mut fields);
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -1,7 +1,7 @@
 //! State of one entry that all its tasks share. Everything runs on one thread.
 
 use crate::calls::PieceWaiter;
-use crate::http::{Conn, HttpError};
+use crate::http::{Conn, HttpError, Kept};
 use crate::log::{Kind, Log};
 use crate::metrics::Metrics;
 use crate::peers::Release;
@@ -82,11 +82,11 @@
     /// Results to give back.
     pub(crate) frees: Vec<Release>,
     /// Idle connections to other entries, by address.
-    pub(crate) links: HashMap<String, Vec<Conn>>,
+    pub(crate) links: HashMap<String, Kept>,
     /// When a pool's batcher will be asked again.
     pub(crate) wakes: BTreeMap<PoolId, Time>,
     pub(crate) next_piece: u64,
-    idle: HashMap<ServerId, Vec<Conn>>,
+    idle: HashMap<ServerId, Kept>,
     /// Longest time that callers of a route wait, by the route's name.
     waits: HashMap<String, Span>,
     /// The store answers this entry.
@@ -191,6 +191,10 @@
 
     /// Carries out changes of the list of servers.
     pub fn take_changes(&self, changes: Vec<FleetChange>) {
+        // Most reads change nothing; owners are computed over all servers.
+        if changes.is_empty() {
+            return;
+        }
         let mut state = self.state.borrow_mut();
         for change in changes {
             match change {
@@ -274,24 +278,20 @@
 
     /// A connection to a server, kept or new.
     pub(crate) async fn connection(&self, server: &Replica) -> Result<Conn, HttpError> {
-        loop {
-            let kept = self.state.borrow_mut().idle.get_mut(&server.id).and_then(Vec::pop);
-            let Some(mut conn) = kept else { break };
-            if conn.usable() {
-                return Ok(conn);
-            }
+        let kept = self.state.borrow_mut().idle.get_mut(&server.id).and_then(Kept::take);
+        if let Some(conn) = kept {
+            return Ok(conn);
         }
         self.metrics.connections.add(1, &[]);
         Conn::connect(server.address, CONNECT).await
     }
 
     /// Keeps a connection for the next request if it can be used again.
-    pub(crate) fn keep(&self, server: &ServerId, mut conn: Conn) {
+    pub(crate) fn keep(&self, server: &ServerId, conn: Conn) {
         let mut state = self.state.borrow_mut();
         let known = state.fleet.get(server).is_some_and(|replica| !replica.leaving);
-        let idle = state.idle.entry(server.clone()).or_default();
-        if known && conn.usable() && idle.len() < IDLE_MAX {
-            idle.push(conn);
+        if known {
+            state.idle.entry(server.clone()).or_default().keep(conn, IDLE_MAX);
         }
     }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,7 +1,7 @@
 //! What entries say to each other about pieces: groups handed to the owner of a server, and results that
 //! are given back.
 
-use crate::http::{Conn, HttpError};
+use crate::http::{Conn, HttpError, Kept};
 use crate::node::Node;
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, Wire};
@@ -112,23 +112,17 @@
     }
 
     async fn entry_connection(&self, entry: &EntryAt) -> Result<Conn, HttpError> {
-        loop {
-            let kept = self.state.borrow_mut().links.get_mut(&entry.address).and_then(Vec::pop);
-            let Some(mut conn) = kept else { break };
-            if conn.usable() {
-                return Ok(conn);
-            }
+        let kept = self.state.borrow_mut().links.get_mut(&entry.address).and_then(Kept::take);
+        if let Some(conn) = kept {
+            return Ok(conn);
         }
         let address: SocketAddr =
             entry.address.parse().map_err(|_| HttpError::Malformed("bad address of an entry"))?;
         Conn::connect(address, CONNECT).await
     }
 
-    fn keep_entry(&self, entry: &EntryAt, mut conn: Conn) {
+    fn keep_entry(&self, entry: &EntryAt, conn: Conn) {
         let mut state = self.state.borrow_mut();
-        let idle = state.links.entry(entry.address.clone()).or_default();
-        if idle.len() < IDLE_MAX && conn.usable() {
-            idle.push(conn);
-        }
+        state.links.entry(entry.address.clone()).or_default().keep(conn, IDLE_MAX);
     }
 }
