--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -9,8 +9,11 @@
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
 use crate::ids::ServerId;
+use crate::room::{ResultKey, Room};
 use crate::time::{Span, Time, decay};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::value;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which a first piece waits for others, since requests arrive in clumps.
 const GATHER: Span = Span::from_millis(6);
@@ -19,6 +22,11 @@
 /// Time after a call without room for all results in which a server is left alone. Others may have results
 /// there that this entry does not know of.
 const ROOM_PAUSE: Span = Span::from_millis(150);
+/// Time for which as many bytes as found no room are taken to lie there unknown.
+const ROOM_MEMORY: Span = Span::from_millis(600);
+/// Part of the room of a server that is new here which may be taken by results made for its owner before,
+/// and for how long: most results are given back within a second.
+const TAKEN_OVER: (f64, Span) = (0.5, Span::from_millis(800));
 /// A call that takes this many times the expected time, and a while longer, is taken as lost.
 const LATE_FACTOR: f64 = 2.2;
 /// Added to that.
@@ -38,8 +46,59 @@
 /// Weight of a new call in the usual size of calls.
 const USUAL_WEIGHT: f64 = 0.2;
 /// Growth of the believed size of results after one found no room, the most of it, and the step back
-/// after each call for which there was room.
-const SWELL: (f64, f64, f64) = (1.1, 2.0, 0.99);
+/// after each call for which there was room. Results that others left there are counted apart.
+const SWELL: (f64, f64, f64) = (1.03, 1.3, 0.99);
+
+/// Time by which a piece of the next less urgent rank may be due earlier and still goes behind.
+const RANK_STEP: Span = Span::from_secs(1);
+/// Ranks that are told apart; all less urgent ones count as the last.
+const RANKS: usize = 3;
+
+/// How full an owner's servers are, as a part of what one round of calls takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fullness {
+    /// For each rank: pieces of less urgent ranks and late pieces go behind and are not counted.
+    ranks: [f64; RANKS],
+    /// For late pieces.
+    late: f64,
+}
+
+value! {
+/// Which pieces of those that wait go ahead of some.
+#[derive(Copy, PartialOrd, Ord)]
+pub enum Lane {
+    /// Can be done when they are due; of a rank, where 0 is the most urgent.
+    Timely(u8),
+    /// Are late anyway, and get a small part of each call while others wait.
+    Late,
+}
+}
+
+impl Fullness {
+    /// The same for all.
+    pub fn even(full: f64) -> Self {
+        Self { ranks: [full; RANKS], late: full }
+    }
+
+    /// For the pieces of one lane.
+    pub fn at(&self, lane: Lane) -> f64 {
+        match lane {
+            Lane::Timely(rank) => self.ranks[level(rank)],
+            Lane::Late => self.late,
+        }
+    }
+
+    /// Made of two, number by number.
+    pub(crate) fn merge(&self, other: &Self, merge: impl Fn(f64, f64) -> f64) -> Self {
+        let ranks = std::array::from_fn(|i| merge(self.ranks[i], other.ranks[i]));
+        Self { ranks, late: merge(self.late, other.late) }
+    }
+}
+
+/// Position of a rank among those that are told apart.
+pub(crate) fn level(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
 
 /// Names a waiting piece; given by the caller of the batcher, unique in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -52,6 +111,10 @@
     pub id: PieceId,
     /// Pieces with the same number belong together.
     pub group: u64,
+    /// How urgent its request is; 0 is the most urgent.
+    pub rank: u8,
+    /// Nothing was worked on for its request so far, so that it can still be refused for free.
+    pub fresh: bool,
     /// When it must be done for an answer within the objective.
     pub due: Time,
     /// When its result is of no use any more.
@@ -78,8 +141,8 @@
 pub enum CallEnd {
     /// It was worked on; whether there was room for all results.
     Done {
-        /// No piece found too little room.
-        roomy: bool,
+        /// Bytes of results that found no room.
+        unfit: u64,
     },
     /// Refused as full.
     Full,
@@ -92,7 +155,11 @@
 #[derive(Clone, Debug)]
 struct Open {
     sent: Time,
+    /// When it is expected to end.
+    ends: Time,
     late: Time,
+    /// Bytes that its results take, from its beginning.
+    bytes: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -104,9 +171,8 @@
     pause: Span,
     pace: f64,
     paced: Time,
-    /// Bytes of results that lie there, and when they are gone at the latest, in that order. Whoever has
-    /// them may end without giving them back.
-    held: VecDeque<(Time, u64)>,
+    /// Results that lie there, besides those of the open call.
+    room: Room,
 }
 
 /// Waiting pieces and owned servers of one stage pool.
@@ -139,19 +205,24 @@
     }
 
     /// Takes the servers that this entry owns. What is known of those that stay is kept.
-    pub fn set_servers(&mut self, servers: &[Replica]) {
+    pub fn set_servers(&mut self, now: Time, servers: &[Replica]) {
         self.makers.retain(|id, maker| {
             servers.iter().any(|s| s.id == *id && s.born == maker.replica.born)
         });
         for replica in servers {
-            let maker = || Maker {
-                open: None,
-                paused: Time::default(),
-                pause: PAUSES.0,
-                pace: 1.0,
-                paced: Time::default(),
-                held: VecDeque::new(),
-                replica: replica.clone(),
+            let maker = || {
+                let mut room = Room::default();
+                let taken = (self.spec.room as f64 * TAKEN_OVER.0) as u64;
+                room.suspect(now + TAKEN_OVER.1, taken);
+                Maker {
+                    open: None,
+                    paused: Time::default(),
+                    pause: PAUSES.0,
+                    pace: 1.0,
+                    paced: Time::default(),
+                    room,
+                    replica: replica.clone(),
+                }
             };
             self.makers.entry(replica.id.clone()).or_insert_with(maker);
         }
@@ -191,6 +262,38 @@
         out
     }
 
+    /// Takes out the pieces that can be refused for free and could not be done when they are due, behind
+    /// those that go first. Under a load above what the servers can take, they would only make others late.
+    pub fn hopeless(&mut self, now: Time) -> Vec<PieceId> {
+        let usable: Vec<_> = self.makers.values().filter(|maker| maker.paused <= now).collect();
+        if usable.is_empty() || !self.waiting.iter().any(|piece| piece.fresh) {
+            return Vec::new();
+        }
+        let count = usable.len() as f64;
+        let rest = |maker: &&Maker| maker.rest_of_call(now).0 as f64;
+        let rest = Span((usable.iter().map(rest).sum::<f64>() / count) as u64);
+        let pace = usable.iter().map(|maker| maker.paced_at(now)).sum::<f64>() / count;
+        let call = self.work(self.usual as usize).scale(pace);
+        let round = (count * self.usual).max(1.0);
+        self.sort(now);
+        let least = self.least();
+        let (mut ahead, mut out) = (0.0, Vec::new());
+        for group in self.waiting.chunk_by(|a, b| a.group == b.group) {
+            let rounds = 1.0 + (ahead / round).floor();
+            let done = now + rest + call.scale(rounds);
+            // A late piece has its own part of each call, and is known to be late.
+            let (fresh, timely) = (group[0].fresh, group[0].due >= now + least);
+            if fresh && timely && done > group[0].due {
+                out.extend(group.iter().map(|piece| piece.id));
+            } else {
+                ahead += group.len() as f64;
+            }
+        }
+        let chosen: BTreeSet<PieceId> = out.iter().copied().collect();
+        self.waiting.retain(|piece| !chosen.contains(&piece.id));
+        out
+    }
+
     /// Takes out everything, because no server is owned any more.
     pub fn drain(&mut self) -> Vec<PieceId> {
         self.waiting.drain(..).map(|piece| piece.id).collect()
@@ -220,8 +323,8 @@
     /// A call ended. `pieces`: how many it carried.
     pub fn ended(&mut self, now: Time, id: &ServerId, pieces: usize, end: CallEnd) {
         let work = self.work(pieces);
-        if let CallEnd::Done { roomy } = end {
-            let factor = if roomy { SWELL.2 } else { SWELL.0 };
+        if let CallEnd::Done { unfit } = end {
+            let factor = if unfit == 0 { SWELL.2 } else { SWELL.0 };
             self.swell = (self.swell * factor).clamp(1.0, SWELL.1);
         }
         let Some(maker) = self.makers.get_mut(id) else { return };
@@ -229,9 +332,10 @@
         let ratio = now.since(open.sent).0 as f64 / work.0.max(1) as f64;
         let pace = maker.paced_at(now);
         match end {
-            CallEnd::Done { roomy } => {
-                if !roomy {
+            CallEnd::Done { unfit } => {
+                if unfit > 0 {
                     maker.paused = now + ROOM_PAUSE;
+                    maker.room.suspect(now + ROOM_MEMORY, unfit);
                 }
                 maker.pace = pace + (ratio.clamp(0.5, 10.0) - pace) * PACE_WEIGHT;
                 maker.paced = now;
@@ -239,6 +343,8 @@
             }
             CallEnd::Full => maker.paused = now + CROWD_MEMORY,
             CallEnd::Late => {
+                // The server may still work on it, for nobody.
+                maker.room.suspect(now + self.spec.keep, open.bytes);
                 maker.pace = pace.max(ratio.min(10.0));
                 maker.paced = now;
                 maker.rest(now);
@@ -247,19 +353,43 @@
         }
     }
 
-    /// Results were given back, or will never be made.
-    pub fn freed(&mut self, id: &ServerId, bytes: u64) {
+    /// A result lies at a server until it is given back.
+    pub fn made(&mut self, now: Time, id: &ServerId, key: ResultKey, bytes: u64) {
+        if let Some(maker) = self.makers.get_mut(id) {
+            maker.room.made(key, now + self.spec.keep, bytes);
+        }
+    }
+
+    /// A result was given back, perhaps one made for another owner.
+    pub fn freed(&mut self, id: &ServerId, key: ResultKey, bytes: u64) {
         if let Some(maker) = self.makers.get_mut(id) {
-            maker.free(bytes);
+            maker.room.freed(key, bytes);
         }
     }
 
     /// Pieces that wait or are worked on, as a part of what one round of calls takes.
-    pub fn fullness(&self, now: Time) -> f64 {
+    pub fn fullness(&self, now: Time) -> Fullness {
         let usable = self.makers.values().filter(|m| m.paused <= now).count();
         let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
         let round = (usable.max(1) as f64 * self.usual).max(1.0);
-        self.waiting.len() as f64 / round + busy as f64 * 0.5 / usable.max(1) as f64
+        let working = busy as f64 * 0.5 / usable.max(1) as f64;
+        let least = self.least();
+        let late = self.waiting.iter().filter(|piece| piece.due < now + least).count() as f64;
+        let timely = self.waiting.len() as f64 - late;
+        let ahead = |at: usize| {
+            let ahead = |p: &&Waiting| p.due >= now + least && level(p.rank) <= at;
+            self.waiting.iter().filter(ahead).count() as f64 / round + working
+        };
+        // While others fill the calls, late pieces get their part of each only.
+        let behind = if timely >= round { late * LATE_PART as f64 } else { late + timely };
+        Fullness { ranks: std::array::from_fn(ahead), late: behind / round + working }
+    }
+
+    /// Pieces that can still be in time go first, the most urgent of them ahead.
+    fn sort(&mut self, now: Time) {
+        let least = self.least();
+        let order = |piece: &Waiting| piece.due + RANK_STEP * level(piece.rank) as u64;
+        self.waiting.sort_by_key(|p| (p.due < now + least, order(p), p.group, p.id));
     }
 
     /// An owned server that is free, the fastest first. While a fast one is busy, a slow one is left
@@ -269,21 +399,19 @@
         let fast = self.makers.values().any(|maker| good(&maker));
         let free = self.makers.values().filter(|m| m.open.is_none() && m.paused <= now);
         free.filter(|maker| !fast || good(maker))
-            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.held_bytes()))
+            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.room.lying()))
             .map(|maker| maker.replica.id.clone())
     }
 
     /// The call that a server gets.
     fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
         let least = self.least();
+        self.sort(now);
         let maker = self.makers.get_mut(id)?;
-        maker.held.retain(|(gone, _)| *gone > now);
-        let lying = maker.held_bytes();
+        maker.room.expire(now);
+        let lying = maker.room.lying();
         let held = (lying as f64 * self.swell) as u64;
         let room = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
-        // Pieces that can still be in time go first, the most urgent of them ahead.
-        self.waiting
-            .sort_by_key(|piece| (piece.due < now + least, piece.due, piece.group, piece.id));
         let late = self.waiting.iter().filter(|piece| piece.due < now + least).count();
         let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
         let (timely, overdue) = self.waiting.split_at(self.waiting.len() - late);
@@ -304,9 +432,8 @@
         let maker = self.makers.get_mut(id)?;
         let expected = work.scale(maker.paced_at(now).max(1.0));
         let late = now + expected.scale(LATE_FACTOR) + LATE_MORE;
-        maker.open = Some(Open { sent: now, late });
         let bytes = pieces.iter().map(|piece| piece.bytes).sum();
-        maker.held.push_back((late + self.spec.keep, bytes));
+        maker.open = Some(Open { sent: now, ends: now + expected, late, bytes });
         Some(Batch { server: maker.replica.clone(), pieces, late })
     }
 
@@ -365,24 +492,12 @@
 }
 
 impl Maker {
-    fn paced_at(&self, now: Time) -> f64 {
-        1.0 + (self.pace - 1.0) * decay(now, self.paced, PACE_MEMORY)
-    }
-
-    fn held_bytes(&self) -> u64 {
-        self.held.iter().map(|(_, bytes)| bytes).sum()
+    fn rest_of_call(&self, now: Time) -> Span {
+        self.open.as_ref().map_or(Span::ZERO, |open| open.ends.since(now))
     }
 
-    /// Takes bytes off, the oldest first.
-    fn free(&mut self, mut bytes: u64) {
-        while let Some((_, held)) = self.held.front_mut().filter(|_| bytes > 0) {
-            let taken = bytes.min(*held);
-            *held -= taken;
-            bytes -= taken;
-            if *held == 0 {
-                self.held.pop_front();
-            }
-        }
+    fn paced_at(&self, now: Time) -> f64 {
+        1.0 + (self.pace - 1.0) * decay(now, self.paced, PACE_MEMORY)
     }
 
     fn rest(&mut self, now: Time) {
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -161,6 +161,14 @@
         let routes = self.hosts.get(host)?;
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
+
+    /// How many ranks a request is behind the most urgent route that has stages. Ranks count against each
+    /// other only.
+    pub fn ranks_behind(&self, rank: u8) -> u8 {
+        let staged = self.hosts.values().flatten().filter(|route| !route.stages.is_empty());
+        let first = staged.map(|route| route.rank).min().unwrap_or(0);
+        rank.saturating_sub(first)
+    }
 }
 
 impl Route {
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -9,6 +9,8 @@
 /// Part of the time until the objective that a new request may be predicted to take. A longer queue would
 /// make all answers late and serve no more of them.
 const OBJECTIVE_PART: f64 = 1.0;
+/// The same for a less urgent request: the queue that it may add to must leave room for urgent ones.
+const LESS_URGENT_PART: f64 = 0.8;
 /// Part of the time until the deadline that the request of a returning caller may be predicted to take.
 const DEADLINE_PART: f64 = 0.6;
 /// The same as a part of the objective: results of earlier stages are kept for a few seconds only.
@@ -25,6 +27,8 @@
     pub stages: Span,
     /// For each stage, the time of the longest chain of stages that follow it.
     pub tails: Vec<Span>,
+    /// For each stage, by how much later than at once it may begin without making the whole later.
+    pub slacks: Vec<Span>,
 }
 
 impl Forecast {
@@ -32,23 +36,31 @@
     pub fn new(stages: &[StageSpec], times: &[Option<Span>]) -> Self {
         let time = |i: usize| times.get(i).copied().flatten().unwrap_or(Span::ZERO);
         let mut tails = vec![Span::ZERO; stages.len()];
-        let mut whole = Span::ZERO;
+        let mut through = vec![Span::ZERO; stages.len()];
         for (i, stage) in stages.iter().enumerate().rev() {
-            let through = time(i) + tails[i];
+            through[i] = time(i) + tails[i];
             for before in &stage.after {
-                tails[*before] = tails[*before].max(through);
+                tails[*before] = tails[*before].max(through[i]);
             }
-            whole = whole.max(through);
         }
-        Self { stages: whole, tails }
+        let whole = through.iter().copied().max().unwrap_or(Span::ZERO);
+        let mut ahead = vec![Span::ZERO; stages.len()];
+        for (i, stage) in stages.iter().enumerate() {
+            let before = stage.after.iter().map(|b| ahead[*b] + time(*b));
+            ahead[i] = before.max().unwrap_or(Span::ZERO);
+        }
+        let slack = |i: usize| whole.saturating_sub(ahead[i] + through[i]);
+        Self { stages: whole, slacks: (0..stages.len()).map(slack).collect(), tails }
     }
 }
 
 /// Whether to take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// It can be served.
+    /// It can be served within its objective.
     Take,
+    /// It can be served, but late: it must not hold up those that can be in time.
+    TakeLate,
     /// It cannot be served in time; the caller may come back after this time.
     Refuse(Span),
 }
@@ -56,8 +68,12 @@
 /// What is known of a request when it comes.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
-    /// Predicted time until the first part of its answer.
+    /// Predicted time until the first part of its answer, among those that can be in time.
     pub whole: Span,
+    /// The same, among those that are late.
+    pub behind: Span,
+    /// Whether it is of the most urgent rank.
+    pub urgent: bool,
     /// Time that its caller will wait.
     pub left: Span,
     /// Longest time that callers of its route wait: the time left of a caller that comes first.
@@ -71,21 +87,28 @@
     pub fn returns(&self) -> bool {
         self.left + RETURN_SLACK < self.longest
     }
+
+    /// Time since the caller's first try.
+    pub fn elapsed(&self) -> Span {
+        if self.returns() { self.longest.saturating_sub(self.left) } else { Span::ZERO }
+    }
 }
 
 /// Decides on a request. A caller that comes first is refused if its answer would be late, so that those
 /// who are served are served in time. A returning caller was told to come back, and is served if its
-/// deadline can be met at all.
+/// deadline can be met, behind those that can be in time: under a load above what the stages take, late
+/// answers would otherwise make all others late.
 pub fn decide(arrival: &Arrival) -> Decision {
-    let returns = arrival.returns();
     let by_deadline = arrival.left.scale(DEADLINE_PART);
-    let part = if returns { RETURN_PART } else { OBJECTIVE_PART };
-    let allowed = Span(arrival.objective.scale(part).0.min(by_deadline.0));
-    if arrival.whole <= allowed {
+    let part = if arrival.urgent { OBJECTIVE_PART } else { LESS_URGENT_PART };
+    let objective = arrival.objective.scale(part).saturating_sub(arrival.elapsed());
+    if arrival.whole <= Span(objective.0.min(by_deadline.0)) {
         return Decision::Take;
     }
-    // Later, the caller will be served if its deadline can be met.
     let promised = Span(arrival.objective.scale(RETURN_PART).0.min(by_deadline.0));
-    let over = arrival.whole.saturating_sub(promised);
+    if arrival.returns() && arrival.behind <= promised {
+        return Decision::TakeLate;
+    }
+    let over = arrival.behind.saturating_sub(promised);
     Decision::Refuse(Span(over.0.clamp(HINTS.0.0, HINTS.1.0)))
 }
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -3,6 +3,7 @@
 //! Every entry computes the same owners from the same lists. An entry hands pieces to the owner that is
 //! expected to be done first, from what owners tell with their answers and what this entry has open there.
 
+use crate::batch::{Fullness, Lane};
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
 use crate::ids::{AvailabilityZone, PoolId, ServerId};
@@ -15,6 +16,8 @@
 const CROSS_DELAY: Span = Span::from_millis(120);
 /// Delay by which an owner in another zone counts.
 const ZONE_DELAY: Span = Span::from_millis(4);
+/// Owners whose delays differ by less than this part of a call are alike: what they told is that old.
+const ALIKE_PART: f64 = 0.75;
 /// Time after which what an owner told counts for about a third.
 const TOLD_MEMORY: Span = Span::from_millis(600);
 /// Weight of a new answer in the mean fullness of a pool.
@@ -42,7 +45,10 @@
     entries: &[EntryAt],
     servers: &[Replica],
 ) -> BTreeMap<ServerId, String> {
-    let rank = |name: &str| xxh3_64(format!("{pool}/{name}").as_bytes());
+    // Each server ranks the entries in its own way, so that an entry that comes or goes moves few others.
+    let rank = |server: &ServerId, name: &str| {
+        xxh3_64(format!("{pool}/{}/{name}", server.as_str()).as_bytes())
+    };
     let mut counts: BTreeMap<&str, usize> = entries.iter().map(|e| (e.name.as_str(), 0)).collect();
     let mut sorted: Vec<_> = servers.iter().collect();
     sorted.sort_by(|a, b| a.id.cmp(&b.id));
@@ -50,7 +56,7 @@
     for server in sorted {
         let best = entries.iter().min_by_key(|entry| {
             let owned = counts.get(entry.name.as_str()).copied().unwrap_or(0);
-            (entry.zone != server.zone, owned, rank(&entry.name))
+            (entry.zone != server.zone, owned, rank(&server.id, &entry.name))
         });
         if let Some(entry) = best {
             *counts.entry(entry.name.as_str()).or_default() += 1;
@@ -76,16 +82,25 @@
     ranked.into_iter().take(READERS)
 }
 
+/// Pieces of one stage of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// How many.
+    pub pieces: usize,
+    /// Which pieces go ahead of them.
+    pub lane: Lane,
+}
+
 #[derive(Clone, Debug)]
 struct Owner {
     entry: EntryAt,
     /// Servers by zone.
     zones: BTreeMap<AvailabilityZone, usize>,
     servers: usize,
-    /// Pieces from here that it has not answered.
-    open: usize,
+    /// Pieces from here that it has not answered, by lane.
+    open: BTreeMap<Lane, usize>,
     /// Its fullness when it last answered.
-    told: f64,
+    told: Fullness,
     told_at: Time,
 }
 
@@ -96,7 +111,7 @@
     spec: PieceSpec,
     owners: BTreeMap<String, Owner>,
     /// Mean fullness of the pool, as the owners told lately, and when the last of them did.
-    mean: f64,
+    mean: Fullness,
     mean_at: Time,
     /// Name of each server's owner.
     servers: BTreeMap<ServerId, String>,
@@ -109,7 +124,7 @@
             own,
             spec,
             owners: BTreeMap::new(),
-            mean: 0.0,
+            mean: Fullness::default(),
             mean_at: Time::default(),
             servers: BTreeMap::new(),
         }
@@ -145,8 +160,8 @@
                     entry: entry.clone(),
                     zones: BTreeMap::new(),
                     servers: 0,
-                    open: 0,
-                    told: 0.0,
+                    open: BTreeMap::new(),
+                    told: Fullness::default(),
                     told_at: Time::default(),
                 };
                 let old = known.remove(name).unwrap_or_else(blank);
@@ -166,43 +181,55 @@
         self.owners.get(name).map(|owner| &owner.entry)
     }
 
-    /// The owner that is expected to be done first with some pieces. `near`: bytes that each piece
-    /// exchanges with a zone. `own`: fullness of this entry's own batcher.
+    /// An owner that is expected to be done about as early as the first one with some pieces. `near`: bytes
+    /// that each piece exchanges with a zone. `own`: fullness of this entry's own batcher. `draw`: a random
+    /// number. If all entries chose the one owner that last told the least, it would soon be the fullest.
     pub fn choose(
         &self,
         now: Time,
-        pieces: usize,
+        group: Group,
         near: &[(AvailabilityZone, u64)],
-        own: f64,
+        own: &Fullness,
+        draw: u64,
     ) -> Option<&EntryAt> {
-        let delay = |owner: &&Owner| {
+        let delay = |owner: &Owner| {
             let far = |zone: &AvailabilityZone| !owner.zones.contains_key(zone);
             let bytes: u64 = near.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
-            let cross = CROSS_DELAY.scale(bytes as f64 * pieces as f64 / 1e6);
+            let cross = CROSS_DELAY.scale(bytes as f64 * group.pieces as f64 / 1e6);
             let zone = if owner.entry.zone == self.own.zone { Span::ZERO } else { ZONE_DELAY };
-            self.delay(now, owner, pieces, own) + cross + zone
+            self.delay(now, owner, group, own) + cross + zone
         };
-        self.owners.values().min_by_key(delay).map(|owner| &owner.entry)
+        let delays: Vec<_> = self.owners.values().map(|owner| (delay(owner), owner)).collect();
+        let least = delays.iter().map(|(delay, _)| *delay).min()?;
+        let limit = least + self.spec.call.scale(ALIKE_PART);
+        let alike: Vec<_> = delays.iter().filter(|(delay, _)| *delay <= limit).collect();
+        let drawn = usize::try_from(draw % alike.len() as u64).unwrap_or(0);
+        alike.get(drawn).map(|(_, owner)| &owner.entry)
     }
 
-    /// Predicted time until pieces that come now are done.
-    pub fn predict(&self, now: Time, pieces: usize, own: f64) -> Option<Span> {
-        self.owners.values().map(|owner| self.delay(now, owner, pieces, own)).min()
+    /// Predicted time until pieces that come now are done, at a server of the usual owner.
+    pub fn predict(&self, now: Time, group: Group, own: &Fullness) -> Option<Span> {
+        let servers: usize = self.owners.values().map(|owner| owner.servers).sum();
+        let delays = self.owners.values().map(|owner| {
+            self.delay(now, owner, group, own).scale(owner.servers as f64 / servers.max(1) as f64)
+        });
+        (servers > 0).then(|| delays.fold(Span::ZERO, |sum, delay| sum + delay))
     }
 
     /// Pieces were handed to an owner.
-    pub fn sent(&mut self, name: &str, pieces: usize) {
+    pub fn sent(&mut self, name: &str, group: Group) {
         if let Some(owner) = self.owners.get_mut(name) {
-            owner.open += pieces;
+            *owner.open.entry(group.lane).or_default() += group.pieces;
         }
     }
 
     /// An owner answered, and told its fullness, or did not answer.
-    pub fn ended(&mut self, now: Time, name: &str, pieces: usize, told: Option<f64>) {
+    pub fn ended(&mut self, now: Time, name: &str, group: Group, told: Option<Fullness>) {
         let Some(owner) = self.owners.get_mut(name) else { return };
-        owner.open = owner.open.saturating_sub(pieces);
+        let open = owner.open.entry(group.lane).or_default();
+        *open = open.saturating_sub(group.pieces);
         if let Some(told) = told {
-            self.mean += (told - self.mean) * MEAN_WEIGHT;
+            self.mean = self.mean.merge(&told, |mean, told| mean + (told - mean) * MEAN_WEIGHT);
             self.mean_at = now;
             owner.told = told;
             owner.told_at = now;
@@ -211,18 +238,21 @@
 
     /// A round of calls lasts its call time and a part for the pieces; what comes now waits for half of
     /// the round that is on its way and for all pieces ahead of it.
-    fn delay(&self, now: Time, owner: &Owner, pieces: usize, own: f64) -> Span {
+    fn delay(&self, now: Time, owner: &Owner, group: Group, own: &Fullness) -> Span {
         let round = (owner.servers * self.spec.batch).max(1) as f64;
         let ahead = if owner.entry.name == self.own.name {
-            own
+            own.at(group.lane)
         } else {
             // What an owner told long ago says less than what the others told since.
             let keep = decay(now, owner.told_at, TOLD_MEMORY);
-            let mean = self.mean * decay(now, self.mean_at, MEAN_MEMORY);
-            (owner.told * keep + mean * (1.0 - keep)).max(owner.open as f64 / round)
+            let mean = self.mean.at(group.lane) * decay(now, self.mean_at, MEAN_MEMORY);
+            let open: usize = owner.open.range(..=group.lane).map(|(_, open)| open).sum();
+            let told = owner.told.at(group.lane);
+            (told * keep + mean * (1.0 - keep)).max(open as f64 / round)
         };
-        let rounds = 1.0 + ahead + pieces as f64 / round;
-        let fill = (ahead * self.spec.batch as f64 + pieces as f64).min(self.spec.batch as f64);
+        let pieces = group.pieces as f64;
+        let rounds = 1.0 + ahead + pieces / round;
+        let fill = (ahead * self.spec.batch as f64 + pieces).min(self.spec.batch as f64);
         (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
     }
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -41,6 +41,8 @@
 const PAUSES: (Span, Span) = (Span::from_millis(400), Span::from_secs(3));
 /// Time for which a prompt part is expected to stay in an engine's memory.
 const PART_MEMORY: Span = Span::from_secs(20);
+/// Routes whose usual times are remembered; names change with the configuration.
+const ROUTES_MAX: usize = 1_024;
 /// Prompt parts remembered for each server.
 const PARTS_MAX: usize = 4_096;
 /// Random difference between equal servers, so that entries do not all choose the same one.
@@ -110,12 +112,20 @@
     sites: BTreeMap<ServerId, Site>,
     /// Mean time to the first part of an answer, in microseconds.
     usual: f64,
+    /// The same for each route, since prompts of different routes differ many times in length.
+    routes: HashMap<String, f64>,
 }
 
 impl Placer {
     /// An empty pool, seen from an availability zone.
     pub fn new(zone: AvailabilityZone, engine: bool, usual: Span) -> Self {
-        Self { zone, engine, sites: BTreeMap::new(), usual: usual.0.max(1) as f64 }
+        Self {
+            zone,
+            engine,
+            sites: BTreeMap::new(),
+            usual: usual.0.max(1) as f64,
+            routes: HashMap::new(),
+        }
     }
 
     /// A server may be used. What is known of it is kept, unless it was removed before.
@@ -160,9 +170,9 @@
         (open, slots)
     }
 
-    /// Mean time to the first part of an answer.
-    pub fn usual(&self) -> Span {
-        Span(self.usual as u64)
+    /// Mean time to the first part of an answer on a route.
+    pub fn usual(&self, route: &str) -> Span {
+        Span(self.routes.get(route).copied().unwrap_or(self.usual) as u64)
     }
 
     /// The server with the least expected delay.
@@ -207,13 +217,18 @@
         unread
     }
 
-    /// The first part of an answer came after `first`.
-    pub fn answered(&mut self, now: Time, id: &ServerId, unread: u64, first: Span) {
-        let usual = self.usual;
+    /// The first part of an answer on a route came after `first`.
+    pub fn answered(&mut self, now: Time, id: &ServerId, unread: u64, first: Span, route: &str) {
         let Some(site) = self.sites.get_mut(id) else { return };
         site.reading = site.reading.saturating_sub(unread);
         let seen = first.0 as f64;
-        self.usual += (seen.min(usual * 4.0) - usual) * PACE_WEIGHT / 4.0;
+        let learn = |usual: f64| usual + (seen.min(usual * 4.0) - usual) * PACE_WEIGHT / 4.0;
+        let usual = self.routes.get(route).copied().unwrap_or(self.usual);
+        if self.routes.len() >= ROUTES_MAX {
+            self.routes.clear();
+        }
+        self.routes.insert(route.to_owned(), learn(usual));
+        self.usual = learn(self.usual);
         let ratio = (seen / usual).clamp(0.2, 20.0);
         site.pace = site.paced_at(now) + (ratio - site.paced_at(now)) * PACE_WEIGHT;
         site.paced = now;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -68,12 +68,12 @@
 }
 
 impl<W: Wire> OpenGuard<W> {
-    pub(crate) fn answered(&mut self, first: Span) {
+    pub(crate) fn answered(&mut self, first: Span, route: &str) {
         let now = self.node.now();
         let unread = std::mem::take(&mut self.unread);
         let mut state = self.node.state.borrow_mut();
         if let Some(placer) = state.placers.get_mut(&self.pool) {
-            placer.answered(now, &self.server, unread, first);
+            placer.answered(now, &self.server, unread, first, route);
         }
     }
 
@@ -232,7 +232,7 @@
         let status = head.status;
         if status.is_success() && reply.signed {
             self.node.metrics.first_part(self.kind(), took);
-            guard.answered(took);
+            guard.answered(took, &self.route.name);
             let rest = match splitter {
                 Some(splitter) => {
                     Some(Rest { conn: Some(conn), splitter, guard, last: self.ask.resume })
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -6,10 +6,11 @@
 use crate::peers::{GroupAnswer, GroupCall, Release};
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, PieceEnd, Wire};
-use damaskweir_core::batch::{Batch, CallEnd, PieceId, Waiting};
+use damaskweir_core::batch::{Batch, CallEnd, Fullness, Lane, PieceId, Waiting};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
+use damaskweir_core::room::ResultKey;
 use damaskweir_core::time::{Span, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -78,7 +79,7 @@
             let Some(batcher) = owned else {
                 return GroupAnswer {
                     ends: vec![Err(Miss::Moved); call.items.len()],
-                    fullness: 1.0,
+                    fullness: Fullness::even(1.0),
                 };
             };
             let group = state.next_piece + 1;
@@ -91,7 +92,21 @@
                 let deadline = now + call.left;
                 state.waiters.insert(id, PieceWaiter { item, deadline, sender });
                 let (due, bytes) = (now + call.due, call.bytes);
-                batcher.push(Waiting { id, group, due, deadline, bytes, arrived: now });
+                let fresh = call.fresh;
+                let rank = match call.lane {
+                    Lane::Timely(rank) => rank,
+                    Lane::Late => u8::MAX,
+                };
+                batcher.push(Waiting {
+                    id,
+                    group,
+                    rank,
+                    fresh,
+                    due,
+                    deadline,
+                    bytes,
+                    arrived: now,
+                });
             }
         }
         self.pump(&pool);
@@ -102,7 +117,8 @@
         }
         let now = self.now();
         let state = self.state.borrow();
-        let fullness = state.batchers.get(&pool).map_or(0.0, |batcher| batcher.fullness(now));
+        let fullness = state.batchers.get(&pool).map(|batcher| batcher.fullness(now));
+        let fullness = fullness.unwrap_or_default();
         GroupAnswer { ends, fullness }
     }
 
@@ -113,8 +129,10 @@
             let mut state = self.state.borrow_mut();
             let Some(batcher) = state.batchers.get_mut(pool) else { return };
             let expired = batcher.expired(now);
+            let hopeless = batcher.hopeless(now);
             let batch = batcher.plan(now);
             expired.iter().for_each(|id| state.miss(*id, Miss::Late));
+            hopeless.iter().for_each(|id| state.miss(*id, Miss::Overload));
             drop(state);
             let Some(batch) = batch else { break };
             let (node, pool) = (self.clone(), pool.clone());
@@ -141,6 +159,10 @@
         let (items, wanted) = self.items(&batch);
         let late = self.instant(batch.late);
         let (end, ends) = match timeout_at(late, self.exchange(server, &items)).await {
+            Ok(Ok((CallEnd::Done { .. }, ends))) => {
+                let unfit = unfit_bytes(&batch, &wanted, &ends);
+                (CallEnd::Done { unfit }, ends)
+            }
             Ok(Ok(ended)) => ended,
             Ok(Err(error)) => {
                 let text = error.to_string();
@@ -157,21 +179,22 @@
         for piece in &batch.pieces {
             let position = wanted.iter().position(|id| *id == piece.id);
             match position.and_then(|i| ends.get(i)) {
-                Some(PieceEnd::Made(handle)) => self.deliver(
-                    piece.id,
-                    Made {
+                Some(PieceEnd::Made(handle)) => {
+                    if let Some(batcher) = self.state.borrow_mut().batchers.get_mut(pool) {
+                        let key = ResultKey::from(handle.as_str());
+                        batcher.made(now, &server.id, key, piece.bytes);
+                    }
+                    let made = Made {
                         handle: handle.clone(),
                         server: server.id.clone(),
                         zone: server.zone.clone(),
                         bytes: piece.bytes,
-                    },
-                ),
+                    };
+                    self.deliver(piece.id, made);
+                }
                 other => {
                     let miss = miss_of(end, other);
                     let mut state = self.state.borrow_mut();
-                    if let Some(batcher) = state.batchers.get_mut(pool) {
-                        batcher.freed(&server.id, piece.bytes);
-                    }
                     if matches!(miss, Miss::Full | Miss::Room) && position.is_some() {
                         unworked.push(*piece);
                     } else {
@@ -224,7 +247,7 @@
         items: &[Item],
     ) -> Result<(CallEnd, Vec<PieceEnd>), HttpError> {
         if items.is_empty() {
-            return Ok((CallEnd::Done { roomy: true }, Vec::new()));
+            return Ok((CallEnd::Done { unfit: 0 }, Vec::new()));
         }
         let mut conn = self.connection(server).await?;
         conn.send(&self.wire.stage_call(server, items), &[]).await?;
@@ -234,7 +257,7 @@
         if head.status.is_success() {
             let ends = self.wire.stage_ends(&body).filter(|ends| ends.len() == items.len());
             let ends = ends.ok_or(HttpError::Malformed("bad results of a stage call"))?;
-            return Ok((CallEnd::Done { roomy: !ends.contains(&PieceEnd::Room) }, ends));
+            return Ok((CallEnd::Done { unfit: 0 }, ends));
         }
         let skipped = self.wire.reply(&head).skipped;
         Ok((if skipped { CallEnd::Full } else { CallEnd::Failed }, Vec::new()))
@@ -326,7 +349,8 @@
                 Some(owner) => others.entry(owner.clone()).or_default().push(release),
                 None => {
                     if let Some(batcher) = state.batchers.get_mut(&replica.pool) {
-                        batcher.freed(&replica.id, release.bytes);
+                        let key = ResultKey::from(release.handle.as_str());
+                        batcher.freed(&replica.id, key, release.bytes);
                     }
                     let handles = own.entry(replica.id.clone()).or_insert((replica, Vec::new()));
                     handles.1.push(release.handle);
@@ -354,6 +378,13 @@
     }
 }
 
+/// Bytes of the results that found no room.
+fn unfit_bytes(batch: &Batch, wanted: &[PieceId], ends: &[PieceEnd]) -> u64 {
+    let unfit = wanted.iter().zip(ends).filter(|(_, end)| **end == PieceEnd::Room);
+    let bytes = |id: &PieceId| batch.pieces.iter().find(|piece| piece.id == *id).map(|p| p.bytes);
+    unfit.filter_map(|(id, _)| bytes(id)).sum()
+}
+
 fn miss_of(end: CallEnd, piece: Option<&PieceEnd>) -> Miss {
     match (end, piece) {
         (CallEnd::Done { .. }, Some(PieceEnd::Late)) => Miss::Late,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -185,7 +185,7 @@
                 ("from", from.into()),
             ],
         );
-        state.adopt(catalog, &self.setup);
+        state.adopt(catalog, &self.setup, self.now());
         true
     }
 
@@ -216,7 +216,7 @@
                 }
             }
         }
-        state.assign_owners(&self.setup);
+        state.assign_owners(&self.setup, self.now());
     }
 
     /// Takes the list of all entries.
@@ -229,7 +229,7 @@
         }
         self.log.process(Kind::Entries, &[("entries", (entries.len() as u64).into())]);
         state.entries = entries;
-        state.assign_owners(&self.setup);
+        state.assign_owners(&self.setup, self.now());
     }
 
     /// Takes entries that are listed, and keeps those that are not.
@@ -246,7 +246,7 @@
         let until = self.now() + SUSPECT;
         let mut state = self.state.borrow_mut();
         if state.suspects.insert(name.to_owned(), until).is_none() {
-            state.assign_owners(&self.setup);
+            state.assign_owners(&self.setup, self.now());
         }
     }
 
@@ -257,7 +257,7 @@
         let before = state.suspects.len();
         state.suspects.retain(|_, until| *until > now);
         if state.suspects.len() < before {
-            state.assign_owners(&self.setup);
+            state.assign_owners(&self.setup, self.now());
         }
     }
 
@@ -312,7 +312,7 @@
 }
 
 impl State {
-    fn adopt(&mut self, catalog: Catalog, setup: &Setup) {
+    fn adopt(&mut self, catalog: Catalog, setup: &Setup, now: Time) {
         let named =
             |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
         self.waits.retain(|name, _| named(name));
@@ -321,7 +321,7 @@
         for replica in known {
             self.add(replica, setup);
         }
-        self.assign_owners(setup);
+        self.assign_owners(setup, now);
     }
 
     /// Adds a server to its pool, unless it is there.
@@ -347,7 +347,7 @@
     }
 
     /// Computes the owners of all stage pools again.
-    fn assign_owners(&mut self, setup: &Setup) {
+    fn assign_owners(&mut self, setup: &Setup, now: Time) {
         let Some(catalog) = self.catalog.clone() else { return };
         for (id, pool) in &catalog.pools {
             let Work::Pieces(spec) = pool.work else { continue };
@@ -359,7 +359,7 @@
             let mine = owners.assign(id, &self.entries, &self.suspects, &servers);
             let batcher = self.batchers.entry(id.clone()).or_insert_with(|| Batcher::new(spec));
             batcher.set_spec(spec);
-            batcher.set_servers(&mine);
+            batcher.set_servers(now, &mine);
             let moved = if mine.is_empty() { batcher.drain() } else { Vec::new() };
             moved.into_iter().for_each(|piece| self.miss(piece, Miss::Moved));
         }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,6 +6,7 @@
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, Wire};
 use bytes::BytesMut;
+use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
 use damaskweir_core::time::Span;
@@ -38,6 +39,10 @@
     pub(crate) left: Span,
     /// Size of each result.
     pub(crate) bytes: u64,
+    /// How urgent the request is, or that it is late anyway.
+    pub(crate) lane: Lane,
+    /// Nothing was worked on for the request so far.
+    pub(crate) fresh: bool,
 }
 
 /// What came of a group, in the order of its items.
@@ -45,7 +50,7 @@
 pub(crate) struct GroupAnswer {
     pub(crate) ends: Vec<Result<Made, Miss>>,
     /// How full the owner's batcher is.
-    pub(crate) fullness: f64,
+    pub(crate) fullness: Fullness,
 }
 
 /// A result to give back.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -4,10 +4,11 @@
 use crate::body::Body;
 use crate::log::{Kind, Value};
 use crate::node::Node;
-use crate::stages::{Held, StageFault, StageJob};
+use crate::stages::{Held, Miss, StageFault, StageJob};
 use crate::stream::Stream;
 use crate::wire::{Ask, Wire};
 use bytes::Bytes;
+use damaskweir_core::batch::Lane;
 use damaskweir_core::catalog::{Repeat, Route};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::forecast::{Arrival, Decision, decide};
@@ -32,6 +33,10 @@
 /// When to come back if all servers are full.
 const FULL_RETRY: Span = Span::from_millis(250);
 
+/// Part of the objective after which the first part of an answer is aimed at: what comes after the stages
+/// takes longer now and then.
+const DUE_PART: f64 = 0.9;
+
 /// A final answer that is not a backend server's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -70,6 +75,10 @@
     timing: Timing,
     /// Time that its stages and the first part of its answer were predicted to take.
     predicted: Span,
+    /// Time since its caller's first try.
+    elapsed: Span,
+    /// Whether it is served although it is late.
+    late: bool,
     /// When its caller was told to come back.
     retry: Span,
     ended: bool,
@@ -114,6 +123,8 @@
             sent,
             timing: Timing::default(),
             predicted: Span::ZERO,
+            elapsed: Span::ZERO,
+            late: false,
             retry: Span::ZERO,
             ended: false,
         })
@@ -168,29 +179,31 @@
             if let Some(budget) = state.budgets.get_mut(&self.pool) {
                 budget.count(now);
             }
-            state.placers.get(&self.pool).map(|p| (p.len(), p.usual()))
+            state.placers.get(&self.pool).map(|p| (p.len(), p.usual(&self.route.name)))
         };
         let Some((1.., usual)) = known else {
             return Err(Refusal::NotRun { cause: "no_server", retry: AWAY_RETRY });
         };
-        let stages = node.forecast(&self.route, &self.ask.pieces).stages;
         let left = self.deadline.since(now);
-        self.predicted = stages + usual;
         let wait = self.ask.deadline.unwrap_or(left);
         let longest = node.longest_wait(&self.route.name, wait);
-        let arrival =
-            Arrival { whole: stages + usual, left, longest, objective: self.route.objective };
-        match decide(&arrival) {
-            Decision::Take => {
+        let arrival = self.arrival(left, longest);
+        self.elapsed = arrival.elapsed();
+        let decision = decide(&arrival);
+        self.late = decision == Decision::TakeLate;
+        self.predicted = if self.late { arrival.behind } else { arrival.whole };
+        match decision {
+            Decision::Take | Decision::TakeLate => {
                 let pieces: Vec<_> = self.ask.pieces.iter().map(usize::to_string).collect();
                 let pieces = pieces.join(",");
                 let fields = [
                     ("route", self.route.name.as_str().into()),
                     ("pieces", pieces.as_str().into()),
-                    ("stages_ms", stages.as_millis().into()),
+                    ("stages_ms", self.predicted.saturating_sub(usual).as_millis().into()),
                     ("usual_ms", usual.as_millis().into()),
                     ("left_ms", left.as_millis().into()),
                     ("returns", u64::from(arrival.returns()).into()),
+                    ("behind", u64::from(self.late).into()),
                 ];
                 node.log.request(Kind::Admitted, &self.ask.id, &fields);
                 Ok(())
@@ -205,17 +218,54 @@
         }
         let usual = self.usual();
         let key = self.node.wire.piece_key(&self.head).unwrap_or_default();
+        let due = self.arrived + self.route.objective.scale(DUE_PART) - self.elapsed - usual;
         let job = StageJob {
             route: &self.route,
             id: &self.ask.id,
             counts: &self.ask.pieces,
             key: &key,
-            due: self.arrived + self.route.objective - usual,
+            due: if self.late { self.arrived } else { due },
             deadline: self.deadline - usual,
+            lane: if self.late { Lane::Late } else { Lane::Timely(self.behind()) },
+            strict: self.elapsed == Span::ZERO,
             toward: self.toward(),
         };
         let done = self.node.prepare(&job).await;
-        done.map(Some).map_err(|fault: StageFault| self.gave_up(fault.cause()))
+        done.map(Some).map_err(|fault: StageFault| match fault {
+            StageFault::Failed(Miss::Overload) if self.ran.is_empty() => {
+                Refusal::NotRun { cause: fault.cause(), retry: self.room_expected() }
+            }
+            _ => self.gave_up(fault.cause()),
+        })
+    }
+
+    /// What is predicted for a request that comes now.
+    fn arrival(&self, left: Span, longest: Span) -> Arrival {
+        let forecast = |lane| self.node.forecast(&self.route, &self.ask.pieces, lane).stages;
+        let (usual, behind) = (self.usual(), self.behind());
+        Arrival {
+            whole: forecast(Lane::Timely(behind)) + usual,
+            behind: forecast(Lane::Late) + usual,
+            urgent: behind == 0,
+            left,
+            longest,
+            objective: self.route.objective,
+        }
+    }
+
+    /// How many ranks it is behind the most urgent requests with stages.
+    fn behind(&self) -> u8 {
+        let state = self.node.state.borrow();
+        state.catalog.as_ref().map_or(0, |catalog| catalog.ranks_behind(self.rank))
+    }
+
+    /// When the stages are expected to take a request like this one.
+    fn room_expected(&self) -> Span {
+        let left = self.deadline.since(self.node.now());
+        match decide(&self.arrival(left, left)) {
+            Decision::Refuse(retry) => retry,
+            Decision::Take | Decision::TakeLate => FULL_RETRY,
+        }
     }
 
     /// The final answer of a request that is given up: it promises that nothing ran only if no server may
@@ -236,7 +286,8 @@
 
     pub(crate) fn usual(&self) -> Span {
         let state = self.node.state.borrow();
-        state.placers.get(&self.pool).map_or(Span::ZERO, |placer| placer.usual())
+        let placer = state.placers.get(&self.pool);
+        placer.map_or(Span::ZERO, |placer| placer.usual(&self.route.name))
     }
 
     pub(crate) fn choose(&self, held: Option<&Held<W>>) -> Result<Replica, Refusal> {
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -5,24 +5,28 @@
 use crate::node::Node;
 use crate::peers::{GroupAnswer, GroupCall};
 use crate::wire::{Input, Item, Wire};
+use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::catalog::{Route, Work};
 use damaskweir_core::forecast::Forecast;
 use damaskweir_core::graph::{Graph, PieceAt};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
-use damaskweir_core::owner::EntryAt;
+use damaskweir_core::owner::{EntryAt, Group};
 use damaskweir_core::time::{Span, Time};
+use rand_core::Rng as _;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::AbortHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout_at};
 
 /// Calls that one piece may be part of.
 const TRIES_MAX: u32 = 3;
 /// Taken off the time for which results are kept, for the call that fetches them.
 const KEEP_MARGIN: Span = Span::from_millis(600);
+/// Part of its slack for which a stage waits; the rest is for times that were predicted too short.
+const SLACK_PART: f64 = 0.6;
 /// Pause of a piece for which a server had no room.
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 
@@ -51,6 +55,8 @@
     Full,
     /// The server has another owner now; nothing was sent.
     Moved,
+    /// It could not be done when it is due; nothing was sent.
+    Overload,
 }
 
 /// Result of one piece, with its place in the request.
@@ -79,6 +85,7 @@
             Self::Failed(Miss::Failed) => "stage_server_failed",
             Self::Failed(Miss::Full) => "stage_server_full",
             Self::Failed(Miss::Moved) => "stage_moved",
+            Self::Failed(Miss::Overload) => "stage_overload",
             Self::Counts => "stage_counts",
             Self::Away => "stage_away",
         }
@@ -132,6 +139,10 @@
     /// When the first part of the answer is due.
     pub(crate) due: Time,
     pub(crate) deadline: Time,
+    /// How urgent it is, or that it is late anyway.
+    pub(crate) lane: Lane,
+    /// Whether it is refused if it can't be done when it is due.
+    pub(crate) strict: bool,
     /// Availability zone in which the results of the last stages are best needed.
     pub(crate) toward: Option<AvailabilityZone>,
 }
@@ -144,6 +155,8 @@
     graph: Graph<Made>,
     held: Held<W>,
     pending: Pending,
+    /// Groups that can wait, and when they are handed out. Their results would only lie about.
+    deferred: Vec<(Time, Vec<PieceAt>)>,
     tries: BTreeMap<PieceAt, u32>,
     sender: UnboundedSender<PieceResult>,
     receiver: UnboundedReceiver<PieceResult>,
@@ -152,14 +165,15 @@
 
 impl<W: Wire> Node<W> {
     /// Predicted times of the stages of a request that comes now.
-    pub(crate) fn forecast(&self, route: &Route, counts: &[usize]) -> Forecast {
+    pub(crate) fn forecast(&self, route: &Route, counts: &[usize], lane: Lane) -> Forecast {
         let now = self.now();
         let state = self.state.borrow();
         let time = |(i, count): (usize, &usize)| {
             let pool = &route.stages.get(i)?.pool;
             let owners = state.owners.get(pool)?;
-            let own = state.batchers.get(pool).map_or(0.0, |batcher| batcher.fullness(now));
-            (*count > 0).then(|| owners.predict(now, *count, own)).flatten()
+            let own = state.batchers.get(pool).map(|batcher| batcher.fullness(now));
+            let group = Group { pieces: *count, lane };
+            (*count > 0).then(|| owners.predict(now, group, &own.unwrap_or_default())).flatten()
         };
         let times: Vec<_> = counts.iter().enumerate().map(time).collect();
         Forecast::new(&route.stages, &times)
@@ -174,7 +188,7 @@
         let mut progress = Progress {
             node: self,
             job,
-            forecast: self.forecast(job.route, job.counts),
+            forecast: self.forecast(job.route, job.counts, job.lane),
             graph: Graph::new(&job.route.stages, job.counts).ok_or(StageFault::Counts)?,
             held: Held {
                 node: self.clone(),
@@ -183,6 +197,7 @@
                 zones: Vec::new(),
             },
             pending: Pending::default(),
+            deferred: Vec::new(),
             tries: BTreeMap::new(),
             sender,
             receiver,
@@ -203,24 +218,46 @@
         loop {
             let ready = self.graph.ready();
             for group in ready.chunk_by(|a, b| a.stage == b.stage) {
-                self.hand_out(group, true)?;
+                let slack = self.forecast.slacks.get(group[0].stage).copied();
+                let wait = slack.unwrap_or(Span::ZERO).scale(SLACK_PART);
+                self.deferred.push((self.node.now() + wait, group.to_vec()));
             }
+            self.hand_out_due()?;
             if self.graph.complete() {
                 return Ok(());
             }
+            let next = self.deferred.iter().map(|(at, _)| *at).min();
+            let received = match next {
+                Some(at) => timeout_at(self.node.instant(at), self.receiver.recv()).await,
+                None => Ok(self.receiver.recv().await),
+            };
+            // It is time for a group that could wait.
+            let Ok(received) = received else { continue };
             // The sender is kept here, so that the channel never closes.
-            let Some((at, end)) = self.receiver.recv().await else {
+            let Some((at, end)) = received else {
                 return Err(StageFault::Failed(Miss::Failed));
             };
             match end {
                 Ok(made) => self.keep(at, made),
                 Err(Miss::Late) => return Err(StageFault::Late),
+                Err(Miss::Overload) => return Err(StageFault::Failed(Miss::Overload)),
                 Err(Miss::Gone) if !self.restarted => self.restart()?,
                 Err(miss) => self.retry(at, miss).await?,
             }
         }
     }
 
+    /// Hands out the groups that are due, or all if nothing else is left to wait for.
+    fn hand_out_due(&mut self) -> Result<(), StageFault> {
+        let now = self.node.now();
+        let last = self.graph.depth() <= 1;
+        let due = |(at, _): &mut (Time, Vec<PieceAt>)| last || *at <= now;
+        for (_, group) in self.deferred.extract_if(.., due).collect::<Vec<_>>() {
+            self.hand_out(&group, true)?;
+        }
+        Ok(())
+    }
+
     fn keep(&mut self, at: PieceAt, made: Made) {
         self.held.made.push(made.clone());
         self.graph.finish(at, made);
@@ -234,6 +271,7 @@
         self.restarted = true;
         self.held.give_back_all();
         self.pending = Pending::default();
+        self.deferred.clear();
         (self.sender, self.receiver) = unbounded_channel();
         let graph = Graph::new(&self.job.route.stages, self.job.counts);
         self.graph = graph.ok_or(StageFault::Counts)?;
@@ -257,6 +295,7 @@
     /// Hands pieces of one stage to the owner that is expected to be done first.
     fn hand_out(&mut self, group: &[PieceAt], first: bool) -> Result<(), StageFault> {
         let node = self.node;
+        let size = Group { pieces: group.len(), lane: self.job.lane };
         let now = node.now();
         let stage = &self.job.route.stages[group[0].stage];
         let near = self.near(group[0].stage);
@@ -267,11 +306,12 @@
                 let budget = state.budgets.get_mut(&stage.pool);
                 budget.into_iter().for_each(|b| group.iter().for_each(|_| b.count(now)));
             }
-            let own = state.batchers.get(&stage.pool).map_or(0.0, |b| b.fullness(now));
+            let own = state.batchers.get(&stage.pool).map(|batcher| batcher.fullness(now));
             let owners = state.owners.get_mut(&stage.pool).ok_or(StageFault::Away)?;
-            let chosen = owners.choose(now, group.len(), &near, own).cloned();
+            let draw = state.rng.next_u64();
+            let chosen = owners.choose(now, size, &near, &own.unwrap_or_default(), draw).cloned();
             let chosen = chosen.ok_or(StageFault::Away)?;
-            owners.sent(&chosen.name, group.len());
+            owners.sent(&chosen.name, size);
             chosen
         };
         let kept = self.kept(group[0].stage);
@@ -282,6 +322,8 @@
             due: (self.job.due - tail).since(now),
             left: Span((self.job.deadline - tail).since(now).0.min(kept.0)),
             bytes: stage.bytes,
+            lane: self.job.lane,
+            fresh: first && self.job.strict && stage.after.is_empty() && !self.restarted,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
@@ -334,8 +376,8 @@
     node: Rc<Node<W>>,
     pool: PoolId,
     owner: String,
-    pieces: usize,
-    told: Option<f64>,
+    group: Group,
+    told: Option<Fullness>,
 }
 
 impl<W: Wire> Drop for OpenPieces<W> {
@@ -343,7 +385,7 @@
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         if let Some(owners) = state.owners.get_mut(&self.pool) {
-            owners.ended(now, &self.owner, self.pieces, self.told);
+            owners.ended(now, &self.owner, self.group, self.told);
         }
     }
 }
@@ -357,11 +399,12 @@
         group: &[PieceAt],
         sender: &UnboundedSender<PieceResult>,
     ) {
+        let lane = call.lane;
         let mut open = OpenPieces {
             node: self.clone(),
             pool: call.pool.clone(),
             owner: owner.name.clone(),
-            pieces: group.len(),
+            group: Group { pieces: group.len(), lane },
             told: None,
         };
         let (began, pool) = (self.now(), call.pool.clone());
@@ -401,7 +444,7 @@
             ("pieces", (group.len() as u64).into()),
             ("failed", (failed as u64).into()),
             ("owner", owner.name.as_str().into()),
-            ("fullness_percent", ((told.unwrap_or(0.0) * 100.0) as u64).into()),
+            ("fullness_percent", ((told.unwrap_or_default().at(lane) * 100.0) as u64).into()),
             ("took_ms", self.now().since(began).as_millis().into()),
         ];
         self.log.request(Kind::StageDone, &id, &fields);
