--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -9,8 +9,6 @@
 /// Part of the time until the objective that a new request may be predicted to take. A longer queue would
 /// make all answers late and serve no more of them.
 const OBJECTIVE_PART: f64 = 1.0;
-/// The same for a less urgent request: the queue that it may add to must leave room for urgent ones.
-const LESS_URGENT_PART: f64 = 0.8;
 /// Part of the time until the deadline that the request of a returning caller may be predicted to take.
 const DEADLINE_PART: f64 = 0.6;
 /// The same as a part of the objective: results of earlier stages are kept for a few seconds only.
@@ -72,8 +70,6 @@
     pub whole: Span,
     /// The same, among those that are late.
     pub behind: Span,
-    /// Whether it is of the most urgent rank.
-    pub urgent: bool,
     /// Time that its caller will wait.
     pub left: Span,
     /// Longest time that callers of its route wait: the time left of a caller that comes first.
@@ -100,8 +96,7 @@
 /// answers would otherwise make all others late.
 pub fn decide(arrival: &Arrival) -> Decision {
     let by_deadline = arrival.left.scale(DEADLINE_PART);
-    let part = if arrival.urgent { OBJECTIVE_PART } else { LESS_URGENT_PART };
-    let objective = arrival.objective.scale(part).saturating_sub(arrival.elapsed());
+    let objective = arrival.objective.scale(OBJECTIVE_PART).saturating_sub(arrival.elapsed());
     if arrival.whole <= Span(objective.0.min(by_deadline.0)) {
         return Decision::Take;
     }
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -16,8 +16,10 @@
 const CROSS_DELAY: Span = Span::from_millis(120);
 /// Delay by which an owner in another zone counts.
 const ZONE_DELAY: Span = Span::from_millis(4);
+/// Waiting pieces, as a part of a round, that leave in the same call as one that comes now.
+const SAME_CALL: f64 = 0.5;
 /// Owners whose delays differ by less than this part of a call are alike: what they told is that old.
-const ALIKE_PART: f64 = 0.75;
+const ALIKE_PART: f64 = 0.25;
 /// Time after which what an owner told counts for about a third.
 const TOLD_MEMORY: Span = Span::from_millis(600);
 /// Weight of a new answer in the mean fullness of a pool.
@@ -251,7 +253,7 @@
             (told * keep + mean * (1.0 - keep)).max(open as f64 / round)
         };
         let pieces = group.pieces as f64;
-        let rounds = 1.0 + ahead + pieces / round;
+        let rounds = 1.0 + (ahead + pieces / round - SAME_CALL).max(0.0);
         let fill = (ahead * self.spec.batch as f64 + pieces).min(self.spec.batch as f64);
         (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
     }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -246,7 +246,6 @@
         Arrival {
             whole: forecast(Lane::Timely(behind)) + usual,
             behind: forecast(Lane::Late) + usual,
-            urgent: behind == 0,
             left,
             longest,
             objective: self.route.objective,
