--- a/crates/damaskweir/src/logs.rs
+++ b/crates/damaskweir/src/logs.rs
@@ -2,6 +2,8 @@
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::io;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
 
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +69,22 @@
     Logger::root(drain, o!("process" => process.to_owned()))
 }
 
+/// Time for the last lines to be written when a process ends.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
+/// Drops the last logger of a process. Dropping writes all lines that wait, for which a reader that has
+/// stopped would hold up the end of the process; after a while the rest is given up.
+pub fn close_logger(logger: Logger) {
+    let (done, closed) = sync_channel(1);
+    std::thread::spawn(move || {
+        drop(logger);
+        // The process may have gone on already.
+        done.send(()).unwrap_or_default();
+    });
+    // Whether the lines were written or not, the process ends now.
+    closed.recv_timeout(LAST_LINES).unwrap_or_default();
+}
+
 /// A logger that writes nothing, for tests and the demo.
 pub fn quiet_logger() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use damaskweir_core::time::Span;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -36,6 +36,32 @@
     stages: Histogram<f64>,
     first: Histogram<f64>,
     whole: Histogram<f64>,
+    servers: Gauge<u64>,
+    waiting: Gauge<u64>,
+    entries: Gauge<u64>,
+    suspects: Gauge<u64>,
+    version: Gauge<u64>,
+    current: Gauge<u64>,
+    active: Gauge<u64>,
+}
+
+/// What the entry believes and does at this moment.
+#[derive(Clone, Debug, Default)]
+pub struct Beliefs<'a> {
+    /// Usable servers by pool.
+    pub servers: Vec<(&'a str, u64)>,
+    /// Pieces that wait here by pool.
+    pub waiting: Vec<(&'a str, u64)>,
+    /// Entries that are listed.
+    pub entries: u64,
+    /// Entries that did not answer.
+    pub suspects: u64,
+    /// Version of the configuration in force; 0: none.
+    pub version: u64,
+    /// Whether the store answers.
+    pub current: bool,
+    /// Requests in progress.
+    pub active: u64,
 }
 
 impl Metrics {
@@ -60,6 +86,13 @@
             stages: seconds("direct_stage_call"),
             first: seconds("direct_first_part"),
             whole: seconds("direct_request"),
+            servers: meter.u64_gauge("direct_servers").build(),
+            waiting: meter.u64_gauge("direct_pieces_waiting").build(),
+            entries: meter.u64_gauge("direct_entries").build(),
+            suspects: meter.u64_gauge("direct_entries_silent").build(),
+            version: meter.u64_gauge("direct_config_version").build(),
+            current: meter.u64_gauge("direct_store_current").build(),
+            active: meter.u64_gauge("direct_requests_active").build(),
             registry,
             _provider: provider,
         })
@@ -95,6 +128,18 @@
         self.store.add(1, &labels);
     }
 
+    /// Sets the gauges.
+    pub fn believes(&self, beliefs: &Beliefs<'_>) {
+        let pool = |name: &str| [KeyValue::new("pool", name.to_owned())];
+        beliefs.servers.iter().for_each(|(name, n)| self.servers.record(*n, &pool(name)));
+        beliefs.waiting.iter().for_each(|(name, n)| self.waiting.record(*n, &pool(name)));
+        self.entries.record(beliefs.entries, &[]);
+        self.suspects.record(beliefs.suspects, &[]);
+        self.version.record(beliefs.version, &[]);
+        self.current.record(u64::from(beliefs.current), &[]);
+        self.active.record(beliefs.active, &[]);
+    }
+
     /// All values as text.
     pub fn text(&self) -> Result<Vec<u8>, MetricsError> {
         let mut out = Vec::new();
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -3,7 +3,7 @@
 use crate::calls::PieceWaiter;
 use crate::http::{Conn, HttpError, Kept};
 use crate::log::{Kind, Log};
-use crate::metrics::Metrics;
+use crate::metrics::{Beliefs, Metrics, MetricsError};
 use crate::peers::Release;
 use crate::stages::Miss;
 use crate::wire::Wire;
@@ -295,6 +295,23 @@
         }
     }
 
+    /// All metrics as text, with what the entry believes now.
+    pub(crate) fn metrics_text(&self) -> Result<Vec<u8>, MetricsError> {
+        let state = self.state.borrow();
+        let servers = state.placers.iter().map(|(pool, placer)| (pool.as_str(), placer.len()));
+        let staged = state.batchers.iter().map(|(pool, batcher)| (pool.as_str(), batcher.len()));
+        self.metrics.believes(&Beliefs {
+            servers: servers.map(|(pool, n)| (pool, n as u64)).collect(),
+            waiting: staged.map(|(pool, n)| (pool, n as u64)).collect(),
+            entries: state.entries.len() as u64,
+            suspects: state.suspects.len() as u64,
+            version: state.catalog.as_ref().map_or(0, |catalog| catalog.version.0),
+            current: state.current,
+            active: state.active as u64,
+        });
+        self.metrics.text()
+    }
+
     /// Takes a repeat from a pool's budget.
     pub(crate) fn withdraw(&self, pool: &PoolId) -> bool {
         let now = self.now();
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -253,7 +253,7 @@
             }
             None => plain(StatusCode::BAD_REQUEST, Bytes::new()),
         },
-        "/metrics" => match node.metrics.text() {
+        "/metrics" => match node.metrics_text() {
             Ok(text) => plain(StatusCode::OK, Bytes::from(text)),
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
         },
