--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -103,6 +103,8 @@
   --config FILE          settings of the platform (default: the path in DAMASKWEIR_CONFIG)
   --check                read the settings, print all faults, and exit
   --metrics PORT         serve /metrics on this port of the instance, beside the admin address
+  --log-level LEVEL      info, warning or error (default info: a line for each decision; without them, failed
+                         requests can't be explained)
 
 Example: DAMASKWEIR_CONFIG=/etc/damaskweir/boot.conf damaskweir platform entry --metrics 9464
 docs/platform.md describes the roles and what each does when something fails. Exit codes: damaskweir --help.
@@ -431,6 +433,8 @@
     }
     let check = arguments.contains("--check");
     let metrics = arguments.opt_value_from_str("--metrics")?;
+    let level: Option<String> = arguments.opt_value_from_str("--log-level")?;
+    let level = level.map_or(Ok(slog::Level::Info), |name| log_level(&name))?;
     let named =
         arguments.opt_value_from_os_str("--config", |path| Ok::<_, String>(PathBuf::from(path)))?;
     finish(arguments)?;
@@ -441,13 +445,22 @@
     if check {
         return print(out, "settings are good\n");
     }
-    let logs = LogSettings { output: LogOutput::Stdout, ..LogSettings::default() };
+    let logs = LogSettings { output: LogOutput::Stdout, level, ..LogSettings::default() };
     let log = new_logger(logs, &settings.setup.entry.name);
     let ended = run_platform_entry(settings, PlatformOptions { path, metrics }, log.clone());
     close_logger(log);
     Ok(ended?)
 }
 
+fn log_level(name: &str) -> Result<slog::Level, CommandError> {
+    match name {
+        "info" => Ok(slog::Level::Info),
+        "warning" => Ok(slog::Level::Warning),
+        "error" => Ok(slog::Level::Error),
+        _ => Err(CommandError::Usage("--log-level takes info, warning or error".to_owned())),
+    }
+}
+
 fn print(out: &mut impl Write, text: &str) -> Result<(), CommandError> {
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     written.map_err(|error| CommandError::Failure(format!("output can't be written: {error}")))
