--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -64,14 +64,14 @@
 }
 
 value! {
-/// Which pieces of those that wait go ahead of some.
-#[derive(Copy, PartialOrd, Ord)]
-pub enum Lane {
-    /// Can be done when they are due; of a rank, where 0 is the most urgent.
-    Timely(u8),
-    /// Are late anyway, and get a small part of each call while others wait.
-    Late,
-}
+    /// Which pieces of those that wait go ahead of some.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub enum Lane {
+        /// Can be done when they are due; of a rank, where 0 is the most urgent.
+        Timely(u8),
+        /// Are late anyway, and get a small part of each call while others wait.
+        Late,
+    }
 }
 
 impl Fullness {
@@ -113,8 +113,8 @@
     pub group: u64,
     /// How urgent its request is; 0 is the most urgent.
     pub rank: u8,
-    /// Nothing was worked on for its request so far, so that it can still be refused for free.
-    pub fresh: bool,
+    /// When its request would be refused, if nothing was worked on for it so far: refusing it is free.
+    pub refusable: Option<Time>,
     /// When it must be done for an answer within the objective.
     pub due: Time,
     /// When its result is of no use any more.
@@ -262,11 +262,12 @@
         out
     }
 
-    /// Takes out the pieces that can be refused for free and could not be done when they are due, behind
-    /// those that go first. Under a load above what the servers can take, they would only make others late.
+    /// Takes out the pieces that can be refused for free and would not be done in time behind those that go
+    /// first. Under a load above what the servers can take, they would only make others late, or wait until
+    /// their deadline for nothing.
     pub fn hopeless(&mut self, now: Time) -> Vec<PieceId> {
         let usable: Vec<_> = self.makers.values().filter(|maker| maker.paused <= now).collect();
-        if usable.is_empty() || !self.waiting.iter().any(|piece| piece.fresh) {
+        if usable.is_empty() || self.waiting.iter().all(|piece| piece.refusable.is_none()) {
             return Vec::new();
         }
         let count = usable.len() as f64;
@@ -277,16 +278,18 @@
         let round = (count * self.usual).max(1.0);
         self.sort(now);
         let least = self.least();
-        let (mut ahead, mut out) = (0.0, Vec::new());
+        // Late pieces are sorted behind all others.
+        let (mut timely, mut late, mut out) = (0.0, 0.0, Vec::new());
         for group in self.waiting.chunk_by(|a, b| a.group == b.group) {
-            let rounds = 1.0 + (ahead / round).floor();
-            let done = now + rest + call.scale(rounds);
-            // A late piece has its own part of each call, and is known to be late.
-            let (fresh, timely) = (group[0].fresh, group[0].due >= now + least);
-            if fresh && timely && done > group[0].due {
+            let is_late = group[0].due < now + least;
+            let ahead = if is_late { ahead_of_late(timely, late, round) } else { timely };
+            let done = now + rest + call.scale(1.0 + (ahead / round).floor());
+            if group[0].refusable.is_some_and(|limit| done > limit) {
                 out.extend(group.iter().map(|piece| piece.id));
+            } else if is_late {
+                late += group.len() as f64;
             } else {
-                ahead += group.len() as f64;
+                timely += group.len() as f64;
             }
         }
         let chosen: BTreeSet<PieceId> = out.iter().copied().collect();
@@ -380,9 +383,8 @@
             let ahead = |p: &&Waiting| p.due >= now + least && level(p.rank) <= at;
             self.waiting.iter().filter(ahead).count() as f64 / round + working
         };
-        // While others fill the calls, late pieces get their part of each only.
-        let behind = if timely >= round { late * LATE_PART as f64 } else { late + timely };
-        Fullness { ranks: std::array::from_fn(ahead), late: behind / round + working }
+        let late = ahead_of_late(timely, late, round) / round + working;
+        Fullness { ranks: std::array::from_fn(ahead), late }
     }
 
     /// Pieces that can still be in time go first, the most urgent of them ahead.
@@ -446,6 +448,11 @@
     }
 }
 
+/// Pieces that go ahead of a late one: while others fill the calls, late pieces get their part of each only.
+fn ahead_of_late(timely: f64, late: f64, round: f64) -> f64 {
+    if timely >= round { late * LATE_PART as f64 } else { late + timely }
+}
+
 /// Pieces picked for a call.
 struct Pick {
     /// Room that is left, in bytes.
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -69,7 +69,7 @@
     /// Predicted time until the first part of its answer, among those that can be in time.
     pub whole: Span,
     /// The same, among those that are late.
-    pub behind: Span,
+    pub late: Span,
     /// Time that its caller will wait.
     pub left: Span,
     /// Longest time that callers of its route wait: the time left of a caller that comes first.
@@ -101,9 +101,9 @@
         return Decision::Take;
     }
     let promised = Span(arrival.objective.scale(RETURN_PART).0.min(by_deadline.0));
-    if arrival.returns() && arrival.behind <= promised {
+    if arrival.returns() && arrival.late <= promised {
         return Decision::TakeLate;
     }
-    let over = arrival.behind.saturating_sub(promised);
+    let over = arrival.late.saturating_sub(promised);
     Decision::Refuse(Span(over.0.clamp(HINTS.0.0, HINTS.1.0)))
 }
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -92,7 +92,7 @@
                 let deadline = now + call.left;
                 state.waiters.insert(id, PieceWaiter { item, deadline, sender });
                 let (due, bytes) = (now + call.due, call.bytes);
-                let fresh = call.fresh;
+                let refusable = call.refusable.map(|limit| now + limit);
                 let rank = match call.lane {
                     Lane::Timely(rank) => rank,
                     Lane::Late => u8::MAX,
@@ -101,7 +101,7 @@
                     id,
                     group,
                     rank,
-                    fresh,
+                    refusable,
                     due,
                     deadline,
                     bytes,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -41,8 +41,8 @@
     pub(crate) bytes: u64,
     /// How urgent the request is, or that it is late anyway.
     pub(crate) lane: Lane,
-    /// Nothing was worked on for the request so far.
-    pub(crate) fresh: bool,
+    /// When it is refused, if nothing was worked on for the request so far.
+    pub(crate) refusable: Option<Span>,
 }
 
 /// What came of a group, in the order of its items.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -191,7 +191,7 @@
         self.elapsed = arrival.elapsed();
         let decision = decide(&arrival);
         self.late = decision == Decision::TakeLate;
-        self.predicted = if self.late { arrival.behind } else { arrival.whole };
+        self.predicted = if self.late { arrival.late } else { arrival.whole };
         match decision {
             Decision::Take | Decision::TakeLate => {
                 let pieces: Vec<_> = self.ask.pieces.iter().map(usize::to_string).collect();
@@ -226,7 +226,7 @@
             key: &key,
             due: if self.late { self.arrived } else { due },
             deadline: self.deadline - usual,
-            lane: if self.late { Lane::Late } else { Lane::Timely(self.behind()) },
+            lane: if self.late { Lane::Late } else { Lane::Timely(self.ranks_behind()) },
             strict: self.elapsed == Span::ZERO,
             toward: self.toward(),
         };
@@ -242,10 +242,10 @@
     /// What is predicted for a request that comes now.
     fn arrival(&self, left: Span, longest: Span) -> Arrival {
         let forecast = |lane| self.node.forecast(&self.route, &self.ask.pieces, lane).stages;
-        let (usual, behind) = (self.usual(), self.behind());
+        let (usual, behind) = (self.usual(), self.ranks_behind());
         Arrival {
             whole: forecast(Lane::Timely(behind)) + usual,
-            behind: forecast(Lane::Late) + usual,
+            late: forecast(Lane::Late) + usual,
             left,
             longest,
             objective: self.route.objective,
@@ -253,7 +253,7 @@
     }
 
     /// How many ranks it is behind the most urgent requests with stages.
-    fn behind(&self) -> u8 {
+    fn ranks_behind(&self) -> u8 {
         let state = self.node.state.borrow();
         state.catalog.as_ref().map_or(0, |catalog| catalog.ranks_behind(self.rank))
     }
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -141,7 +141,7 @@
     pub(crate) deadline: Time,
     /// How urgent it is, or that it is late anyway.
     pub(crate) lane: Lane,
-    /// Whether it is refused if it can't be done when it is due.
+    /// Whether it is refused if it can't be done when it is due, and not only at its deadline.
     pub(crate) strict: bool,
     /// Availability zone in which the results of the last stages are best needed.
     pub(crate) toward: Option<AvailabilityZone>,
@@ -316,14 +316,17 @@
         };
         let kept = self.kept(group[0].stage);
         let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
+        let due = (self.job.due - tail).since(now);
+        let left = Span((self.job.deadline - tail).since(now).0.min(kept.0));
+        let untouched = first && stage.after.is_empty() && !self.restarted;
         let call = GroupCall {
             pool: stage.pool.clone(),
             items: group.iter().map(|at| self.item(*at, now)).collect(),
-            due: (self.job.due - tail).since(now),
-            left: Span((self.job.deadline - tail).since(now).0.min(kept.0)),
+            due,
+            left,
             bytes: stage.bytes,
             lane: self.job.lane,
-            fresh: first && self.job.strict && stage.after.is_empty() && !self.restarted,
+            refusable: untouched.then_some(if self.job.strict { due } else { left }),
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
