--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -83,7 +83,7 @@
     /// For the pieces of one lane.
     pub fn at(&self, lane: Lane) -> f64 {
         match lane {
-            Lane::Timely(rank) => self.ranks[level(rank)],
+            Lane::Timely(_) => self.ranks[lane.level()],
             Lane::Late => self.late,
         }
     }
@@ -95,9 +95,14 @@
     }
 }
 
-/// Position of a rank among those that are told apart.
-pub(crate) fn level(rank: u8) -> usize {
-    usize::from(rank).min(RANKS - 1)
+impl Lane {
+    /// Position of its rank among those that are told apart; what is late counts as the last.
+    fn level(self) -> usize {
+        match self {
+            Self::Timely(rank) => usize::from(rank).min(RANKS - 1),
+            Self::Late => RANKS - 1,
+        }
+    }
 }
 
 /// Names a waiting piece; given by the caller of the batcher, unique in it.
@@ -111,8 +116,8 @@
     pub id: PieceId,
     /// Pieces with the same number belong together.
     pub group: u64,
-    /// How urgent its request is; 0 is the most urgent.
-    pub rank: u8,
+    /// How urgent its request is, or that it is late anyway.
+    pub lane: Lane,
     /// When its request would be refused, if nothing was worked on for it so far: refusing it is free.
     pub refusable: Option<Time>,
     /// When it must be done for an answer within the objective.
@@ -125,6 +130,13 @@
     pub arrived: Time,
 }
 
+impl Waiting {
+    /// Whether it can't be done when it is due. `soonest`: when a call that begins now could end.
+    fn is_late(&self, soonest: Time) -> bool {
+        self.due < soonest
+    }
+}
+
 /// Pieces to send in one call.
 #[derive(Clone, Debug)]
 pub struct Batch {
@@ -277,11 +289,11 @@
         let call = self.work(self.usual as usize).scale(pace);
         let round = (count * self.usual).max(1.0);
         self.sort(now);
-        let least = self.least();
+        let soonest = now + self.least();
         // Late pieces are sorted behind all others.
         let (mut timely, mut late, mut out) = (0.0, 0.0, Vec::new());
         for group in self.waiting.chunk_by(|a, b| a.group == b.group) {
-            let is_late = group[0].due < now + least;
+            let is_late = group[0].is_late(soonest);
             let ahead = if is_late { ahead_of_late(timely, late, round) } else { timely };
             let done = now + rest + call.scale(1.0 + (ahead / round).floor());
             if group[0].refusable.is_some_and(|limit| done > limit) {
@@ -376,11 +388,11 @@
         let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
         let round = (usable.max(1) as f64 * self.usual).max(1.0);
         let working = busy as f64 * 0.5 / usable.max(1) as f64;
-        let least = self.least();
-        let late = self.waiting.iter().filter(|piece| piece.due < now + least).count() as f64;
+        let soonest = now + self.least();
+        let late = self.waiting.iter().filter(|piece| piece.is_late(soonest)).count() as f64;
         let timely = self.waiting.len() as f64 - late;
         let ahead = |at: usize| {
-            let ahead = |p: &&Waiting| p.due >= now + least && level(p.rank) <= at;
+            let ahead = |p: &&Waiting| !p.is_late(soonest) && p.lane.level() <= at;
             self.waiting.iter().filter(ahead).count() as f64 / round + working
         };
         let late = ahead_of_late(timely, late, round) / round + working;
@@ -389,9 +401,9 @@
 
     /// Pieces that can still be in time go first, the most urgent of them ahead.
     fn sort(&mut self, now: Time) {
-        let least = self.least();
-        let order = |piece: &Waiting| piece.due + RANK_STEP * level(piece.rank) as u64;
-        self.waiting.sort_by_key(|p| (p.due < now + least, order(p), p.group, p.id));
+        let soonest = now + self.least();
+        let order = |piece: &Waiting| piece.due + RANK_STEP * piece.lane.level() as u64;
+        self.waiting.sort_by_key(|p| (p.is_late(soonest), order(p), p.group, p.id));
     }
 
     /// An owned server that is free, the fastest first. While a fast one is busy, a slow one is left
@@ -407,14 +419,14 @@
 
     /// The call that a server gets.
     fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
-        let least = self.least();
+        let soonest = now + self.least();
         self.sort(now);
         let maker = self.makers.get_mut(id)?;
         maker.room.expire(now);
         let lying = maker.room.lying();
         let held = (lying as f64 * self.swell) as u64;
         let room = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
-        let late = self.waiting.iter().filter(|piece| piece.due < now + least).count();
+        let late = self.waiting.iter().filter(|piece| piece.is_late(soonest)).count();
         let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
         let (timely, overdue) = self.waiting.split_at(self.waiting.len() - late);
         let mut pick = Pick { room, empty: lying == 0, swell: self.swell, pieces: Vec::new() };
--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -35,7 +35,7 @@
     Waiting {
         id: PieceId(id),
         group,
-        rank: 0,
+        lane: Lane::Timely(0),
         refusable: None,
         due: at + Span::from_secs(1),
         deadline: at + Span::from_secs(6),
@@ -234,7 +234,7 @@
             ranks.insert(next, rank);
             for piece in 0..4 {
                 batcher.push(Waiting {
-                    rank: if ranked { rank as u8 } else { 0 },
+                    lane: Lane::Timely(if ranked { rank as u8 } else { 0 }),
                     refusable: ranked.then_some(now + objective),
                     due: now + objective,
                     ..self::piece(next * 4 + piece, next, now)
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -174,7 +174,7 @@
                 batchers[target].push(Waiting {
                     id: PieceId(arrived),
                     group: arrived / 2,
-                    rank: 0,
+                    lane: Lane::Timely(0),
                     refusable: None,
                     due: now + objective,
                     deadline: now + Span::from_secs(6),
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -3,7 +3,7 @@
 use crate::demo::{Demo, DemoError, DemoOptions};
 use crate::entry::{EntryDaemon, EntryError, EntryOptions, seeded_rng};
 use crate::load::{LoadError, LoadOptions, run_load};
-use crate::logs::{LogForm, LogOutput, LogSettings, close_logger, new_logger, quiet_logger};
+use crate::logs::{LastLogger, LogForm, LogOutput, LogSettings, new_logger, quiet_logger};
 use crate::platform::{PlatformError, PlatformOptions, run_platform_entry};
 use crate::settings::{EntryFile, SettingsError, SideFile};
 use crate::side::{SideDaemon, SideError};
@@ -447,9 +447,8 @@
     }
     let logs = LogSettings { output: LogOutput::Stdout, level, ..LogSettings::default() };
     let log = new_logger(logs, &settings.setup.entry.name);
-    let ended = run_platform_entry(settings, PlatformOptions { path, metrics }, log.clone());
-    close_logger(log);
-    Ok(ended?)
+    let _last = LastLogger::new(&log);
+    Ok(run_platform_entry(settings, PlatformOptions { path, metrics }, log)?)
 }
 
 fn log_level(name: &str) -> Result<slog::Level, CommandError> {
@@ -501,8 +500,8 @@
     finish(arguments)?;
     let file = EntryFile::read(&path)?;
     let log = new_logger(file.logs, file.instance.as_str());
-    let last = log.clone();
-    let ended = block_on(async {
+    let _last = LastLogger::new(&log);
+    block_on(async {
         let (bundle, spread) = match &file.bundle {
             Some(path) => (read_bundle(path)?, None),
             None => {
@@ -519,9 +518,7 @@
         };
         wait_for_stop().await?;
         Ok(daemon.drain().await?)
-    });
-    close_logger(last);
-    ended
+    })
 }
 
 fn side(mut arguments: Arguments) -> Result<(), CommandError> {
@@ -529,8 +526,8 @@
     finish(arguments)?;
     let file = SideFile::read(&path)?;
     let log = new_logger(file.logs, file.server.as_str());
-    let last = log.clone();
-    let ended = block_on(async {
+    let _last = LastLogger::new(&log);
+    block_on(async {
         let spread = if file.operators.is_empty() {
             None
         } else {
@@ -542,9 +539,7 @@
         wait_for_stop().await?;
         daemon.drain().await;
         Ok(())
-    });
-    close_logger(last);
-    ended
+    })
 }
 
 fn bench(arguments: Arguments, out: &mut impl Write) -> Result<(), CommandError> {
--- a/crates/damaskweir/src/logs.rs
+++ b/crates/damaskweir/src/logs.rs
@@ -72,17 +72,30 @@
 /// Time for the last lines to be written when a process ends.
 const LAST_LINES: Duration = Duration::from_millis(300);
 
-/// Drops the last logger of a process. Dropping writes all lines that wait, for which a reader that has
-/// stopped would hold up the end of the process; after a while the rest is given up.
-pub fn close_logger(logger: Logger) {
-    let (done, closed) = sync_channel(1);
-    std::thread::spawn(move || {
-        drop(logger);
-        // The process may have gone on already.
-        done.send(()).unwrap_or_default();
-    });
-    // Whether the lines were written or not, the process ends now.
-    closed.recv_timeout(LAST_LINES).unwrap_or_default();
+/// Writes the last lines of a process when it is dropped, after all other loggers. A reader that has stopped
+/// would hold up the end of the process; after a while the rest is given up.
+#[derive(Debug)]
+pub struct LastLogger(Option<Logger>);
+
+impl LastLogger {
+    /// Keeps a logger until the process ends.
+    pub fn new(logger: &Logger) -> Self {
+        Self(Some(logger.clone()))
+    }
+}
+
+impl Drop for LastLogger {
+    fn drop(&mut self) {
+        let logger = self.0.take();
+        let (done, closed) = sync_channel(1);
+        std::thread::spawn(move || {
+            drop(logger);
+            // The process may have gone on already.
+            done.send(()).unwrap_or_default();
+        });
+        // Whether the lines were written or not, the process ends now.
+        closed.recv_timeout(LAST_LINES).unwrap_or_default();
+    }
 }
 
 /// A logger that writes nothing, for tests and the demo.
--- a/crates/damaskweir/tests/platform.rs
+++ b/crates/damaskweir/tests/platform.rs
@@ -3,10 +3,10 @@
 
 use damaskweir_direct::log::Kind;
 use damaskweir_platform_standins::{
-    Act, Server, StoreStandIn, call, manifest, read_answer, signed,
+    Act, EntrySettings, Server, StoreStandIn, call, manifest, read_answer, signed,
 };
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::Ipv4Addr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -16,13 +16,34 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Loopback address of the entry's listeners; no other test uses it.
-const HOST: &str = "127.91.4.1";
+const HOST: Ipv4Addr = Ipv4Addr::new(127, 91, 4, 1);
 /// `bounds.grace_s` of the settings below.
 const GRACE: Duration = Duration::from_secs(3);
 
 /// Ends the process with the test.
 struct Process(Child);
 
+impl Process {
+    /// Starts an entry whose output goes to pipes.
+    fn start(settings: &Path) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
+            .args(["platform", "entry", "--config"])
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        Self(child)
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status().expect("kill is there");
+        assert!(status.success());
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended by itself.
@@ -60,28 +81,23 @@
     LocalSet::new()
         .run_until(async {
             let store = StoreStandIn::start().await;
-            store.put("op/config", &manifest(1));
+            store.approve(&manifest(1));
             let server = Server::start(|seen| Act::Send(signed(seen, 200, "done"))).await;
             store.register("i-1", "orders", &server, "ready");
             let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stopped-reader.conf");
-            let text = format!(
-                "node_name=e-1\nzone=a\nbind.frontend={HOST}:7201\nbind.readiness={HOST}:7202\n\
-                 bind.admin={HOST}:7203\nprovider.address={}\nbounds.grace_s={}\n\
-                 bounds.budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=50\n",
-                store.server.address,
-                GRACE.as_secs()
-            );
-            std::fs::write(&path, text).expect("the folder is there");
-            let child = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
-                .args(["platform", "entry", "--config"])
-                .arg(&path)
-                .stdin(Stdio::null())
-                .stdout(Stdio::piped())
-                .stderr(Stdio::piped())
-                .spawn()
-                .expect("it starts");
-            let mut process = Process(child);
-            let address: SocketAddr = format!("{HOST}:7201").parse().expect("an address");
+            let settings = EntrySettings {
+                name: "e-1",
+                host: HOST,
+                seeds: &[],
+                store: store.server.address,
+                grace: GRACE,
+                ratio: 0.2,
+                slack: 50.0,
+                window: Duration::from_secs(10),
+            };
+            std::fs::write(&path, settings.to_string()).expect("the folder is there");
+            let mut process = Process::start(&path);
+            let address = settings.callers();
             let mut stream = loop {
                 match TcpStream::connect(address).await {
                     Ok(stream) => break stream,
@@ -97,11 +113,8 @@
             }
             assert!(longest < Duration::from_secs(1), "{longest:?}");
             drop(stream);
-            let pid = process.0.id().to_string();
             let told = Instant::now();
-            let status =
-                Command::new("kill").args(["-TERM", &pid]).status().expect("kill is there");
-            assert!(status.success());
+            process.signal("-TERM");
             let ended = async {
                 while process.0.try_wait().expect("it was started here").is_none() {
                     sleep(Duration::from_millis(20)).await;
@@ -121,30 +134,21 @@
 #[test]
 fn a_process_tells_its_start_reload_and_end() {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("process-lines.conf");
-    let sample = include_str!("../../../examples/platform/boot.conf").replace("127.0.0.1", HOST);
+    let sample = include_str!("../../../examples/platform/boot.conf")
+        .replace("127.0.0.1", &HOST.to_string());
     std::fs::write(&path, sample).expect("the folder is there");
-    let child = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
-        .args(["platform", "entry", "--config"])
-        .arg(&path)
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("it starts");
-    let mut process = Process(child);
-    let pid = process.0.id().to_string();
+    let mut process = Process::start(&path);
     let mut lines = BufReader::new(process.0.stdout.take().expect("piped")).lines();
     let mut await_line = |kind: Kind| {
         let wanted = format!("\"{}\"", kind.name());
         assert!(lines.any(|line| line.expect("text").contains(&wanted)), "{wanted}");
     };
-    let signal =
-        |name: &str| Command::new("kill").args([name, &pid]).status().expect("kill is there");
     await_line(Kind::Started);
     // The handlers stand once it has asked the store, which is not there.
     await_line(Kind::Lost);
-    signal("-HUP");
+    process.signal("-HUP");
     await_line(Kind::Reloaded);
-    signal("-TERM");
+    process.signal("-TERM");
     await_line(Kind::Draining);
     await_line(Kind::Stopped);
 }
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -6,7 +6,7 @@
 use crate::peers::{GroupAnswer, GroupCall, Release};
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, PieceEnd, Wire};
-use damaskweir_core::batch::{Batch, CallEnd, Fullness, Lane, PieceId, Waiting};
+use damaskweir_core::batch::{Batch, CallEnd, Fullness, PieceId, Waiting};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
@@ -93,14 +93,10 @@
                 state.waiters.insert(id, PieceWaiter { item, deadline, sender });
                 let (due, bytes) = (now + call.due, call.bytes);
                 let refusable = call.refusable.map(|limit| now + limit);
-                let rank = match call.lane {
-                    Lane::Timely(rank) => rank,
-                    Lane::Late => u8::MAX,
-                };
                 batcher.push(Waiting {
                     id,
                     group,
-                    rank,
+                    lane: call.lane,
                     refusable,
                     due,
                     deadline,
