--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -374,23 +374,30 @@
                 let faults = Duration::from_secs(seconds);
                 let folder = folder.clone();
                 let options = damaskweir_soak::Options { seed, entries, faults, broken, folder };
-                if verdicts.send(damaskweir_soak::run(options)).is_err() {
+                let verdict = damaskweir_soak::run(options);
+                let works = verdict.is_ok();
+                if verdicts.send(verdict).is_err() || !works {
                     return;
                 }
             }
         });
     }
     drop(verdicts);
-    let (mut done, mut kept) = (0, 0);
+    let (mut kept, mut failure) = (0, None);
+    // All runs are waited for, so that their processes have ended.
     for verdict in arrived {
-        let verdict = verdict.map_err(|error| CommandError::Failure(format!("soak: {error}")))?;
-        done += 1;
-        kept += u64::from(verdict.broken.is_none());
-        print(out, &format!("{verdict}\n"))?;
+        match verdict {
+            Ok(verdict) => {
+                kept += u64::from(verdict.broken.is_none());
+                print(out, &format!("{verdict}\n"))?;
+            }
+            Err(error) => failure = Some(CommandError::Failure(format!("soak: {error}"))),
+        }
     }
-    match done == runs && kept == runs {
-        true => Ok(()),
-        false => Err(CommandError::Failure(format!("{kept} of {runs} runs kept all promises"))),
+    match failure {
+        Some(failure) => Err(failure),
+        None if kept == runs => Ok(()),
+        None => Err(CommandError::Failure(format!("{kept} of {runs} runs kept all promises"))),
     }
 }
 
--- a/crates/damaskweir/tests/soak.rs
+++ b/crates/damaskweir/tests/soak.rs
@@ -1,8 +1,12 @@
 //! Short runs of the fault soak with the real program.
 
+#![allow(clippy::unwrap_used, reason = "the lint knows only test functions")]
+
 use damaskweir_soak::Broken;
 use rstest::rstest;
-use std::process::Command;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Seeds that failed once, each with its cause. They run with the time of faults of the failed run.
 const REGRESSIONS: &[(u64, &str)] =
@@ -60,3 +64,49 @@
     let (kept, told) = soak(&["--seed", "1", "--seconds", "4", "--broken", broken.name()]);
     assert!(!kept && told.contains(&format!("BROKEN: {promise};")), "{told}");
 }
+
+/// Ids of processes that have a text in their command line.
+fn processes_with(text: &str) -> Vec<String> {
+    let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let named = |path: &Path| {
+        let line = std::fs::read(path.join("cmdline")).unwrap_or_default();
+        String::from_utf8_lossy(&line).contains(text)
+    };
+    let found = all.filter(|entry| named(&entry.path()));
+    found.map(|entry| entry.file_name().to_string_lossy().into_owned()).collect()
+}
+
+fn wait_until(holds: impl Fn() -> bool) -> bool {
+    let began = Instant::now();
+    while !holds() && began.elapsed() < Duration::from_secs(10) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    holds()
+}
+
+/// Guards against entries that go on after the soak was told to end (seven were left by a CI run that was
+/// stopped).
+#[test]
+fn a_soak_that_is_told_to_end_leaves_no_process() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak-told-to-end");
+    std::fs::create_dir_all(&folder).unwrap();
+    let name = folder.to_string_lossy().into_owned();
+    // Entries name a settings file in the folder, the soak itself only the folder.
+    let settings = format!("{name}/");
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
+        .args(["soak", "--runs", "2", "--jobs", "2", "--folder", &name])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    assert!(wait_until(|| processes_with(&settings).len() >= 6));
+    let id = soak.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    soak.wait().unwrap();
+    let gone = wait_until(|| processes_with(&settings).is_empty());
+    let left = processes_with(&settings);
+    for id in &left {
+        Command::new("kill").args(["-KILL", id]).status().unwrap();
+    }
+    assert!(gone, "{left:?}");
+}
