Serve first callers that differ in patience as first ones, and late work behind instead of refusing it

Cause: an entry took each caller that grants less time than the most patient one of its route as coming back.

Ruled out: the processor (0.5% of a core in use), the engines (7% of requests waited for one), lost calls.

Changes: - core::returns learns how long first callers wait, in times without refusals, and tells the others. - What can't be in time is served behind what can, and refused only if its deadline can't be met. - Few owners with four to eight servers each: a piece waits for the next of several servers that is free. Pools with few servers in a zone have one owner; servers of a suspect have one owner, not one for each entry. - Pieces with large inputs or results wait for a server of their zone while their time allows it. - A server without room for half a call waits 150 ms for results to be given back. - Late pieces go behind at each stage, unless their inputs take much room. - Forecasts follow the times that pieces took.

Room that is free is used after a wait.

Begun work ahead of all other was left again but for inputs that take room.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -8,12 +8,13 @@
 
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
-use crate::ids::ServerId;
+use crate::ids::{AvailabilityZone, ServerId};
 use crate::room::{ResultKey, Room};
 use crate::time::{Span, Time, decay};
 use crate::value;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which a first piece waits for others, since requests arrive in clumps.
 const GATHER: Span = Span::from_millis(6);
@@ -22,6 +23,9 @@
 /// Time after a call without room for all results in which a server is left alone. Others may have results
 /// there that this entry does not know of.
 const ROOM_PAUSE: Span = Span::from_millis(150);
+/// Time for which a server without room for half a call waits for results to be given back. A small call
+/// takes nearly as long as a full one, and the room is needed as long.
+const ROOM_WAIT: Span = Span::from_millis(150);
 /// Time for which as many bytes as found no room are taken to lie there unknown.
 const ROOM_MEMORY: Span = Span::from_millis(600);
 /// Part of the room of a server that is new here which may be taken by results made for its owner before,
@@ -41,6 +45,10 @@
 const SLOW_PACE: f64 = 2.5;
 /// Part of a server's room for results that is planned with.
 const ROOM_PART: f64 = 0.95;
+/// Calls in which a piece is due at the latest that does not wait for a server of its zone.
+const ZONE_PATIENCE: f64 = 1.1;
+/// Calls that the waiting pieces fill from which on no server is left idle for the sake of zones.
+const CROWDED: usize = 2;
 /// One place in this many of a batch is kept for late pieces.
 const LATE_PART: usize = 6;
 /// Weight of a new call in the usual size of calls.
@@ -109,6 +117,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PieceId(pub u64);
 
+/// Names an availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneKey(u64);
+
+impl From<&AvailabilityZone> for ZoneKey {
+    fn from(zone: &AvailabilityZone) -> Self {
+        Self(xxh3_64(zone.as_str().as_bytes()))
+    }
+}
+
 /// A piece that waits for a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiting {
@@ -126,14 +144,19 @@
     pub deadline: Time,
     /// Room that its result takes.
     pub bytes: u64,
+    /// Its inputs take much of the room of their servers, so that it does not go behind when it is late.
+    pub holding: bool,
+    /// Zone in which it is best worked on, since large results lie or are needed there.
+    pub toward: Option<ZoneKey>,
     /// When it began to wait.
     pub arrived: Time,
 }
 
 impl Waiting {
-    /// Whether it can't be done when it is due. `soonest`: when a call that begins now could end.
+    /// Whether it goes behind because it can't be done when it is due. `soonest`: when a call that begins
+    /// now could end.
     fn is_late(&self, soonest: Time) -> bool {
-        self.due < soonest
+        !self.holding && self.due < soonest
     }
 }
 
@@ -177,8 +200,11 @@
 #[derive(Clone, Debug)]
 struct Maker {
     replica: Replica,
+    zone: ZoneKey,
     /// The call that it works on.
     open: Option<Open>,
+    /// When its last call ended.
+    idle: Time,
     paused: Time,
     pause: Span,
     pace: f64,
@@ -228,11 +254,13 @@
                 room.suspect(now + TAKEN_OVER.1, taken);
                 Maker {
                     open: None,
+                    idle: Time::default(),
                     paused: Time::default(),
                     pause: PAUSES.0,
                     pace: 1.0,
                     paced: Time::default(),
                     room,
+                    zone: ZoneKey::from(&replica.zone),
                     replica: replica.clone(),
                 }
             };
@@ -283,19 +311,19 @@
             return Vec::new();
         }
         let count = usable.len() as f64;
-        let rest = |maker: &&Maker| maker.rest_of_call(now).0 as f64;
-        let rest = Span((usable.iter().map(rest).sum::<f64>() / count) as u64);
+        let rests = usable.iter().map(|maker| maker.rest_of_call(now));
+        let rest = rests.min().unwrap_or(Span::ZERO);
         let pace = usable.iter().map(|maker| maker.paced_at(now)).sum::<f64>() / count;
         let call = self.work(self.usual as usize).scale(pace);
-        let round = (count * self.usual).max(1.0);
+        let full = self.usual.max(1.0);
         self.sort(now);
         let soonest = now + self.least();
         // Late pieces are sorted behind all others.
         let (mut timely, mut late, mut out) = (0.0, 0.0, Vec::new());
         for group in self.waiting.chunk_by(|a, b| a.group == b.group) {
             let is_late = group[0].is_late(soonest);
-            let ahead = if is_late { ahead_of_late(timely, late, round) } else { timely };
-            let done = now + rest + call.scale(1.0 + (ahead / round).floor());
+            let ahead = if is_late { ahead_of_late(timely, late, full) } else { timely };
+            let done = now + rest + call.scale(1.0 + (ahead / full).floor() / count);
             if group[0].refusable.is_some_and(|limit| done > limit) {
                 out.extend(group.iter().map(|piece| piece.id));
             } else if is_late {
@@ -320,18 +348,21 @@
         if self.waiting.len() < self.spec.batch && now.since(oldest) < GATHER {
             return None;
         }
-        let id = self.free_server(now)?;
-        self.fill(now, &id)
+        self.sort(now);
+        self.free_servers(now).into_iter().find_map(|id| self.fill(now, &id))
     }
 
     /// When `plan` should be asked again although nothing ended or arrived.
     pub fn wake(&self, now: Time) -> Option<Time> {
         let oldest = self.waiting.iter().map(|piece| piece.arrived).min()?;
-        let rested = self.makers.values().map(|maker| maker.paused);
+        let rested = self.makers.values().flat_map(|m| [m.paused, m.idle + ROOM_WAIT]);
         let late = self.makers.values().filter_map(|maker| maker.open.as_ref()).map(|o| o.late);
         let least = self.least();
         let expiry = self.waiting.iter().map(|piece| piece.deadline - least).min();
         let gathered = std::iter::once(oldest + GATHER);
+        let pressing = self.waiting.iter().filter(|p| p.toward.is_some());
+        let pressing = pressing.map(|piece| piece.due - self.patience()).min();
+        let gathered = gathered.chain(pressing);
         rested.chain(late).chain(expiry).chain(gathered).filter(|at| *at > now).min()
     }
 
@@ -344,6 +375,7 @@
         }
         let Some(maker) = self.makers.get_mut(id) else { return };
         let Some(open) = maker.open.take() else { return };
+        maker.idle = now;
         let ratio = now.since(open.sent).0 as f64 / work.0.max(1) as f64;
         let pace = maker.paced_at(now);
         match end {
@@ -387,7 +419,8 @@
         let usable = self.makers.values().filter(|m| m.paused <= now).count();
         let busy = self.makers.values().filter(|maker| maker.open.is_some()).count();
         let round = (usable.max(1) as f64 * self.usual).max(1.0);
-        let working = busy as f64 * 0.5 / usable.max(1) as f64;
+        // A server is free at once, or after half of the time between two that become free.
+        let working = if busy < usable { 0.0 } else { 0.5 / usable.max(1) as f64 };
         let soonest = now + self.least();
         let late = self.waiting.iter().filter(|piece| piece.is_late(soonest)).count() as f64;
         let timely = self.waiting.len() as f64 - late;
@@ -395,7 +428,7 @@
             let ahead = |p: &&Waiting| !p.is_late(soonest) && p.lane.level() <= at;
             self.waiting.iter().filter(ahead).count() as f64 / round + working
         };
-        let late = ahead_of_late(timely, late, round) / round + working;
+        let late = ahead_of_late(timely, late, self.usual) / round + working;
         Fullness { ranks: std::array::from_fn(ahead), late }
     }
 
@@ -406,41 +439,86 @@
         self.waiting.sort_by_key(|p| (p.is_late(soonest), order(p), p.group, p.id));
     }
 
-    /// An owned server that is free, the fastest first. While a fast one is busy, a slow one is left
-    /// alone, since the fast one is free sooner than the slow one would be done.
-    fn free_server(&self, now: Time) -> Option<ServerId> {
-        let good = |maker: &&Maker| maker.paused <= now && maker.paced_at(now) < SLOW_PACE;
-        let fast = self.makers.values().any(|maker| good(&maker));
+    /// Owned servers that are free: those of the first piece's zone ahead, then the fastest. While a fast
+    /// one is busy, a slow one is left alone, since the fast one is free sooner than the slow one would be
+    /// done.
+    fn free_servers(&self, now: Time) -> Vec<ServerId> {
+        let good = |maker: &Maker| maker.paused <= now && maker.paced_at(now) < SLOW_PACE;
+        let fast = self.makers.values().any(good);
+        let toward = self.waiting.first().and_then(|piece| piece.toward);
         let free = self.makers.values().filter(|m| m.open.is_none() && m.paused <= now);
-        free.filter(|maker| !fast || good(maker))
-            .min_by_key(|maker| ((maker.paced_at(now) * 8.0) as u64, maker.room.lying()))
-            .map(|maker| maker.replica.id.clone())
+        let mut free: Vec<_> = free.filter(|maker| !fast || good(maker)).collect();
+        free.sort_by_key(|maker| {
+            let far = toward.is_some_and(|zone| zone != maker.zone);
+            (far, (maker.paced_at(now) * 8.0) as u64, maker.room.lying())
+        });
+        free.into_iter().map(|maker| maker.replica.id.clone()).collect()
+    }
+
+    /// Time before it is due up to which a piece waits for a server of its zone.
+    fn patience(&self) -> Span {
+        self.work(self.spec.batch).scale(ZONE_PATIENCE)
     }
 
-    /// The call that a server gets.
+    /// Zones of the servers that may be used.
+    fn zones(&self, now: Time) -> BTreeSet<ZoneKey> {
+        self.makers.values().filter(|maker| maker.paused <= now).map(|maker| maker.zone).collect()
+    }
+
+    /// The call that a server gets. Pieces must be in order.
     fn fill(&mut self, now: Time, id: &ServerId) -> Option<Batch> {
         let soonest = now + self.least();
+        let (zones, here) = (self.zones(now), self.makers.get(id)?.zone);
+        let foreign = |piece: &Waiting| {
+            piece.toward.is_some_and(|zone| zone != here && zones.contains(&zone))
+        };
+        // While more waits than a call takes, a server that leaves pieces of other zones would stand idle
+        // for the sake of bytes.
+        let crowded = self.waiting.len() >= self.spec.batch * CROWDED;
+        let pressed = now + self.patience();
+        let (mut native, mut rest, mut left) = (Vec::new(), Vec::new(), Vec::new());
+        for piece in self.waiting.drain(..) {
+            let kept = !foreign(&piece);
+            let to = match kept {
+                true => &mut native,
+                false if crowded || piece.due < pressed => &mut rest,
+                false => &mut left,
+            };
+            to.push(piece);
+        }
+        native.append(&mut rest);
+        native.sort_by_key(|piece| piece.is_late(soonest));
+        let batch = self.take(now, id, &native);
+        let chosen: BTreeSet<PieceId> =
+            batch.iter().flat_map(|batch| &batch.pieces).map(|piece| piece.id).collect();
+        native.append(&mut left);
+        native.retain(|piece| !chosen.contains(&piece.id));
+        self.waiting = native;
         self.sort(now);
+        batch
+    }
+
+    fn take(&mut self, now: Time, id: &ServerId, waiting: &[Waiting]) -> Option<Batch> {
+        let soonest = now + self.least();
         let maker = self.makers.get_mut(id)?;
         maker.room.expire(now);
         let lying = maker.room.lying();
         let held = (lying as f64 * self.swell) as u64;
         let room = ((self.spec.room as f64 * ROOM_PART) as u64).saturating_sub(held);
-        let late = self.waiting.iter().filter(|piece| piece.is_late(soonest)).count();
+        let late = waiting.iter().filter(|piece| piece.is_late(soonest)).count();
         let kept = late.min(self.spec.batch.div_ceil(LATE_PART));
-        let (timely, overdue) = self.waiting.split_at(self.waiting.len() - late);
+        let (timely, overdue) = waiting.split_at(waiting.len() - late);
         let mut pick = Pick { room, empty: lying == 0, swell: self.swell, pieces: Vec::new() };
         pick.take(timely, self.spec.batch - kept);
         // Late pieces have been promised an answer as well, and hold results of earlier stages.
         pick.take(overdue, self.spec.batch);
         pick.take(timely, self.spec.batch);
         let pieces = pick.pieces;
-        if pieces.is_empty() {
+        let short = pieces.len() * 2 < waiting.len().min(self.spec.batch);
+        if pieces.is_empty() || (short && lying > 0 && now < maker.idle + ROOM_WAIT) {
             return None;
         }
-        let chosen: BTreeSet<PieceId> = pieces.iter().map(|piece| piece.id).collect();
-        self.waiting.retain(|piece| !chosen.contains(&piece.id));
-        let full = if self.waiting.is_empty() { self.spec.batch } else { pieces.len() };
+        let full = if pieces.len() == waiting.len() { self.spec.batch } else { pieces.len() };
         self.usual += (full as f64 - self.usual) * USUAL_WEIGHT;
         let work = self.work(pieces.len());
         let maker = self.makers.get_mut(id)?;
@@ -461,8 +539,8 @@
 }
 
 /// Pieces that go ahead of a late one: while others fill the calls, late pieces get their part of each only.
-fn ahead_of_late(timely: f64, late: f64, round: f64) -> f64 {
-    if timely >= round { late * LATE_PART as f64 } else { late + timely }
+fn ahead_of_late(timely: f64, late: f64, call: f64) -> f64 {
+    if timely >= call { late * LATE_PART as f64 } else { late + timely }
 }
 
 /// Pieces picked for a call.
--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -9,12 +9,8 @@
 /// Part of the time until the objective that a new request may be predicted to take. A longer queue would
 /// make all answers late and serve no more of them.
 const OBJECTIVE_PART: f64 = 1.0;
-/// Part of the time until the deadline that the request of a returning caller may be predicted to take.
+/// Part of the time until the deadline that a late request may be predicted to take.
 const DEADLINE_PART: f64 = 0.6;
-/// The same as a part of the objective: results of earlier stages are kept for a few seconds only.
-const RETURN_PART: f64 = 1.6;
-/// A caller whose deadline is shorter than the longest of its route by more than this has come back.
-const RETURN_SLACK: Span = Span::from_millis(60);
 /// Shortest and longest hint when to come back.
 const HINTS: (Span, Span) = (Span::from_millis(150), Span::from_secs(3));
 
@@ -72,8 +68,8 @@
     pub late: Span,
     /// Time that its caller will wait.
     pub left: Span,
-    /// Longest time that callers of its route wait: the time left of a caller that comes first.
-    pub longest: Span,
+    /// Time since its caller's first try; zero if it comes first.
+    pub elapsed: Span,
     /// Time from the caller's first try within which an answer counts in full.
     pub objective: Span,
 }
@@ -81,29 +77,22 @@
 impl Arrival {
     /// Whether the caller has been refused before.
     pub fn returns(&self) -> bool {
-        self.left + RETURN_SLACK < self.longest
-    }
-
-    /// Time since the caller's first try.
-    pub fn elapsed(&self) -> Span {
-        if self.returns() { self.longest.saturating_sub(self.left) } else { Span::ZERO }
+        self.elapsed > Span::ZERO
     }
 }
 
-/// Decides on a request. A caller that comes first is refused if its answer would be late, so that those
-/// who are served are served in time. A returning caller was told to come back, and is served if its
-/// deadline can be met, behind those that can be in time: under a load above what the stages take, late
-/// answers would otherwise make all others late.
+/// Decides on a request. One that can't be in time is served behind those that can, if its caller still waits
+/// then: a caller told to come back would be as late. Under a load above what the stages take, late answers
+/// would otherwise make all others late.
 pub fn decide(arrival: &Arrival) -> Decision {
     let by_deadline = arrival.left.scale(DEADLINE_PART);
-    let objective = arrival.objective.scale(OBJECTIVE_PART).saturating_sub(arrival.elapsed());
+    let objective = arrival.objective.scale(OBJECTIVE_PART).saturating_sub(arrival.elapsed);
     if arrival.whole <= Span(objective.0.min(by_deadline.0)) {
         return Decision::Take;
     }
-    let promised = Span(arrival.objective.scale(RETURN_PART).0.min(by_deadline.0));
-    if arrival.returns() && arrival.late <= promised {
+    if arrival.late <= by_deadline {
         return Decision::TakeLate;
     }
-    let over = arrival.late.saturating_sub(promised);
+    let over = arrival.late.saturating_sub(by_deadline);
     Decision::Refuse(Span(over.0.clamp(HINTS.0.0, HINTS.1.0)))
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod queue;
 pub mod report;
 pub mod retry;
+pub mod returns;
 pub mod room;
 pub mod route;
 pub mod side;
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -16,14 +16,17 @@
 const CROSS_DELAY: Span = Span::from_millis(120);
 /// Delay by which an owner in another zone counts.
 const ZONE_DELAY: Span = Span::from_millis(4);
-/// Waiting pieces, as a part of a round, that leave in the same call as one that comes now.
-const SAME_CALL: f64 = 0.5;
+/// Waiting pieces, as a part of a call, that leave in the same call as one that comes now.
+const SAME_CALL: f64 = 0.25;
 /// Owners whose delays differ by less than this part of a call are alike: what they told is that old.
 const ALIKE_PART: f64 = 0.25;
 /// Time after which what an owner told counts for about a third.
 const TOLD_MEMORY: Span = Span::from_millis(600);
 /// Weight of a new answer in the mean fullness of a pool.
 const MEAN_WEIGHT: f64 = 0.15;
+/// Weight of new pieces in the ratio of the time that pieces took to the expected one, and its bounds.
+const RATIO_WEIGHT: f64 = 0.05;
+const RATIOS: (f64, f64) = (0.5, 4.0);
 /// Time without answers after which the mean counts for about a third.
 const MEAN_MEMORY: Span = Span::from_secs(2);
 
@@ -40,34 +43,60 @@
     }
 }
 
-/// The owner of each server: an entry of its zone if there is one, else any, each with about as many
-/// servers as the others. Depends on the lists alone, not on their order.
+/// Servers that have one owner: the more of them, the sooner one is free for a piece that comes, and the more
+/// of the pool is without an owner when one entry is lost.
+const CLUSTER: (usize, usize) = (4, 8);
+
+/// The owner of each server. Servers of a zone have few owners, each an entry of that zone if there is one;
+/// zones with few servers share one. Depends on the lists alone, not on their order.
 pub fn assign_owners(
     pool: &PoolId,
     entries: &[EntryAt],
     servers: &[Replica],
 ) -> BTreeMap<ServerId, String> {
-    // Each server ranks the entries in its own way, so that an entry that comes or goes moves few others.
-    let rank = |server: &ServerId, name: &str| {
-        xxh3_64(format!("{pool}/{}/{name}", server.as_str()).as_bytes())
-    };
-    let mut counts: BTreeMap<&str, usize> = entries.iter().map(|e| (e.name.as_str(), 0)).collect();
-    let mut sorted: Vec<_> = servers.iter().collect();
-    sorted.sort_by(|a, b| a.id.cmp(&b.id));
     let mut owners = BTreeMap::new();
-    for server in sorted {
-        let best = entries.iter().min_by_key(|entry| {
-            let owned = counts.get(entry.name.as_str()).copied().unwrap_or(0);
-            (entry.zone != server.zone, owned, rank(&server.id, &entry.name))
-        });
+    for (key, cluster) in clusters(servers) {
+        let zone = &cluster[0].zone;
+        let home = cluster.iter().all(|server| server.zone == *zone);
+        let near = |entry: &&EntryAt| home && entry.zone == *zone;
+        let ranked = |entry: &&EntryAt| highest(&[pool.as_str(), &key, &entry.name]);
+        let local = entries.iter().filter(near).max_by_key(ranked);
+        let best = local.or_else(|| entries.iter().max_by_key(ranked));
         if let Some(entry) = best {
-            *counts.entry(entry.name.as_str()).or_default() += 1;
-            owners.insert(server.id.clone(), entry.name.clone());
+            owners.extend(cluster.iter().map(|server| (server.id.clone(), entry.name.clone())));
         }
     }
     owners
 }
 
+/// Servers that share an owner, with a name for each set. A server that comes or goes moves few others.
+fn clusters(servers: &[Replica]) -> Vec<(String, Vec<&Replica>)> {
+    let mut zones = BTreeMap::<&AvailabilityZone, Vec<&Replica>>::new();
+    for server in servers {
+        zones.entry(&server.zone).or_default().push(server);
+    }
+    let (large, small): (Vec<_>, Vec<_>) =
+        zones.into_iter().partition(|(_, servers)| servers.len() >= CLUSTER.0);
+    let mut out = BTreeMap::<String, Vec<&Replica>>::new();
+    let scattered = small.into_iter().flat_map(|(_, servers)| servers).collect::<Vec<_>>();
+    let groups = large.into_iter().map(|(zone, servers)| (zone.as_str(), servers));
+    for (name, servers) in groups.chain(std::iter::once(("", scattered))) {
+        let count = servers.len().div_ceil(CLUSTER.1);
+        for server in servers {
+            let part = (0..count).max_by_key(|n| highest(&[server.id.as_str(), &n.to_string()]));
+            out.entry(format!("{name}/{}", part.unwrap_or(0))).or_default().push(server);
+        }
+    }
+    let mut out: Vec<_> = out.into_iter().collect();
+    out.iter_mut().for_each(|(_, servers)| servers.sort_by(|a, b| a.id.cmp(&b.id)));
+    out
+}
+
+/// Rank in a choice that each member of a set makes the same way.
+fn highest(parts: &[&str]) -> u64 {
+    xxh3_64(parts.join("/").as_bytes())
+}
+
 /// Entries that read the store for the others, of all that are listed. Two may be lost at once.
 const READERS: usize = 3;
 
@@ -117,6 +146,8 @@
     mean_at: Time,
     /// Name of each server's owner.
     servers: BTreeMap<ServerId, String>,
+    /// Time that pieces took lately, as a multiple of the expected one.
+    ratio: f64,
 }
 
 impl Owners {
@@ -129,6 +160,7 @@
             mean: Fullness::default(),
             mean_at: Time::default(),
             servers: BTreeMap::new(),
+            ratio: 1.0,
         }
     }
 
@@ -137,8 +169,7 @@
         self.spec = spec;
     }
 
-    /// Takes the lists of entries and servers, and tells which servers this entry owns. It owns those of
-    /// suspects as well: the others may not have seen yet that these do not answer.
+    /// Takes the lists of entries and servers, and tells which servers this entry owns. Suspects own nothing.
     pub fn assign(
         &mut self,
         pool: &PoolId,
@@ -146,12 +177,12 @@
         suspects: &BTreeMap<String, Time>,
         servers: &[Replica],
     ) -> Vec<Replica> {
-        let alone = [self.own.clone()];
-        let entries = if entries.is_empty() { &alone[..] } else { entries };
-        let mut owners = assign_owners(pool, entries, servers);
-        for owner in owners.values_mut().filter(|owner| suspects.contains_key(*owner)) {
-            owner.clone_from(&self.own.name);
+        let trusted = entries.iter().filter(|entry| !suspects.contains_key(&entry.name));
+        let mut entries: Vec<_> = trusted.cloned().collect();
+        if entries.is_empty() {
+            entries.push(self.own.clone());
         }
+        let owners = assign_owners(pool, &entries, servers);
         let mut known = std::mem::take(&mut self.owners);
         for server in servers {
             let Some(name) = owners.get(&server.id) else { continue };
@@ -215,14 +246,25 @@
         let delays = self.owners.values().map(|owner| {
             self.delay(now, owner, group, own).scale(owner.servers as f64 / servers.max(1) as f64)
         });
-        (servers > 0).then(|| delays.fold(Span::ZERO, |sum, delay| sum + delay))
+        let mean = delays.fold(Span::ZERO, |sum, delay| sum + delay);
+        (servers > 0).then(|| mean.scale(self.ratio))
     }
 
-    /// Pieces were handed to an owner.
-    pub fn sent(&mut self, name: &str, group: Group) {
+    /// Pieces were handed to an owner. Tells the time in which they are expected to be done, which `done`
+    /// takes.
+    pub fn sent(&mut self, now: Time, name: &str, group: Group, own: &Fullness) -> Span {
+        let Some(owner) = self.owners.get(name) else { return Span::ZERO };
+        let expected = self.delay(now, owner, group, own);
         if let Some(owner) = self.owners.get_mut(name) {
             *owner.open.entry(group.lane).or_default() += group.pieces;
         }
+        expected
+    }
+
+    /// Pieces were done in some time that were expected to be done in another.
+    pub fn done(&mut self, took: Span, expected: Span) {
+        let ratio = (took.0 as f64 / expected.0.max(1) as f64).clamp(RATIOS.0, RATIOS.1);
+        self.ratio += (ratio - self.ratio) * RATIO_WEIGHT;
     }
 
     /// An owner answered, and told its fullness, or did not answer.
@@ -238,8 +280,8 @@
         }
     }
 
-    /// A round of calls lasts its call time and a part for the pieces; what comes now waits for half of
-    /// the round that is on its way and for all pieces ahead of it.
+    /// A call lasts its fixed time and a part for the pieces; what comes now waits until the next server is
+    /// free and for all pieces ahead of it.
     fn delay(&self, now: Time, owner: &Owner, group: Group, own: &Fullness) -> Span {
         let round = (owner.servers * self.spec.batch).max(1) as f64;
         let ahead = if owner.entry.name == self.own.name {
@@ -253,8 +295,9 @@
             (told * keep + mean * (1.0 - keep)).max(open as f64 / round)
         };
         let pieces = group.pieces as f64;
-        let rounds = 1.0 + (ahead + pieces / round - SAME_CALL).max(0.0);
-        let fill = (ahead * self.spec.batch as f64 + pieces).min(self.spec.batch as f64);
+        let same = SAME_CALL / owner.servers.max(1) as f64;
+        let rounds = 1.0 + (ahead + pieces / round - same).max(0.0);
+        let fill = (ahead * round + pieces).min(self.spec.batch as f64);
         (self.spec.call + self.spec.item.scale(fill)).scale(rounds)
     }
 }
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -6,13 +6,13 @@
 use crate::peers::{GroupAnswer, GroupCall, Release};
 use crate::stages::{Made, Miss};
 use crate::wire::{Item, PieceEnd, Wire};
-use damaskweir_core::batch::{Batch, CallEnd, Fullness, PieceId, Waiting};
+use damaskweir_core::batch::{Batch, CallEnd, Fullness, PieceId, Waiting, ZoneKey};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
 use damaskweir_core::room::ResultKey;
 use damaskweir_core::time::{Span, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -70,6 +70,10 @@
     pub(crate) async fn serve_group(self: &Rc<Self>, call: GroupCall) -> GroupAnswer {
         let now = self.now();
         let pool = call.pool.clone();
+        if !self.owns_any(&pool) {
+            let others = call.suspects.iter().filter(|name| **name != self.setup.entry.name);
+            others.for_each(|name| self.suspect(name));
+        }
         let mut guard = GroupGuard { node: self.clone(), pool: pool.clone(), ids: Vec::new() };
         let mut receivers = Vec::with_capacity(call.items.len());
         {
@@ -83,6 +87,7 @@
                 };
             };
             let group = state.next_piece + 1;
+            let toward = call.toward.as_ref().map(ZoneKey::from);
             for item in call.items {
                 state.next_piece += 1;
                 let id = PieceId(state.next_piece);
@@ -101,6 +106,8 @@
                     due,
                     deadline,
                     bytes,
+                    holding: call.holding,
+                    toward,
                     arrived: now,
                 });
             }
@@ -118,6 +125,11 @@
         GroupAnswer { ends, fullness }
     }
 
+    fn owns_any(&self, pool: &PoolId) -> bool {
+        let state = self.state.borrow();
+        state.batchers.get(pool).is_some_and(|batcher| batcher.servers() > 0)
+    }
+
     /// Makes the calls of a pool that are due.
     pub(crate) fn pump(self: &Rc<Self>, pool: &PoolId) {
         let now = self.now();
@@ -315,6 +327,8 @@
         loop {
             sleep(FREE_GATHER).await;
             let Frees { own, others } = self.sort_frees();
+            let pools: BTreeSet<_> = own.iter().map(|(server, _)| server.pool.clone()).collect();
+            pools.iter().for_each(|pool| self.pump(pool));
             for (server, handles) in own {
                 let node = self.clone();
                 tokio::task::spawn_local(async move {
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -14,6 +14,7 @@
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::{EntryAt, Owners};
 use damaskweir_core::place::Placer;
+use damaskweir_core::returns::FirstTries;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
 use std::cell::RefCell;
@@ -34,6 +35,8 @@
 const LEAVING_CALLS: Span = Span::from_secs(2);
 /// Time for which an entry that did not answer owns nothing.
 const SUSPECT: Span = Span::from_secs(2);
+/// Time after a refusal in which its caller may come back.
+const RETURNS: Span = Span::from_secs(5);
 /// Idle connections kept for one server.
 const IDLE_MAX: usize = 64;
 /// Entries to share budgets with while their list is not known.
@@ -87,8 +90,10 @@
     pub(crate) wakes: BTreeMap<PoolId, Time>,
     pub(crate) next_piece: u64,
     idle: HashMap<ServerId, Kept>,
-    /// Longest time that callers of a route wait, by the route's name.
-    waits: HashMap<String, Span>,
+    /// How long first callers of a route wait, by the route's name.
+    waits: HashMap<String, FirstTries>,
+    /// When a caller was last told to come back.
+    pub(crate) refused: Option<Time>,
     /// The store answers this entry.
     pub current: bool,
     /// When the process was told to stop.
@@ -134,6 +139,7 @@
             next_piece: 0,
             idle: HashMap::new(),
             waits: HashMap::new(),
+            refused: None,
             current: false,
             draining: None,
             active: 0,
@@ -261,19 +267,17 @@
         }
     }
 
-    /// Longest time that callers of a route have waited so far, this one included.
-    pub(crate) fn longest_wait(&self, route: &str, wait: Span) -> Span {
+    /// Time since the first try of a route's caller that will wait this long; zero if it may come first.
+    pub(crate) fn since_first_try(&self, route: &str, wait: Span) -> Span {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        match state.waits.get_mut(route) {
-            Some(longest) => {
-                *longest = (*longest).max(wait);
-                *longest
-            }
-            None => {
-                state.waits.insert(route.to_owned(), wait);
-                wait
-            }
+        let calm = state.refused.is_none_or(|at| now.since(at) > RETURNS);
+        if !state.waits.contains_key(route) {
+            state.waits.insert(route.to_owned(), FirstTries::default());
         }
+        let Some(tries) = state.waits.get_mut(route) else { return Span::ZERO };
+        tries.observe(wait, calm);
+        tries.elapsed(wait)
     }
 
     /// A connection to a server, kept or new.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -7,7 +7,7 @@
 use crate::wire::{Item, Wire};
 use bytes::BytesMut;
 use damaskweir_core::batch::{Fullness, Lane};
-use damaskweir_core::ids::{PoolId, ServerId};
+use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryAt;
 use damaskweir_core::time::Span;
 use serde::de::DeserializeOwned;
@@ -39,10 +39,17 @@
     pub(crate) left: Span,
     /// Size of each result.
     pub(crate) bytes: u64,
+    /// Its inputs take much of the room of their servers.
+    pub(crate) holding: bool,
+    /// Zone in which it is best worked on.
+    pub(crate) toward: Option<AvailabilityZone>,
     /// How urgent the request is, or that it is late anyway.
     pub(crate) lane: Lane,
     /// When it is refused, if nothing was worked on for the request so far.
     pub(crate) refusable: Option<Span>,
+    /// Entries that do not answer the sender; the receiver may own their servers without knowing it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) suspects: Vec<String>,
 }
 
 /// What came of a group, in the order of its items.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -186,9 +186,8 @@
         };
         let left = self.deadline.since(now);
         let wait = self.ask.deadline.unwrap_or(left);
-        let longest = node.longest_wait(&self.route.name, wait);
-        let arrival = self.arrival(left, longest);
-        self.elapsed = arrival.elapsed();
+        self.elapsed = node.since_first_try(&self.route.name, wait);
+        let arrival = self.arrival(left);
         let decision = decide(&arrival);
         self.late = decision == Decision::TakeLate;
         self.predicted = if self.late { arrival.late } else { arrival.whole };
@@ -227,7 +226,6 @@
             due: if self.late { self.arrived } else { due },
             deadline: self.deadline - usual,
             lane: if self.late { Lane::Late } else { Lane::Timely(self.ranks_behind()) },
-            strict: self.elapsed == Span::ZERO,
             toward: self.toward(),
         };
         let done = self.node.prepare(&job).await;
@@ -240,14 +238,14 @@
     }
 
     /// What is predicted for a request that comes now.
-    fn arrival(&self, left: Span, longest: Span) -> Arrival {
+    fn arrival(&self, left: Span) -> Arrival {
         let forecast = |lane| self.node.forecast(&self.route, &self.ask.pieces, lane).stages;
         let (usual, behind) = (self.usual(), self.ranks_behind());
         Arrival {
             whole: forecast(Lane::Timely(behind)) + usual,
             late: forecast(Lane::Late) + usual,
             left,
-            longest,
+            elapsed: self.elapsed,
             objective: self.route.objective,
         }
     }
@@ -261,7 +259,7 @@
     /// When the stages are expected to take a request like this one.
     fn room_expected(&self) -> Span {
         let left = self.deadline.since(self.node.now());
-        match decide(&self.arrival(left, left)) {
+        match decide(&self.arrival(left)) {
             Decision::Refuse(retry) => retry,
             Decision::Take | Decision::TakeLate => FULL_RETRY,
         }
@@ -379,6 +377,7 @@
         match refusal {
             Refusal::NotRun { cause, retry } => {
                 self.retry = *retry;
+                self.node.state.borrow_mut().refused = Some(self.node.now());
                 self.note_end(Kind::Refused, "not_run", cause);
                 refused(StatusCode::SERVICE_UNAVAILABLE, cause, Some(*retry))
             }
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -27,8 +27,12 @@
 const KEEP_MARGIN: Span = Span::from_millis(600);
 /// Part of its slack for which a stage waits; the rest is for times that were predicted too short.
 const SLACK_PART: f64 = 0.6;
-/// Pause of a piece for which a server had no room.
-const ROOM_PAUSE: Duration = Duration::from_millis(120);
+/// Part of a server's room from which on the inputs of a stage are not left lying there.
+const HOLDING_PART: f64 = 0.01;
+/// Bytes of one piece that are worth waiting for a server of their zone.
+const HEAVY: u64 = 200_000;
+/// Pause of a piece for which a server had no room, or whose owner does not know yet that it is.
+const AGAIN_PAUSE: Duration = Duration::from_millis(120);
 
 /// A result that lies at a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,8 +145,6 @@
     pub(crate) deadline: Time,
     /// How urgent it is, or that it is late anyway.
     pub(crate) lane: Lane,
-    /// Whether it is refused if it can't be done when it is due, and not only at its deadline.
-    pub(crate) strict: bool,
     /// Availability zone in which the results of the last stages are best needed.
     pub(crate) toward: Option<AvailabilityZone>,
 }
@@ -286,8 +288,8 @@
         if *tried > TRIES_MAX || !funded {
             return Err(StageFault::Failed(miss));
         }
-        if miss == Miss::Room {
-            sleep(ROOM_PAUSE).await;
+        if matches!(miss, Miss::Room | Miss::Moved) {
+            sleep(AGAIN_PAUSE).await;
         }
         self.hand_out(&[at], false)
     }
@@ -299,7 +301,7 @@
         let now = node.now();
         let stage = &self.job.route.stages[group[0].stage];
         let near = self.near(group[0].stage);
-        let owner = {
+        let (owner, expected, suspects) = {
             let mut state = node.state.borrow_mut();
             let state = &mut *state;
             if first {
@@ -309,10 +311,11 @@
             let own = state.batchers.get(&stage.pool).map(|batcher| batcher.fullness(now));
             let owners = state.owners.get_mut(&stage.pool).ok_or(StageFault::Away)?;
             let draw = state.rng.next_u64();
-            let chosen = owners.choose(now, size, &near, &own.unwrap_or_default(), draw).cloned();
+            let own = own.unwrap_or_default();
+            let chosen = owners.choose(now, size, &near, &own, draw).cloned();
             let chosen = chosen.ok_or(StageFault::Away)?;
-            owners.sent(&chosen.name, size);
-            chosen
+            let expected = owners.sent(now, &chosen.name, size, &own);
+            (chosen, expected, state.suspects.keys().cloned().collect())
         };
         let kept = self.kept(group[0].stage);
         let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
@@ -325,12 +328,15 @@
             due,
             left,
             bytes: stage.bytes,
+            holding: self.holding(group[0].stage),
+            toward: heaviest(&near),
             lane: self.job.lane,
-            refusable: untouched.then_some(if self.job.strict { due } else { left }),
+            refusable: untouched.then_some(left),
+            suspects,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
-            node.run_group(&owner, call, &group, &sender).await;
+            node.run_group(&owner, call, &group, expected, &sender).await;
         });
         self.pending.0.push(task.abort_handle());
         Ok(())
@@ -362,6 +368,21 @@
         after.iter().filter_map(keep).min().unwrap_or(Span(u64::MAX))
     }
 
+    /// Whether the inputs of a stage take much of the room of their servers.
+    fn holding(&self, stage: usize) -> bool {
+        let state = self.node.state.borrow();
+        let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
+        let stages = &self.job.route.stages;
+        let part = |before: &usize| match pools.and_then(|p| p.get(&stages[*before].pool))?.work {
+            Work::Pieces(spec) => {
+                let bytes = stages[*before].bytes * self.job.counts[*before] as u64;
+                Some(bytes as f64 / spec.room.max(1) as f64)
+            }
+            _ => None,
+        };
+        stages[stage].after.iter().filter_map(part).any(|part| part >= HOLDING_PART)
+    }
+
     /// Bytes that each piece of a stage fetches or sends on, by availability zone.
     fn near(&self, stage: usize) -> Vec<(AvailabilityZone, u64)> {
         let inputs = self.graph.inputs(stage);
@@ -374,6 +395,14 @@
     }
 }
 
+/// The zone that exchanges the most bytes with a piece, if they are worth waiting for a server there.
+fn heaviest(near: &[(AvailabilityZone, u64)]) -> Option<AvailabilityZone> {
+    let mut zones = BTreeMap::<&AvailabilityZone, u64>::new();
+    near.iter().for_each(|(zone, bytes)| *zones.entry(zone).or_default() += bytes);
+    let (zone, bytes) = zones.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+    (bytes >= HEAVY).then(|| zone.clone())
+}
+
 /// Counts pieces as open at an owner until its answer is there.
 struct OpenPieces<W: Wire> {
     node: Rc<Node<W>>,
@@ -400,6 +429,7 @@
         owner: &EntryAt,
         call: GroupCall,
         group: &[PieceAt],
+        expected: Span,
         sender: &UnboundedSender<PieceResult>,
     ) {
         let lane = call.lane;
@@ -440,6 +470,11 @@
         };
         let told = open.told;
         drop(open);
+        let took = self.now().since(began);
+        if lane != Lane::Late && ends.iter().all(Result::is_ok) {
+            let mut state = self.state.borrow_mut();
+            state.owners.get_mut(&pool).into_iter().for_each(|o| o.done(took, expected));
+        }
         let failed = ends.iter().filter(|end| end.is_err()).count();
         let fields = [
             ("pool", pool.as_str().into()),
@@ -448,7 +483,8 @@
             ("failed", (failed as u64).into()),
             ("owner", owner.name.as_str().into()),
             ("fullness_percent", ((told.unwrap_or_default().at(lane) * 100.0) as u64).into()),
-            ("took_ms", self.now().since(began).as_millis().into()),
+            ("expected_ms", expected.as_millis().into()),
+            ("took_ms", took.as_millis().into()),
         ];
         self.log.request(Kind::StageDone, &id, &fields);
         for (at, end) in group.iter().zip(ends) {
