Let few entries read the store at a start, and one loop ask in an outage

Change: an entry announces itself, reads the list of entries, and reads the other lists only if it is one of the readers or nobody tells it within 1.7 s. In an outage one loop asks, each 0.6 s at readers and each 2 s elsewhere; the others wait for its news. Leases are renewed each 3 s and live 10 s.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -23,8 +24,14 @@
 const LISTING_PACE: Duration = Duration::from_millis(600);
 /// First and longest pause after a failed call to the store.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
-/// Time between two renewals of this entry's lease.
-const RENEW: Duration = Duration::from_secs(2);
+/// Longest pause of a loop that leaves it to another one to find out that the store answers again.
+const PAUSE_BESIDE: Duration = Duration::from_secs(2);
+/// Time between two renewals of this entry's lease: a third of its life.
+const RENEW: Duration = Duration::from_secs(3);
+/// Time after its start in which an entry learns from the list of entries whether it reads the store.
+const START: Span = Span::from_millis(400);
+/// Time between two looks at whether this entry reads the store, while it starts.
+const START_PACE: Duration = Duration::from_millis(20);
 /// Time between two questions to other entries while the store is away.
 const PEER_PACE: Duration = Duration::from_millis(400);
 /// Longest time for which an answer to another entry waits for news.
@@ -36,7 +43,7 @@
 const SERVED: Span = Span::from_millis(1_700);
 /// Time after the store's return in which each entry has renewed its lease or announced itself again:
 /// two renewals.
-const ANNOUNCED: Span = Span::from_secs(4);
+const ANNOUNCED: Span = Span::from_secs(6);
 /// Time to open a connection to another entry.
 const CONNECT: Duration = Duration::from_millis(300);
 /// Time for the answer of another entry, besides the one for which it may wait.
@@ -121,6 +128,8 @@
 #[derive(Debug, Default)]
 struct Contact {
     away: Cell<bool>,
+    /// Told when the store answers again.
+    back: Notify,
 }
 
 /// Everything that keeps a node current.
@@ -135,6 +144,8 @@
     known: Cell<Known>,
     /// When the store last answered again after it had not.
     regained: Cell<Option<Time>>,
+    /// The first attempt to announce this entry has ended.
+    announced: Notify,
     /// Kept connection to the entry that was asked last.
     link: Cell<Option<(SocketAddr, Conn)>>,
 }
@@ -150,6 +161,7 @@
             lease: Cell::default(),
             known: Cell::default(),
             regained: Cell::default(),
+            announced: Notify::new(),
             link: Cell::default(),
         }
     }
@@ -198,14 +210,13 @@
                 Err(error) => {
                     // After an error a change may have been missed, so the whole is read again.
                     after = None;
-                    wait(&mut pause, error.fault()).await;
+                    self.pause(&mut pause, error.fault()).await;
                 }
             }
         }
     }
 
     async fn follow_servers(&self) {
-        let mut pause = PAUSES.0;
         let mut after = None;
         loop {
             // Changes that came from another entry meanwhile need not be read again.
@@ -220,7 +231,6 @@
             self.note("servers", read.as_ref().err());
             match read {
                 Ok(read) => {
-                    pause = PAUSES.0;
                     after = Some(read.as_of);
                     let now = self.node.now();
                     let changes = {
@@ -240,16 +250,17 @@
                         self.node.state.borrow_mut().fleet.lost();
                     }
                     after = None;
-                    wait(&mut pause, error.fault()).await;
+                    self.pause_beside(error.fault()).await;
                 }
             }
         }
     }
 
     async fn follow_entries(&self) {
-        let mut pause = PAUSES.0;
+        // This entry stands in the list that it reads first.
+        let announced = self.announced.notified();
+        drop(timeout(START.into(), announced).await);
         loop {
-            self.wait_to_read().await;
             let read = self.source.entries().await;
             self.note("entries", read.as_ref().err());
             let changed = match read {
@@ -263,18 +274,19 @@
                         if read.value.iter().any(|e| e.name == self.node.setup.entry.name) {
                             self.node.take_entries(read.value);
                         }
-                        self.source.entries_changed(read.as_of).await.map(|_| ())
+                        match self.reads() {
+                            true => self.source.entries_changed(read.as_of).await.map(|_| ()),
+                            false => Ok(()),
+                        }
                     }
                 },
                 Err(error) => Err(error),
             };
             match changed {
-                Ok(()) => {
-                    pause = PAUSES.0;
-                    sleep(LISTING_PACE).await;
-                }
-                Err(error) => wait(&mut pause, error.fault()).await,
+                Ok(()) => sleep(LISTING_PACE).await,
+                Err(error) => self.pause_beside(error.fault()).await,
             }
+            self.wait_to_read().await;
         }
     }
 
@@ -306,27 +318,55 @@
                     }
                 }
             }
-            sleep(if self.lease.get().is_some() { RENEW } else { PAUSES.1 }).await;
+            self.announced.notify_waiters();
+            match self.lease.get() {
+                Some(_) => sleep(RENEW).await,
+                None => self.pause_beside(SourceFault::Away).await,
+            }
         }
     }
 
-    /// Waits while another entry reads the store for this one. Tells whether it had to wait.
+    /// Waits after a failed call. One loop does so, and finds out that the store answers again.
+    async fn pause(&self, pause: &mut Duration, fault: SourceFault) {
+        if fault == SourceFault::Away {
+            sleep(*pause).await;
+            let most = if self.reads() { PAUSES.1 } else { PAUSE_BESIDE };
+            *pause = (*pause * 2).min(most);
+        }
+    }
+
+    /// Waits after a failed call until another loop has found that the store answers again, since each call
+    /// is paid for, refused ones too.
+    async fn pause_beside(&self, fault: SourceFault) {
+        if fault == SourceFault::Away {
+            sleep(PAUSES.0).await;
+            if self.contact.away.get() {
+                drop(timeout(PAUSE_BESIDE, self.contact.back.notified()).await);
+            }
+        }
+    }
+
+    /// Waits while another entry reads the store for this one, or is about to: if all entries of a large
+    /// fleet that starts read all, none would be served in time. Tells whether it had to wait.
     async fn wait_to_read(&self) -> bool {
         let mut waited = false;
         loop {
             let now = self.node.now();
-            let served = self.node.state.borrow().told.is_some_and(|at| now.since(at) < SERVED);
+            let told = self.node.state.borrow().told;
+            let served = now.since(told.unwrap_or_default()) < SERVED;
             if !served || self.reads() {
                 return waited;
             }
             waited = true;
-            sleep(PEER_PACE).await;
+            sleep(if told.is_some() { PEER_PACE } else { START_PACE }).await;
         }
     }
 
     /// Whether this entry is one of those that read the store for all.
     fn reads(&self) -> bool {
-        reads_store(&self.node.state.borrow().entries, &self.node.setup.entry.name)
+        let state = self.node.state.borrow();
+        let listed = !state.entries.is_empty() || self.node.now().since(Time::default()) > START;
+        listed && reads_store(&state.entries, &self.node.setup.entry.name)
     }
 
     async fn ask_peers(&self) {
@@ -343,7 +383,7 @@
             }
             let peers = if reads { self.peers() } else { self.parents() };
             let Some(peer) = peers.get(turn % peers.len().max(1)).copied() else {
-                sleep(PEER_PACE).await;
+                sleep(if known { PEER_PACE } else { START_PACE }).await;
                 continue;
             };
             // An answer without news comes when its wait has passed.
@@ -462,6 +502,7 @@
         }
         if !away {
             self.regained.set(Some(self.node.now()));
+            self.contact.back.notify_waiters();
         }
         let text = error.map(ToString::to_string).unwrap_or_default();
         let kind = if away { Kind::Lost } else { Kind::Regained };
@@ -473,10 +514,3 @@
         self.node.log.process(kind, &fields);
     }
 }
-
-async fn wait(pause: &mut Duration, fault: SourceFault) {
-    if fault == SourceFault::Away {
-        sleep(*pause).await;
-        *pause = (*pause * 2).min(PAUSES.1);
-    }
-}
