Bound bytes without end, and count a stall from the last whole event

Cause: an answer of another request that is skipped had no bound in bytes, nor had trailers; a stream was kept alive by single bytes or comments until its deadline; streams that may be resumed were cut after 1.5 s without a byte although their route allows longer pauses; answers that are read whole could hold any number of bytes together.

A stream is stalled after eight times its route's pause, 1.5 s at least, since its last whole event.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::event::Splitter;
 use crate::http::{Conn, Head, HttpError};
 use crate::log::{Kind, Value};
-use crate::node::Node;
+use crate::node::{Node, State};
 use crate::request::{Run, WORTH_SENDING};
 use crate::stages::Held;
 use crate::wire::{Order, Reply, Wire, promises};
@@ -14,6 +14,7 @@
 use damaskweir_core::place::{Ending, Part};
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
+use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::timeout_at;
 
@@ -24,8 +25,10 @@
 const PATIENCE_PLAIN: Span = Span::from_millis(150);
 /// Added to that for generation.
 const PATIENCE_ENGINE: Span = Span::from_millis(700);
-/// Bytes of an answer that is passed on as a whole.
+/// Bytes of an answer that is passed on as a whole, and of all answers that are being read. A server may
+/// send bytes without end, and entries have little memory.
 const ANSWER_MAX: usize = 16 * 1024 * 1024;
+const READING_MAX: usize = 32 * 1024 * 1024;
 
 /// What came of sending a request once.
 pub(crate) enum Outcome<W: Wire> {
@@ -94,6 +97,28 @@
     }
 }
 
+/// Counts the bytes of an answer that is being read.
+struct Reading<'a> {
+    state: &'a RefCell<State>,
+    bytes: usize,
+}
+
+impl Reading<'_> {
+    /// Adds bytes. `false`: too many are being read.
+    fn add(&mut self, bytes: usize) -> bool {
+        let mut state = self.state.borrow_mut();
+        self.bytes += bytes;
+        state.reading += bytes;
+        state.reading <= READING_MAX
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.state.borrow_mut().reading -= self.bytes;
+    }
+}
+
 impl<W: Wire> Run<W> {
     /// Sends the request to a server and waits for a whole answer, or for the first event of a stream.
     pub(crate) async fn send(
@@ -212,9 +237,10 @@
             return Ok((head, reply, Bytes::new(), Some(splitter)));
         }
         let mut all = BytesMut::new();
+        let mut reading = Reading { state: &self.node.state, bytes: 0 };
         while let Some(bytes) = conn.chunk().await? {
             all.extend_from_slice(&bytes);
-            if all.len() > ANSWER_MAX {
+            if all.len() > ANSWER_MAX || !reading.add(bytes.len()) {
                 return Err(HttpError::Malformed("body too large"));
             }
         }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -23,8 +23,9 @@
 const BODY_MAX: usize = 16 * 1024 * 1024;
 /// Size of one read.
 const READ_SIZE: usize = 16 * 1024;
-/// Answers of other requests that are skipped before a connection is given up.
+/// Answers of other requests that are skipped before a connection is given up, and bytes of their bodies.
 const SKIP_MAX: usize = 3;
+const SKIP_BYTES: usize = 256 * 1024;
 /// Time after which a connection fails whose bytes are not acknowledged.
 const UNACKED: Duration = Duration::from_millis(1_500);
 /// Idle time after which the kernel probes a connection, and between probes.
@@ -63,8 +64,8 @@
     Chunk(u64),
     /// At a chunk's size line.
     Size,
-    /// In the trailers.
-    Trailers,
+    /// In the trailers, of which this many bytes were read.
+    Trailers(usize),
     /// When the connection ends.
     Close,
     /// It has ended.
@@ -161,6 +162,7 @@
 
     /// Reads the head of the answer for which `own` holds, and skips answers of other requests.
     pub async fn head(&mut self, own: impl Fn(&Head) -> bool) -> Result<Head, HttpError> {
+        let mut skipped = 0;
         for _ in 0..=SKIP_MAX {
             let head = self.any_head().await?;
             if head.status.is_informational() {
@@ -171,7 +173,12 @@
             if own(&head) {
                 return Ok(head);
             }
-            while self.chunk().await?.is_some() {}
+            while let Some(bytes) = self.chunk().await? {
+                skipped += bytes.len();
+                if skipped > SKIP_BYTES {
+                    return Err(HttpError::Malformed("too much of other requests"));
+                }
+            }
             if self.closing {
                 return Err(HttpError::Early);
             }
@@ -213,12 +220,17 @@
                     let line = self.line().await?;
                     let size = chunk_size(&line)?;
                     self.framing =
-                        if size == 0 { Framing::Trailers } else { Framing::Chunk(size + 2) };
+                        if size == 0 { Framing::Trailers(0) } else { Framing::Chunk(size + 2) };
                 }
-                Framing::Trailers => {
-                    if self.line().await?.is_empty() {
-                        self.framing = Framing::Done;
-                    }
+                Framing::Trailers(read) => {
+                    let line = self.line().await?;
+                    self.framing = match line.len() {
+                        0 => Framing::Done,
+                        more if read + more > HEAD_MAX => {
+                            return Err(HttpError::Malformed("trailers too large"));
+                        }
+                        more => Framing::Trailers(read + more),
+                    };
                 }
             }
         }
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -104,6 +104,8 @@
     pub draining: Option<Time>,
     /// Requests in progress.
     pub active: usize,
+    /// Bytes of answers that are being read.
+    pub(crate) reading: usize,
     /// Random numbers for choices.
     pub rng: Rng,
 }
@@ -153,6 +155,7 @@
             told: None,
             draining: None,
             active: 0,
+            reading: 0,
             rng,
         };
         Self {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -11,8 +11,10 @@
 use damaskweir_core::time::Span;
 use tokio::time::timeout_at;
 
-/// Pause between events after which a stream that can be resumed goes on elsewhere.
-const STALL: Span = Span::from_millis(1_500);
+/// Shortest pause between events after which a stream that can be resumed goes on elsewhere.
+const STALL_MIN: Span = Span::from_millis(1_500);
+/// The same as a multiple of the longest pause that counts in full; callers wait that long at least.
+const STALL_PAUSES: u64 = 8;
 
 /// An answer with its stream, if it has one.
 pub(crate) struct Stream<W: Wire> {
@@ -41,6 +43,9 @@
     /// The next whole events. `None`: the stream is complete.
     async fn next(&mut self) -> Result<Option<Bytes>, StreamEnd> {
         let deadline = self.run.node.instant(self.run.deadline);
+        // Counts from the last whole event: bytes alone do not keep a stream alive.
+        let stall = Span(STALL_MIN.0.max((self.run.route.pause * STALL_PAUSES).0));
+        let mut since = self.run.node.now();
         loop {
             let mut out = BytesMut::new();
             while let Some(event) = self.rest.splitter.take() {
@@ -56,8 +61,8 @@
                 return Ok(Some(out.freeze()));
             }
             let Some(conn) = &mut self.rest.conn else { return Ok(None) };
-            let stall = self.run.node.instant(self.run.node.now() + STALL);
-            let limit = if self.run.may_repeat() { stall.min(deadline) } else { deadline };
+            let stalled = self.run.node.instant(since + stall);
+            let limit = if self.run.may_repeat() { stalled.min(deadline) } else { deadline };
             let cause = match timeout_at(limit, conn.chunk()).await {
                 Ok(Ok(Some(bytes))) if self.rest.splitter.push(&bytes) => continue,
                 Ok(Ok(Some(_))) => "event_too_long",
@@ -74,7 +79,7 @@
                 return Err(StreamEnd(cause));
             }
             match timeout_at(deadline, self.resume(cause)).await {
-                Ok(Ok(())) => {}
+                Ok(Ok(())) => since = self.run.node.now(),
                 Ok(Err(end)) => return Err(end),
                 Err(_) => return Err(StreamEnd("deadline")),
             }
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -126,3 +126,56 @@
     assert!(splitter.partial() && !splitter.has_event());
     assert_eq!(bytes, &text.as_bytes()[..text.len() - "id: 6\nda".len()]);
 }
+
+/// A connection to a server that sends a head and then the same bytes until the connection is closed.
+async fn endless(
+    head: &'static [u8],
+    part: &'static [u8],
+) -> (Conn, tokio::task::JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let sending = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client");
+        let mut sent = 0;
+        let mut next = head;
+        while stream.write_all(next).await.is_ok() {
+            sent += next.len();
+            next = part;
+        }
+        sent
+    });
+    (Conn::connect(address, Duration::from_secs(1)).await.expect("it listens"), sending)
+}
+
+/// Guards against servers in trouble that send bytes without end: in a head, in an answer of another
+/// request, in chunk sizes, in trailers or in a body. Each ends the connection after a bounded number.
+#[rstest]
+#[case::head(b"HTTP/1.1 200 OK\r\n", b"x: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy")]
+#[case::fields(b"HTTP/1.1 200 OK\r\n", b"x: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n")]
+#[case::interim(b"", b"HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::others_to_the_end(b"HTTP/1.1 200 OK\r\nOther: 1\r\n\r\n", b"body body body body")]
+#[case::others_by_chunks(
+    b"HTTP/1.1 200 OK\r\nOther: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"4\r\nbody\r\n"
+)]
+#[case::others_again(b"", b"HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::size(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"000000000000000000")]
+#[case::trailers(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    b"x: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n"
+)]
+#[case::body(b"HTTP/1.1 200 OK\r\n\r\n", b"a body of 32 bytes, and once more")]
+#[tokio::test]
+async fn bytes_without_end_are_bounded(#[case] head: &'static [u8], #[case] part: &'static [u8]) {
+    let (mut conn, sending) = endless(head, part).await;
+    let read = async {
+        conn.head(|head| !head.headers.contains_key("other")).await?;
+        conn.body().await
+    };
+    let read = tokio::time::timeout(Duration::from_secs(20), read).await.expect("it ends");
+    assert!(read.is_err());
+    drop(conn);
+    // What the system's buffers hold is sent besides.
+    let sent = sending.await.expect("the server ends");
+    assert!(sent < 32 * 1024 * 1024, "{sent} bytes");
+}
