Tell a list of entries again that was not taken

Cause: an entry noted the digest of a list that it did not take, because the store had not confirmed it yet, and was never told that list again. After a start 68 entries of the large site kept 27 different lists; their owners disagreed, and pieces went to entries that did not own their servers.

Change: the digest is noted when the list is taken; until then another entry is asked, after a pause.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -465,16 +465,19 @@
             };
             self.node.take_changes(changes.unwrap_or_default());
         }
+        let mut taken = true;
         if let Some(entries) = snapshot.entries {
-            known.entries = digest(&entries);
             let named = |entry: &EntryAt| entry.name == self.node.setup.entry.name;
             let listed = entries.iter().any(named) && confirmed.is_some();
-            if listed || self.node.state.borrow().entries.is_empty() {
+            taken = listed || self.node.state.borrow().entries.is_empty();
+            if taken {
+                // A list that was not taken is told again.
+                known.entries = digest(&entries);
                 self.node.take_entries(entries);
             }
         }
         self.known.set(known);
-        confirmed.is_some()
+        taken && confirmed.is_some()
     }
 
     async fn expire(&self) {
