--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -395,8 +395,7 @@
             batcher.push(Waiting { bytes: 60_000, due: late, deadline: late, ..piece });
             next += 1;
         }
-        if open.as_ref().is_some_and(|(end, _)| *end <= now) {
-            let (_, batch) = open.take().expect("it is open");
+        if let Some((_, batch)) = open.take_if(|(end, _)| *end <= now) {
             batcher.ended(now, &batch.server.id, batch.pieces.len(), CallEnd::Done { unfit: 0 });
             for piece in &batch.pieces {
                 batcher.made(
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -163,13 +163,13 @@
                     revision += 1;
                     let listing = listed(revision, replica(&format!("r{n}"), born, leaving));
                     store.insert(n, listing.clone());
-                    tellers.iter_mut().for_each(|t| drop(t.apply(now, revision, &[listing.clone()])));
+                    tellers.iter_mut().for_each(|t| drop(t.apply(now, revision, std::slice::from_ref(&listing))));
                 }
                 Step::Remove(n) => {
                     revision += 1;
                     store.remove(&n);
                     let listing = removed(revision, &format!("r{n}"));
-                    tellers.iter_mut().for_each(|t| drop(t.apply(now, revision, &[listing.clone()])));
+                    tellers.iter_mut().for_each(|t| drop(t.apply(now, revision, std::slice::from_ref(&listing))));
                 }
                 Step::Reread => {
                     let list: Vec<_> = store.values().cloned().collect();
