Build an answer to another entry once when there is news

An answer with news was built, found to be news, and built again; at 3,000 servers each is a copy of the whole list. Behaviour is the same: an answer without news is still built again when its wait has passed, for its age.

Checks: formatter; linter and tests of direct and platform.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -88,7 +88,11 @@
         loop {
             let news = node.news.notified();
             let snapshot = Self::of(node, &known);
-            if snapshot.is_news() || timeout_at(limit, news).await.is_err() {
+            if snapshot.is_news() {
+                return snapshot;
+            }
+            if timeout_at(limit, news).await.is_err() {
+                // Without news, but with its age as of now.
                 return Self::of(node, &known);
             }
         }
