Tell the age of what an entry knows, counted from the store's last answer

Logs could not tell apart an entry whose teller was behind from one whose questions failed: catalog_taken names neither, and an entry took what it knew as confirmed while no call had failed.

core::fresh counts the age from answers only. Questions to the store take their wait from the caller, and the list of entries is watched only while an entry reads the store. No other decision changes.

Tests: core/tests/fresh.rs, each_kind_is_written and settings_are_read_whole grown by the new values.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod epoch;
 pub mod fleet;
 pub mod forecast;
+pub mod fresh;
 pub mod graph;
 pub mod ids;
 pub mod lease;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -47,6 +47,10 @@
     CatalogTaken = "catalog_taken"
     /// A configuration or record can't be used.
     Unusable = "unusable"
+    /// What is known was confirmed too long ago.
+    Stale = "config_stale"
+    /// What is known is confirmed again.
+    Confirmed = "config_confirmed"
     /// A backend server may be used.
     ServerUp = "server_up"
     /// A backend server gets no new work.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -42,6 +42,7 @@
     suspects: Gauge<u64>,
     version: Gauge<u64>,
     current: Gauge<u64>,
+    age: Gauge<f64>,
     active: Gauge<u64>,
 }
 
@@ -60,6 +61,8 @@
     pub version: u64,
     /// Whether the store answers.
     pub current: bool,
+    /// Seconds since the store confirmed what is known; `None`: it never did.
+    pub age: Option<f64>,
     /// Requests in progress.
     pub active: u64,
 }
@@ -92,6 +95,7 @@
             suspects: meter.u64_gauge("direct_entries_silent").build(),
             version: meter.u64_gauge("direct_config_version").build(),
             current: meter.u64_gauge("direct_store_current").build(),
+            age: meter.f64_gauge("direct_config_age").with_unit("s").build(),
             active: meter.u64_gauge("direct_requests_active").build(),
             registry,
             _provider: provider,
@@ -137,6 +141,7 @@
         self.suspects.record(beliefs.suspects, &[]);
         self.version.record(beliefs.version, &[]);
         self.current.record(u64::from(beliefs.current), &[]);
+        beliefs.age.into_iter().for_each(|age| self.age.record(age, &[]));
         self.active.record(beliefs.active, &[]);
     }
 
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -11,6 +11,7 @@
 use damaskweir_core::batch::{Batcher, PieceId};
 use damaskweir_core::catalog::{Catalog, Work};
 use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
+use damaskweir_core::fresh::Confirmed;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::{EntryAt, Owners};
 use damaskweir_core::place::Placer;
@@ -20,6 +21,7 @@
 use rand_core::Rng as _;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -61,6 +63,17 @@
     pub repeat_window: Span,
     /// Time between SIGTERM and the end of the process.
     pub grace: Span,
+    /// Time in which an approved configuration is in force, and a leaving server gets no new work.
+    pub apply: Span,
+}
+
+/// Who told an entry something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// The store.
+    Store,
+    /// The entry with this address.
+    Entry(SocketAddr),
 }
 
 /// What the entry knows and waits for.
@@ -100,6 +113,10 @@
     pub current: bool,
     /// When the store confirmed what other entries told this one.
     pub(crate) told: Option<Time>,
+    /// When the store confirmed what is known here.
+    pub(crate) confirmed: Confirmed,
+    /// Whether that was too long ago when it was last looked at.
+    pub(crate) stale: bool,
     /// When the process was told to stop.
     pub draining: Option<Time>,
     /// Requests in progress.
@@ -153,6 +170,8 @@
             refused: None,
             current: false,
             told: None,
+            confirmed: Confirmed::default(),
+            stale: false,
             draining: None,
             active: 0,
             reading: 0,
@@ -198,19 +217,26 @@
     }
 
     /// Puts a configuration in force if it is newer.
-    pub fn take_catalog(&self, catalog: Catalog, from: &str) -> bool {
+    pub fn take_catalog(&self, catalog: Catalog, from: Teller) -> bool {
         let mut state = self.state.borrow_mut();
         let newer =
             |old: &Rc<Catalog>| catalog.revision > old.revision && catalog.version > old.version;
         if !state.catalog.as_ref().is_none_or(newer) {
             return false;
         }
+        let (from, address) = match from {
+            Teller::Store => ("store", String::new()),
+            Teller::Entry(address) => ("entry", address.to_string()),
+        };
+        let before = state.confirmed.age(self.now()).unwrap_or_default();
         self.log.process(
             Kind::CatalogTaken,
             &[
                 ("version", catalog.version.0.into()),
                 ("revision", catalog.revision.into()),
                 ("from", from.into()),
+                ("address", address.as_str().into()),
+                ("age_ms", before.as_millis().into()),
             ],
         );
         state.adopt(catalog, &self.setup, self.now());
@@ -218,6 +244,20 @@
         true
     }
 
+    /// Notes when what the entry knows gets too old, and when it is confirmed again.
+    pub(crate) fn note_age(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(age) = state.confirmed.age(now) else { return };
+        let stale = age > self.setup.apply;
+        if std::mem::replace(&mut state.stale, stale) != stale {
+            let kind = if stale { Kind::Stale } else { Kind::Confirmed };
+            let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version.0);
+            self.log
+                .process(kind, &[("age_ms", age.as_millis().into()), ("version", version.into())]);
+        }
+    }
+
     /// Carries out changes of the list of servers.
     pub fn take_changes(&self, changes: Vec<FleetChange>) {
         // Most reads change nothing; owners are computed over all servers.
@@ -339,6 +379,7 @@
             suspects: state.suspects.len() as u64,
             version: state.catalog.as_ref().map_or(0, |catalog| catalog.version.0),
             current: state.current,
+            age: state.confirmed.age(self.now()).map(Span::as_secs_f64),
             active: state.active as u64,
         });
         self.metrics.text()
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -3,10 +3,11 @@
 
 use crate::http::{Conn, HttpError};
 use crate::log::Kind;
-use crate::node::Node;
+use crate::node::{Node, Teller};
 use crate::wire::{Source, SourceError, SourceFault, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Delta;
+use damaskweir_core::fresh::Subject;
 use damaskweir_core::owner::EntryAt;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
@@ -46,6 +47,8 @@
 const ANNOUNCED: Span = Span::from_secs(6);
 /// Time to open a connection to another entry.
 const CONNECT: Duration = Duration::from_millis(300);
+/// Time for which a question to the store waits for changes.
+const WATCH: Span = Span::from_secs(3);
 /// Time for the answer of another entry, besides the one for which it may wait.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks at servers whose records are missing.
@@ -79,26 +82,30 @@
     entries: Option<Vec<EntryAt>>,
     /// Time since the store confirmed what is told; `None`: too long.
     age: Option<Span>,
+    /// Time for which the answer waited for news.
+    #[serde(default)]
+    held: Span,
 }
 
 impl Snapshot {
     /// What a node knows, as soon as there is news for another one.
     pub(crate) async fn next<W: Wire>(node: &Node<W>, known: Known) -> Self {
+        let asked = node.now();
         let limit = Instant::now() + Duration::from(known.wait).min(HOLD);
         loop {
             let news = node.news.notified();
-            let snapshot = Self::of(node, &known);
+            let snapshot = Self::of(node, &known, asked);
             if snapshot.is_news() {
                 return snapshot;
             }
             if timeout_at(limit, news).await.is_err() {
                 // Without news, but with its age as of now.
-                return Self::of(node, &known);
+                return Self::of(node, &known, asked);
             }
         }
     }
 
-    fn of<W: Wire>(node: &Node<W>, known: &Known) -> Self {
+    fn of<W: Wire>(node: &Node<W>, known: &Known, asked: Time) -> Self {
         let state = node.state.borrow();
         let newer = state.catalog.as_ref().filter(|catalog| catalog.revision > known.catalog);
         let sequence = if known.teller == node.stamp { known.sequence } else { 0 };
@@ -109,6 +116,7 @@
             servers: state.fleet.since(sequence),
             entries: fresh.then(|| state.entries.clone()),
             age: state.age(node.now()),
+            held: node.now().since(asked),
         }
     }
 
@@ -195,17 +203,19 @@
         let mut after = None;
         loop {
             self.wait_to_read().await;
+            let (sent, whole) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.catalog().await,
-                Some(after) => self.source.next_catalog(after).await,
+                Some(after) => self.source.next_catalog(after, WATCH).await,
             };
             self.note("catalog", read.as_ref().err());
             match read {
                 Ok(read) => {
                     pause = PAUSES.0;
                     after = Some(read.as_of);
+                    self.confirm(Subject::Catalog, sent, whole || read.value.is_some());
                     if let Some(catalog) = read.value {
-                        self.node.take_catalog(catalog, "store");
+                        self.node.take_catalog(catalog, Teller::Store);
                     } else if self.node.state.borrow().catalog.is_none() {
                         after = None;
                         sleep(PAUSES.0).await;
@@ -227,15 +237,16 @@
             if self.wait_to_read().await {
                 after = None;
             }
-            let whole = after.is_none();
+            let (sent, whole) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.listings().await,
-                Some(after) => self.source.next_listings(after).await,
+                Some(after) => self.source.next_listings(after, WATCH).await,
             };
             self.note("servers", read.as_ref().err());
             match read {
                 Ok(read) => {
                     after = Some(read.as_of);
+                    self.confirm(Subject::Servers, sent, whole || !read.value.is_empty());
                     let now = self.node.now();
                     let changes = {
                         let fleet = &mut self.node.state.borrow_mut().fleet;
@@ -278,10 +289,7 @@
                         if read.value.iter().any(|e| e.name == self.node.setup.entry.name) {
                             self.node.take_entries(read.value);
                         }
-                        match self.reads() {
-                            true => self.source.entries_changed(read.as_of).await.map(|_| ()),
-                            false => Ok(()),
-                        }
+                        self.entries_changed(read.as_of).await
                     }
                 },
                 Err(error) => Err(error),
@@ -294,6 +302,26 @@
         }
     }
 
+    /// Waits for a change of the entries while this one reads the store.
+    async fn entries_changed(&self, mut after: u64) -> Result<(), S::Error> {
+        while self.reads() {
+            let read = self.source.entries_changed(after, WATCH).await?;
+            if read.value {
+                return Ok(());
+            }
+            after = read.as_of;
+        }
+        Ok(())
+    }
+
+    /// Notes an answer of the store to a question that was sent at a time. Without a change the store held
+    /// it until its wait was over; with one it may have answered at any moment since.
+    fn confirm(&self, subject: Subject, sent: Time, changed: bool) {
+        let most = self.node.now().since(sent);
+        let held = if changed { Span::ZERO } else { WATCH.min(most) };
+        self.node.state.borrow_mut().confirmed.answered(subject, sent, held);
+    }
+
     /// Time until all entries that live have announced themselves again after an outage in which leases
     /// may have lapsed. Until then a missing record says nothing.
     fn until_announced(&self) -> Option<Duration> {
@@ -392,9 +420,10 @@
             };
             // An answer without news comes when its wait has passed.
             let wait = if reads { Span::ZERO } else { HOLD.into() };
+            let sent = self.node.now();
             let asked = timeout(PEER_WAIT + wait.into(), self.fetch(peer, wait)).await;
             let good = match asked {
-                Ok(Ok(snapshot)) => self.merge(snapshot),
+                Ok(Ok(snapshot)) => self.merge(snapshot, peer, sent),
                 // Other entries may be down as well; the next one is asked soon.
                 Ok(Err(_)) | Err(_) => false,
             };
@@ -443,16 +472,18 @@
         serde_json::from_slice(&body).map_err(|_| HttpError::Malformed("bad snapshot"))
     }
 
-    /// Takes what another entry told. Tells whether it was of use: the store has confirmed it lately.
-    fn merge(&self, snapshot: Snapshot) -> bool {
+    /// Takes what another entry told in answer to a question that was sent at a time. Tells whether it was
+    /// of use: the store has confirmed it lately.
+    fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
         let confirmed = snapshot.age.filter(|age| *age < SERVED);
         if let Some(age) = confirmed {
             let mut state = self.node.state.borrow_mut();
             state.told = state.told.max(Some(now - age));
+            state.confirmed.told(sent, snapshot.held, age);
         }
         if let Some(catalog) = snapshot.catalog {
-            self.node.take_catalog(catalog, "entry");
+            self.node.take_catalog(catalog, Teller::Entry(peer));
         }
         let mut known = self.known.get();
         if let Some(delta) = &snapshot.servers {
@@ -491,6 +522,7 @@
             let gone = self.node.state.borrow_mut().fleet.expire(now);
             self.node.take_changes(gone);
             self.node.trust_again();
+            self.node.note_age();
         }
     }
 
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -161,17 +161,19 @@
     type Error: SourceError;
     /// The newest configuration, if there is one that can be read.
     fn catalog(&self) -> impl Future<Output = Result<Read<Option<Catalog>>, Self::Error>>;
-    /// Waits for a configuration after a revision.
+    /// Waits for a configuration after a revision, for so long.
     fn next_catalog(
         &self,
         after: u64,
+        wait: Span,
     ) -> impl Future<Output = Result<Read<Option<Catalog>>, Self::Error>>;
     /// All servers.
     fn listings(&self) -> impl Future<Output = Result<Read<Vec<Listing>>, Self::Error>>;
-    /// Waits for changes of servers after a revision.
+    /// Waits for changes of servers after a revision, for so long.
     fn next_listings(
         &self,
         after: u64,
+        wait: Span,
     ) -> impl Future<Output = Result<Read<Vec<Listing>>, Self::Error>>;
     /// Announces this entry under a lease, and tells the lease.
     fn announce(&self, entry: &EntryAt) -> impl Future<Output = Result<u64, Self::Error>>;
@@ -181,8 +183,12 @@
     fn withdraw(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
     /// All entries that have announced themselves.
     fn entries(&self) -> impl Future<Output = Result<Read<Vec<EntryAt>>, Self::Error>>;
-    /// Waits for any change of the entries after a revision.
-    fn entries_changed(&self, after: u64) -> impl Future<Output = Result<Read<()>, Self::Error>>;
+    /// Waits for any change of the entries after a revision, for so long. Tells whether there was one.
+    fn entries_changed(
+        &self,
+        after: u64,
+        wait: Span,
+    ) -> impl Future<Output = Result<Read<bool>, Self::Error>>;
 }
 
 /// Whether a status promises that the request has not run.
