Count what an entry knows as confirmed only when the store has answered

What callers saw: an entry that reaches the store serves them by an old configuration after bounds.config_apply_ms, since it asks a reader that the store leaves without an answer.

Cause: a reader told that its knowledge was confirmed as of now for as long as none of its calls had failed. A call that is never answered fails after its wait of 3 s and 1.5 s more, and another call's success hid it, as contact with the store was one flag for all calls. Silence was taken for consent.

A teller is left at 0.7 of the time in which a change has to be in force, and an entry reads the store itself at 0.8 of it.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -111,8 +111,6 @@
     pub(crate) refused: Option<Time>,
     /// The store answers this entry.
     pub current: bool,
-    /// When the store confirmed what other entries told this one.
-    pub(crate) told: Option<Time>,
     /// When the store confirmed what is known here.
     pub(crate) confirmed: Confirmed,
     /// Whether that was too long ago when it was last looked at.
@@ -169,7 +167,6 @@
             waits: HashMap::new(),
             refused: None,
             current: false,
-            told: None,
             confirmed: Confirmed::default(),
             stale: false,
             draining: None,
@@ -402,11 +399,6 @@
 }
 
 impl State {
-    /// Time since the store confirmed what this entry knows; `None`: it never did.
-    pub(crate) fn age(&self, now: Time) -> Option<Span> {
-        if self.current { Some(Span::ZERO) } else { self.told.map(|at| now.since(at)) }
-    }
-
     fn adopt(&mut self, catalog: Catalog, setup: &Setup, now: Time) {
         let named =
             |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -39,16 +39,26 @@
 const HOLD: Duration = Duration::from_millis(500);
 /// Time between an answer and the next question, in which news gather.
 const NEWS_PACE: Duration = Duration::from_millis(40);
-/// Time since the store confirmed what other entries told in which this one does not read the store. Each
-/// level of the tree adds the time for which an answer waits.
-const SERVED: Span = Span::from_millis(1_700);
+/// Time after its start in which an entry waits for others to tell it what the store holds.
+const START_SERVED: Span = Span::from_millis(1_700);
+/// Parts of the time in which a change has to be in force (`Setup::apply`). In the normal case knowledge of
+/// servers gets as old as two waits and the pause between them, of the configuration as two waits.
+const WATCH_CATALOG: f64 = 0.3;
+/// The same for servers.
+const WATCH_SERVERS: f64 = 0.15;
+/// Age of knowledge at which its teller is left for another one.
+const TURN: f64 = 0.7;
+/// Age of knowledge at which an entry reads the store itself. The rest of the time is for the call.
+const READ: f64 = 0.8;
+/// How much younger knowledge has to be than that of the entry that asks to be told at once.
+const YOUNGER: Span = Span::from_millis(300);
 /// Time after the store's return in which each entry has renewed its lease or announced itself again:
 /// two renewals.
 const ANNOUNCED: Span = Span::from_secs(6);
 /// Time to open a connection to another entry.
 const CONNECT: Duration = Duration::from_millis(300);
-/// Time for which a question to the store waits for changes.
-const WATCH: Span = Span::from_secs(3);
+/// Time for which a question for changes of the entries waits.
+const WATCH_ENTRIES: Span = Span::from_secs(3);
 /// Time for the answer of another entry, besides the one for which it may wait.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks at servers whose records are missing.
@@ -67,6 +77,9 @@
     entries: u64,
     /// Time for which the answer may wait for news.
     wait: Span,
+    /// Time since the store confirmed what it knows.
+    #[serde(default)]
+    age: Option<Span>,
 }
 
 /// What one entry tells another.
@@ -80,7 +93,7 @@
     servers: Option<Delta>,
     /// Left out if the other one knows them.
     entries: Option<Vec<EntryAt>>,
-    /// Time since the store confirmed what is told; `None`: too long.
+    /// Time since the store confirmed what is told; `None`: it never did.
     age: Option<Span>,
     /// Time for which the answer waited for news.
     #[serde(default)]
@@ -95,7 +108,7 @@
         loop {
             let news = node.news.notified();
             let snapshot = Self::of(node, &known, asked);
-            if snapshot.is_news() {
+            if snapshot.is_news(&known) {
                 return snapshot;
             }
             if timeout_at(limit, news).await.is_err() {
@@ -115,13 +128,17 @@
             catalog: newer.map(|catalog| (**catalog).clone()),
             servers: state.fleet.since(sequence),
             entries: fresh.then(|| state.entries.clone()),
-            age: state.age(node.now()),
+            age: state.confirmed.age(node.now()),
             held: node.now().since(asked),
         }
     }
 
-    fn is_news(&self) -> bool {
-        self.catalog.is_some() || self.servers.is_some() || self.entries.is_some()
+    fn is_news(&self, known: &Known) -> bool {
+        let younger = match (self.age, known.age) {
+            (Some(own), Some(other)) => own + YOUNGER < other + self.held,
+            _ => false,
+        };
+        self.catalog.is_some() || self.servers.is_some() || self.entries.is_some() || younger
     }
 }
 
@@ -206,14 +223,16 @@
             let (sent, whole) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.catalog().await,
-                Some(after) => self.source.next_catalog(after, WATCH).await,
+                Some(after) => self.source.next_catalog(after, self.part(WATCH_CATALOG)).await,
             };
             self.note("catalog", read.as_ref().err());
             match read {
                 Ok(read) => {
                     pause = PAUSES.0;
                     after = Some(read.as_of);
-                    self.confirm(Subject::Catalog, sent, whole || read.value.is_some());
+                    let changed = whole || read.value.is_some();
+                    let held = if changed { Span::ZERO } else { self.part(WATCH_CATALOG) };
+                    self.confirm(Subject::Catalog, sent, held);
                     if let Some(catalog) = read.value {
                         self.node.take_catalog(catalog, Teller::Store);
                     } else if self.node.state.borrow().catalog.is_none() {
@@ -240,13 +259,15 @@
             let (sent, whole) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.listings().await,
-                Some(after) => self.source.next_listings(after, WATCH).await,
+                Some(after) => self.source.next_listings(after, self.part(WATCH_SERVERS)).await,
             };
             self.note("servers", read.as_ref().err());
             match read {
                 Ok(read) => {
                     after = Some(read.as_of);
-                    self.confirm(Subject::Servers, sent, whole || !read.value.is_empty());
+                    let changed = whole || !read.value.is_empty();
+                    let held = if changed { Span::ZERO } else { self.part(WATCH_SERVERS) };
+                    self.confirm(Subject::Servers, sent, held);
                     let now = self.node.now();
                     let changes = {
                         let fleet = &mut self.node.state.borrow_mut().fleet;
@@ -305,7 +326,7 @@
     /// Waits for a change of the entries while this one reads the store.
     async fn entries_changed(&self, mut after: u64) -> Result<(), S::Error> {
         while self.reads() {
-            let read = self.source.entries_changed(after, WATCH).await?;
+            let read = self.source.entries_changed(after, WATCH_ENTRIES).await?;
             if read.value {
                 return Ok(());
             }
@@ -314,12 +335,23 @@
         Ok(())
     }
 
-    /// Notes an answer of the store to a question that was sent at a time. Without a change the store held
-    /// it until its wait was over; with one it may have answered at any moment since.
-    fn confirm(&self, subject: Subject, sent: Time, changed: bool) {
-        let most = self.node.now().since(sent);
-        let held = if changed { Span::ZERO } else { WATCH.min(most) };
+    /// Notes an answer of the store to a question that was sent at a time, and which the store held for so
+    /// long at least: with a change it may have answered at any moment.
+    fn confirm(&self, subject: Subject, sent: Time, held: Span) {
+        let held = held.min(self.node.now().since(sent));
         self.node.state.borrow_mut().confirmed.answered(subject, sent, held);
+        self.node.news.notify_waiters();
+    }
+
+    /// A part of the time in which a change has to be in force.
+    fn part(&self, part: f64) -> Span {
+        self.node.setup.apply.scale(part)
+    }
+
+    /// Time until what is known here is as old as a part of the time in which a change has to be in force.
+    fn until_aged(&self, part: f64) -> Span {
+        let age = self.node.state.borrow().confirmed.age(self.node.now());
+        self.part(part).saturating_sub(age.unwrap_or(Span(u64::MAX)))
     }
 
     /// Time until all entries that live have announced themselves again after an outage in which leases
@@ -384,13 +416,17 @@
         let mut waited = false;
         loop {
             let now = self.node.now();
-            let told = self.node.state.borrow().told;
-            let served = now.since(told.unwrap_or_default()) < SERVED;
-            if !served || self.reads() {
+            let told = self.node.state.borrow().confirmed.told_at();
+            let (limit, pace) = match told {
+                Some(_) => (self.part(READ), PEER_PACE),
+                None => (START_SERVED, START_PACE),
+            };
+            let rest = limit.saturating_sub(now.since(told.unwrap_or_default()));
+            if rest == Span::ZERO || self.reads() {
                 return waited;
             }
             waited = true;
-            sleep(if told.is_some() { PEER_PACE } else { START_PACE }).await;
+            sleep(pace.min(rest.into())).await;
         }
     }
 
@@ -406,11 +442,12 @@
         loop {
             let reads = self.reads();
             let known = self.node.state.borrow().catalog.is_some();
-            let current = reads && !self.contact.away.get() && known;
+            let rest = self.until_aged(TURN);
+            let current = reads && !self.contact.away.get() && known && rest > Span::ZERO;
             self.node.state.borrow_mut().current = current;
             if current && self.node.ready() {
                 turn = 0;
-                sleep(PEER_PACE).await;
+                sleep(PEER_PACE.min(rest.into())).await;
                 continue;
             }
             let peers = if reads { self.peers() } else { self.parents() };
@@ -418,8 +455,8 @@
                 sleep(if known { PEER_PACE } else { START_PACE }).await;
                 continue;
             };
-            // An answer without news comes when its wait has passed.
-            let wait = if reads { Span::ZERO } else { HOLD.into() };
+            // An answer without news comes when its wait has passed, before what is known is too old.
+            let wait = if reads { Span::ZERO } else { Span::from(HOLD).min(rest) };
             let sent = self.node.now();
             let asked = timeout(PEER_WAIT + wait.into(), self.fetch(peer, wait)).await;
             let good = match asked {
@@ -430,7 +467,9 @@
             if !good {
                 turn += 1;
             }
-            sleep(if good && !reads { NEWS_PACE } else { PEER_PACE }).await;
+            // All others are asked before any of them is asked again.
+            let next = !good && turn % peers.len() != 0;
+            sleep(if next || good && !reads { NEWS_PACE } else { PEER_PACE }).await;
         }
     }
 
@@ -452,8 +491,11 @@
     }
 
     async fn fetch(&self, peer: SocketAddr, wait: Span) -> Result<Snapshot, HttpError> {
-        let catalog = self.node.state.borrow().catalog.as_ref().map_or(0, |c| c.revision);
-        let known = Known { catalog, wait, ..self.known.get() };
+        let known = {
+            let state = self.node.state.borrow();
+            let catalog = state.catalog.as_ref().map_or(0, |catalog| catalog.revision);
+            Known { catalog, wait, age: state.confirmed.age(self.node.now()), ..self.known.get() }
+        };
         let body = serde_json::to_vec(&known).map_err(|_| HttpError::Malformed("question"))?;
         let kept = self.link.take().filter(|(address, _)| *address == peer);
         let usable = kept.map(|(_, conn)| conn).and_then(|mut conn| conn.usable().then_some(conn));
@@ -476,11 +518,11 @@
     /// of use: the store has confirmed it lately.
     fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
-        let confirmed = snapshot.age.filter(|age| *age < SERVED);
-        if let Some(age) = confirmed {
-            let mut state = self.node.state.borrow_mut();
-            state.told = state.told.max(Some(now - age));
-            state.confirmed.told(sent, snapshot.held, age);
+        let age = snapshot.age.map(|age| now.since(sent + snapshot.held - age));
+        let confirmed = age.filter(|age| *age < self.part(TURN));
+        if let Some(age) = snapshot.age {
+            self.node.state.borrow_mut().confirmed.told(sent, snapshot.held, age);
+            self.node.news.notify_waiters();
         }
         if let Some(catalog) = snapshot.catalog {
             self.node.take_catalog(catalog, Teller::Entry(peer));
