Open a watch on the bundles again after two seconds of silence

Approved bundles have to be in force everywhere within 4 s; with the watch silent they waited for the next poll, which comes once a minute.

--- a/crates/damaskweir/src/spread.rs
+++ b/crates/damaskweir/src/spread.rs
@@ -23,6 +23,10 @@
 /// Time that one answer of a peer may take; the node gives up a pull that makes no progress.
 const PULL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time without a sign of life after which a watch is opened again. Each opening is a call; an approved
+/// bundle has to be in force within 4 s.
+const WATCH_SILENCE: Duration = Duration::from_secs(2);
+
 /// What a process needs to put bundles into force, from its settings.
 #[derive(Clone, Debug)]
 pub struct SpreadSetup {
@@ -499,19 +503,31 @@
     }
 }
 
+fn silent() -> StoreError {
+    StoreError::Lost(format!("watch silent for {WATCH_SILENCE:?}"))
+}
+
 /// Watches the manifest and the sections that are written before it.
 async fn watch_store(inner: Arc<Inner>) {
     let watched = async {
         let store = inner.store.as_ref().ok_or(PullError::Gone)?;
         let mut watch = store.watch_range(MANIFEST_KEY, WATCH_END, 0).await?;
-        watch.next().await?;
+        timeout(WATCH_SILENCE, watch.next()).await.map_err(|_| silent())??;
         inner.lock().node.epoch_mut().watched();
         // What was written before the watch began.
         if let Some(stored) = store.get(MANIFEST_KEY).await? {
             inner.show_record(&stored.value.into());
         }
         loop {
-            for event in watch.next().await? {
+            let events = match timeout(WATCH_SILENCE, watch.next()).await {
+                Ok(events) => events?,
+                Err(_) => {
+                    let next = watch.revision() + 1;
+                    watch = store.watch_range(MANIFEST_KEY, WATCH_END, next).await?;
+                    timeout(WATCH_SILENCE, watch.next()).await.map_err(|_| silent())??
+                }
+            };
+            for event in events {
                 match event {
                     WatchEvent::Put(stored) if stored.key == MANIFEST_KEY => {
                         inner.show_record(&stored.value.into());
--- a/crates/damaskweir/tests/spread.rs
+++ b/crates/damaskweir/tests/spread.rs
@@ -21,7 +21,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An operator, a store, the stand-in of a backend server, and the processes around it.
 struct Bed {
@@ -251,3 +251,24 @@
     entry.abort();
     side.abort();
 }
+
+/// Guards against a watch that has fallen silent and is taken for one without changes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_watch_hides_no_approval() {
+    let bed = Bed::new().await;
+    let side = bed.side("enc-1").await;
+    let sides = [("enc-1", side.address())];
+    bed.approve(0, 1, &sides).await;
+    let entry = bed.entry("entry-1", &[]).await;
+    until(|| entry.is_ready() && version(&side) == 1 && bed.store.calls().watches > 0).await;
+    // Polls are a second apart until there is a bundle.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    bed.store.silence_watches();
+    bed.approve(1, 2, &sides).await;
+    let approved = Instant::now();
+    until(|| entry.bundle().version == Version(2) && version(&side) == 2).await;
+    // Approved bundles are in force everywhere within 4 s.
+    assert!(approved.elapsed() < Duration::from_secs(4), "{:?}", approved.elapsed());
+    entry.abort();
+    side.abort();
+}
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -92,6 +92,8 @@
     limit: Option<u32>,
     window: Option<(Instant, u32)>,
     calls: Calls,
+    /// Times that all open watches fell silent.
+    silenced: u64,
 }
 
 impl Store {
@@ -134,6 +136,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Lets all open watches fall silent without ending them. New ones work.
+    pub fn silence_watches(&self) {
+        self.shared.lock().silenced += 1;
+    }
+
     /// Limits the calls per second.
     pub fn set_limit(&self, limit: Option<u32>) {
         self.shared.lock().limit = limit;
@@ -550,7 +557,7 @@
         Ok(range) => range,
         Err(fault) => return fail(res, fault),
     };
-    let (next, first) = {
+    let (next, first, opened) = {
         let state = shared.lock();
         let next = if from == 0 { state.revision + 1 } else { from };
         let mut result = json!({ "header": state.header(), "watch_id": "0", "created": true });
@@ -558,10 +565,10 @@
             result["canceled"] = json!(true);
             result["compact_revision"] = json!(state.compacted.to_string());
         }
-        (next, json!({ "result": result }))
+        (next, json!({ "result": result }), state.silenced)
     };
     let start = (Arc::clone(shared), next, Some(first), Keys { key, end });
-    let lines = stream::unfold(start, |(shared, mut next, first, keys)| async move {
+    let lines = stream::unfold(start, move |(shared, mut next, first, keys)| async move {
         if let Some(first) = first {
             return Some((Ok::<_, io::Error>(line(&first)), (shared, next, None, keys)));
         }
@@ -570,6 +577,9 @@
             let changed = notifier.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
+            if shared.lock().silenced != opened {
+                std::future::pending::<()>().await;
+            }
             if let Some(element) = shared.changes(&mut next, &keys)? {
                 return Some((Ok(line(&element)), (shared, next, None, keys)));
             }
