Serve after a start only by what the store confirmed since

Cause: an entry that starts takes the configuration of the entry that it asks, which may be a reader that is behind and does not know it yet. Ruled out: an older version taken in one process, which take_catalog refuses.

Change: an entry serves once what it knows was confirmed after its own start, by its own read or by its teller's. It serves by older knowledge if none of the entries that it asks knows better, or when the time for a change to be in force has passed. Ages may reach back before the start of the process: one that had just started took 10 s old knowledge for as young as itself. Entries that find nobody to help ask one after the other again, as before.

--- a/crates/core/tests/fresh.rs
+++ b/crates/core/tests/fresh.rs
@@ -31,6 +31,15 @@
     assert_eq!(confirmed.age(at(1_600)), Some(Span::from_millis(900)), "older news change nothing");
 }
 
+/// Guards against an entry that has just started and takes old knowledge for as young as itself.
+#[test]
+fn knowledge_may_be_older_than_the_process() {
+    let mut confirmed = Confirmed::default();
+    confirmed.told(at(100), Span::ZERO, Span::from_secs(10));
+    assert_eq!(confirmed.age(at(200)), Some(Span::from_millis(10_100)));
+    assert_eq!(confirmed.told_age(at(300)), Some(Span::from_millis(10_200)));
+}
+
 proptest! {
     /// Guards against ages that grow slower than time passes, whatever is answered or told in which order.
     #[test]
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -115,6 +115,9 @@
     pub(crate) confirmed: Confirmed,
     /// Whether that was too long ago when it was last looked at.
     pub(crate) stale: bool,
+    /// Whether what is known may be served by: an entry before may have served by something newer, unless
+    /// the store confirmed it after this process began or nobody knows better. Never unset.
+    pub(crate) settled: bool,
     /// When the process was told to stop.
     pub draining: Option<Time>,
     /// Requests in progress.
@@ -169,6 +172,7 @@
             current: false,
             confirmed: Confirmed::default(),
             stale: false,
+            settled: false,
             draining: None,
             active: 0,
             reading: 0,
@@ -199,7 +203,7 @@
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
-        state.catalog.is_some()
+        state.in_force().is_some()
             && state.draining.is_none()
             && state.fleet.replicas().next().is_some()
     }
@@ -399,6 +403,11 @@
 }
 
 impl State {
+    /// The configuration that requests are served by.
+    pub(crate) fn in_force(&self) -> Option<&Rc<Catalog>> {
+        self.catalog.as_ref().filter(|_| self.settled)
+    }
+
     fn adopt(&mut self, catalog: Catalog, setup: &Setup, now: Time) {
         let named =
             |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -160,7 +160,7 @@
 async fn respond<W: Wire>(node: Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     let arrived = node.now();
     let (head, body) = request.into_parts();
-    let catalog = node.state.borrow().catalog.clone();
+    let catalog = node.state.borrow().in_force().cloned();
     let Some(catalog) = catalog else {
         return refused(StatusCode::SERVICE_UNAVAILABLE, "starting", Some(STARTING_RETRY));
     };
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -31,6 +31,8 @@
 const RENEW: Duration = Duration::from_secs(3);
 /// Time after its start in which an entry learns from the list of entries whether it reads the store.
 const START: Span = Span::from_millis(400);
+/// Longest time for which an answer to an entry that starts waits for news.
+const START_WAIT: Span = Span::from_millis(100);
 /// Time between two looks at whether this entry reads the store, while it starts.
 const START_PACE: Duration = Duration::from_millis(20);
 /// Time between two questions to other entries while the store is away.
@@ -175,6 +177,8 @@
     regained: Cell<Option<Time>>,
     /// The first attempt to announce this entry has ended.
     announced: Notify,
+    /// Entries in a row that could not tell anything that the store confirmed lately.
+    unhelpful: Cell<usize>,
     /// Kept connection to the entry that was asked last.
     link: Cell<Option<(SocketAddr, Conn)>>,
 }
@@ -191,6 +195,7 @@
             known: Cell::default(),
             regained: Cell::default(),
             announced: Notify::new(),
+            unhelpful: Cell::default(),
             link: Cell::default(),
         }
     }
@@ -235,6 +240,7 @@
                     self.confirm(Subject::Catalog, sent, held);
                     if let Some(catalog) = read.value {
                         self.node.take_catalog(catalog, Teller::Store);
+                        self.node.state.borrow_mut().settled = true;
                     } else if self.node.state.borrow().catalog.is_none() {
                         after = None;
                         sleep(PAUSES.0).await;
@@ -416,12 +422,11 @@
         let mut waited = false;
         loop {
             let now = self.node.now();
-            let told = self.node.state.borrow().confirmed.told_at();
-            let (limit, pace) = match told {
-                Some(_) => (self.part(READ), PEER_PACE),
-                None => (START_SERVED, START_PACE),
+            let told = self.node.state.borrow().confirmed.told_age(now);
+            let (rest, pace) = match told {
+                Some(age) => (self.part(READ).saturating_sub(age), PEER_PACE),
+                None => (START_SERVED.saturating_sub(now.since(Time::default())), START_PACE),
             };
-            let rest = limit.saturating_sub(now.since(told.unwrap_or_default()));
             if rest == Span::ZERO || self.reads() {
                 return waited;
             }
@@ -456,23 +461,41 @@
                 continue;
             };
             // An answer without news comes when its wait has passed, before what is known is too old.
-            let wait = if reads { Span::ZERO } else { Span::from(HOLD).min(rest) };
+            let settled = self.settle(peers.len());
+            let wait = match (reads, settled) {
+                (true, _) => Span::ZERO,
+                (false, true) => Span::from(HOLD).min(rest),
+                (false, false) => START_WAIT,
+            };
             let sent = self.node.now();
             let asked = timeout(PEER_WAIT + wait.into(), self.fetch(peer, wait)).await;
             let good = match asked {
                 Ok(Ok(snapshot)) => self.merge(snapshot, peer, sent),
                 // Other entries may be down as well; the next one is asked soon.
-                Ok(Err(_)) | Err(_) => false,
+                Ok(Err(_)) | Err(_) => {
+                    self.unhelpful.set(self.unhelpful.get() + 1);
+                    false
+                }
             };
             if !good {
                 turn += 1;
             }
-            // All others are asked before any of them is asked again.
-            let next = !good && turn % peers.len() != 0;
+            // All others are asked at once; if none can help, one after the other.
+            let next = !good && self.unhelpful.get() < peers.len();
             sleep(if next || good && !reads { NEWS_PACE } else { PEER_PACE }).await;
         }
     }
 
+    /// Whether what is known here may be served by. That includes old knowledge if none of some entries
+    /// knows better, or if the start takes long.
+    fn settle(&self, peers: usize) -> bool {
+        let long = self.node.now().since(Time::default()) > self.node.setup.apply;
+        let alone = peers > 0 && self.unhelpful.get() >= peers;
+        let mut state = self.node.state.borrow_mut();
+        state.settled |= state.catalog.is_some() && (long || alone);
+        state.settled
+    }
+
     /// Addresses of the entries that this one asks what the store holds, the first one ahead.
     fn parents(&self) -> Vec<SocketAddr> {
         let state = self.node.state.borrow();
@@ -518,8 +541,9 @@
     /// of use: the store has confirmed it lately.
     fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
-        let age = snapshot.age.map(|age| now.since(sent + snapshot.held - age));
+        let age = snapshot.age.map(|age| age + now.since(sent + snapshot.held));
         let confirmed = age.filter(|age| *age < self.part(TURN));
+        self.unhelpful.set(if confirmed.is_some() { 0 } else { self.unhelpful.get() + 1 });
         if let Some(age) = snapshot.age {
             self.node.state.borrow_mut().confirmed.told(sent, snapshot.held, age);
             self.node.news.notify_waiters();
@@ -542,6 +566,10 @@
             };
             self.node.take_changes(changes.unwrap_or_default());
         }
+        // Confirmed before the start of this process: another entry may know better.
+        let since_start =
+            snapshot.age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
+        self.node.state.borrow_mut().settled |= since_start;
         let mut taken = true;
         if let Some(entries) = snapshot.entries {
             let named = |entry: &EntryAt| entry.name == self.node.setup.entry.name;
