--- a/crates/damaskweir/tests/platform.rs
+++ b/crates/damaskweir/tests/platform.rs
@@ -91,6 +91,7 @@
                 seeds: &[],
                 store: store.server.address,
                 grace: GRACE,
+                apply: Duration::from_secs(2),
                 ratio: 0.2,
                 slack: 50.0,
                 window: Duration::from_secs(10),
