Ask the store one small question when an entry starts

Now it asks the store itself whether the configuration that it was told has changed since, which is answered by a few bytes.

Tests: those of platform/tests/fresh.rs pass as before.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -31,6 +31,8 @@
 const RENEW: Duration = Duration::from_secs(3);
 /// Time after its start in which an entry learns from the list of entries whether it reads the store.
 const START: Span = Span::from_millis(400);
+/// Time for which the store may hold the question of an entry that starts.
+const START_QUESTION: Span = Span::from_millis(1);
 /// Longest time for which an answer to an entry that starts waits for news.
 const START_WAIT: Span = Span::from_millis(100);
 /// Time between two looks at whether this entry reads the store, while it starts.
@@ -224,11 +226,15 @@
         let mut pause = PAUSES.0;
         let mut after = None;
         loop {
-            self.wait_to_read().await;
+            self.wait_to_read(true).await;
+            // Whether what others told has changed since is a small question.
+            let told = self.unsettled();
+            let wait = if told.is_some() { START_QUESTION } else { self.part(WATCH_CATALOG) };
+            after = told.or(after);
             let (sent, whole) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.catalog().await,
-                Some(after) => self.source.next_catalog(after, self.part(WATCH_CATALOG)).await,
+                Some(after) => self.source.next_catalog(after, wait).await,
             };
             self.note("catalog", read.as_ref().err());
             match read {
@@ -236,12 +242,14 @@
                     pause = PAUSES.0;
                     after = Some(read.as_of);
                     let changed = whole || read.value.is_some();
-                    let held = if changed { Span::ZERO } else { self.part(WATCH_CATALOG) };
+                    let held = if changed { Span::ZERO } else { wait };
                     self.confirm(Subject::Catalog, sent, held);
                     if let Some(catalog) = read.value {
                         self.node.take_catalog(catalog, Teller::Store);
-                        self.node.state.borrow_mut().settled = true;
-                    } else if self.node.state.borrow().catalog.is_none() {
+                    }
+                    let known = self.node.state.borrow().catalog.is_some();
+                    self.node.state.borrow_mut().settled |= known;
+                    if !known {
                         after = None;
                         sleep(PAUSES.0).await;
                     }
@@ -259,7 +267,7 @@
         let mut after = None;
         loop {
             // Changes that came from another entry meanwhile need not be read again.
-            if self.wait_to_read().await {
+            if self.wait_to_read(false).await {
                 after = None;
             }
             let (sent, whole) = (self.node.now(), after.is_none());
@@ -325,7 +333,7 @@
                 Ok(()) => sleep(LISTING_PACE).await,
                 Err(error) => self.pause_beside(error.fault()).await,
             }
-            self.wait_to_read().await;
+            self.wait_to_read(false).await;
         }
     }
 
@@ -417,8 +425,9 @@
     }
 
     /// Waits while another entry reads the store for this one, or is about to: if all entries of a large
-    /// fleet that starts read all, none would be served in time. Tells whether it had to wait.
-    async fn wait_to_read(&self) -> bool {
+    /// fleet that starts read all, none would be served in time. Tells whether it had to wait. With `settles`,
+    /// it does not wait while what others told may not be served by.
+    async fn wait_to_read(&self, settles: bool) -> bool {
         let mut waited = false;
         loop {
             let now = self.node.now();
@@ -427,7 +436,8 @@
                 Some(age) => (self.part(READ).saturating_sub(age), PEER_PACE),
                 None => (START_SERVED.saturating_sub(now.since(Time::default())), START_PACE),
             };
-            if rest == Span::ZERO || self.reads() {
+            let settling = settles && self.unsettled().is_some();
+            if rest == Span::ZERO || self.reads() || settling {
                 return waited;
             }
             waited = true;
@@ -486,6 +496,12 @@
         }
     }
 
+    /// Revision of a configuration that is known and may not be served by.
+    fn unsettled(&self) -> Option<u64> {
+        let state = self.node.state.borrow();
+        state.catalog.as_ref().filter(|_| !state.settled).map(|catalog| catalog.revision)
+    }
+
     /// Whether what is known here may be served by. That includes old knowledge if none of some entries
     /// knows better, or if the start takes long.
     fn settle(&self, peers: usize) -> bool {
