--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -225,10 +225,12 @@
     async fn follow_catalog(&self) {
         let mut pause = PAUSES.0;
         let mut after = None;
+        // The store can't tell any more what has changed since a revision.
+        let mut forgotten = false;
         loop {
             self.wait_to_read(true).await;
             // Whether what others told has changed since is a small question.
-            let told = self.unsettled();
+            let told = self.unsettled().filter(|_| !forgotten);
             let wait = if told.is_some() { START_QUESTION } else { self.part(WATCH_CATALOG) };
             after = told.or(after);
             let (sent, whole) = (self.node.now(), after.is_none());
@@ -240,6 +242,7 @@
             match read {
                 Ok(read) => {
                     pause = PAUSES.0;
+                    forgotten = false;
                     after = Some(read.as_of);
                     let changed = whole || read.value.is_some();
                     let held = if changed { Span::ZERO } else { wait };
@@ -257,6 +260,7 @@
                 Err(error) => {
                     // After an error a change may have been missed, so the whole is read again.
                     after = None;
+                    forgotten = error.fault() == SourceFault::Compacted;
                     self.pause(&mut pause, error.fault()).await;
                 }
             }
@@ -582,7 +586,7 @@
             };
             self.node.take_changes(changes.unwrap_or_default());
         }
-        // Confirmed before the start of this process: another entry may know better.
+        // What was confirmed earlier may be older than what the process before this one served by.
         let since_start =
             snapshot.age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
         self.node.state.borrow_mut().settled |= since_start;
