Log crashes of backend servers and the prompt parts of the requests that they had

Lines of kind `sent` now name the shared parts. A server out of reach counts as crashed when its record is replaced, or is removed while it can't be reached. Nothing is decided by it yet.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -34,6 +34,15 @@
         pub started: Option<u64>,
     }
 
+    /// A process of a backend server.
+    #[derive(PartialOrd, Ord)]
+    pub struct ServerProcess {
+        /// Id of the server. A later process may have the same one.
+        pub id: ServerId,
+        /// Start time of the process in Unix milliseconds, if known.
+        pub started: Option<u64>,
+    }
+
     /// State of one record in the store.
     pub struct Listing {
         /// The server that the record describes.
@@ -45,6 +54,13 @@
     }
 }
 
+impl Replica {
+    /// The process that the record describes.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess { id: self.id.clone(), started: self.started }
+    }
+}
+
 /// Changes to the list since the last change that another process knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -70,6 +70,9 @@
     parts: Vec<PromptPart>,
     /// Prompt tokens that the server still has to prefill; 0 once it has responded.
     uncached_tokens: u64,
+    /// Number of the attempt among the requests that servers have not answered.
+    attempt: u64,
+    replica: Replica,
     ended: bool,
 }
 
@@ -84,8 +87,24 @@
         }
     }
 
+    /// Records that the answer broke off or is no longer waited for. Later calls have no effect.
+    pub(crate) fn record_lost(&mut self, outcome: AttemptOutcome) {
+        if !self.ended {
+            self.node.record_lost(&self.replica, self.attempt);
+        }
+        self.end(outcome);
+    }
+
     /// Records the end of the attempt. Later calls have no effect.
     pub(crate) fn record_end(&mut self, outcome: AttemptOutcome) {
+        if !self.ended {
+            let process = self.replica.process();
+            self.node.state.borrow_mut().exposures.close(&process, self.attempt);
+        }
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.node.now();
             let mut state = self.node.state.borrow_mut();
@@ -136,10 +155,13 @@
         let (server, path) = (&permit.server().clone(), permit.path());
         let started = node.now();
         self.sent.push(server.id.clone());
-        let uncached_tokens = {
+        let (uncached_tokens, attempt) = {
             let mut state = node.state.borrow_mut();
             let placer = state.placers.get_mut(&self.pool);
-            placer.map_or(0, |placer| placer.record_dispatch(started, &server.id, &self.info.parts))
+            let uncached =
+                placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts));
+            let parts = shared_parts(&self.info.parts);
+            (uncached, state.exposures.open(server, parts, self.workspace.clone()))
         };
         let mut guard = OpenRequestGuard {
             node: node.clone(),
@@ -147,6 +169,8 @@
             server: server.id.clone(),
             parts: self.info.parts.clone(),
             uncached_tokens,
+            attempt,
+            replica: server.clone(),
             ended: false,
         };
         let mut conn = match node.connection(permit).await {
@@ -167,12 +191,16 @@
             rank: self.rank,
         };
         let head = node.wire.encode_request(&self.head, self.body.len(), &params);
+        let parts = shared_parts(&self.info.parts);
+        let parts: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+        let parts = parts.join(",");
         let fields = [
             ("server", server.id.as_str().into()),
             ("left_ms", left.as_millis().into()),
             ("unread_tokens", guard.uncached_tokens.into()),
             ("reused", u64::from(conn.uses()).into()),
             ("path", path.name().into()),
+            ("parts", parts.as_str().into()),
         ];
         node.log.request(Kind::Sent, &self.info.id, &fields);
         self.maybe_ran.push(server.id.clone());
@@ -187,7 +215,7 @@
             Err(error) => {
                 self.log_broken(server, &error);
                 let timed_out = matches!(error, HttpError::TimedOut);
-                guard.record_end(if timed_out {
+                guard.record_lost(if timed_out {
                     AttemptOutcome::Unresponsive
                 } else {
                     AttemptOutcome::Failed
@@ -317,3 +345,10 @@
         self.node.log.request(Kind::AttemptFailed, &self.info.id, &fields);
     }
 }
+
+/// Returns the ids of the prompt parts that other requests may share. The last part is the request's
+/// own.
+pub(crate) fn shared_parts(parts: &[PromptPart]) -> Vec<u64> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id).collect()
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod calls;
 mod event;
+mod exposure;
 mod peers;
 mod permits;
 mod request;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -58,6 +58,8 @@
     ServerLeaving = "server_leaving"
     /// A backend server was removed.
     ServerGone = "server_gone"
+    /// A backend server crashed while it had requests of this entry.
+    ServerCrashed = "server_crashed"
     /// A backend server named a limit for requests, or changed it.
     ServerLimited = "server_limited"
     /// A backend server no longer names a limit.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -35,6 +35,8 @@
     pub unused_results: Counter<u64>,
     /// Requests sent to backend servers that name a limit, by the path that sent them.
     pub limited_sends: Counter<u64>,
+    /// Crashes of backend servers with requests of this entry.
+    pub server_crashes: Counter<u64>,
     /// Calls to the store by type and outcome.
     pub store_calls: Counter<u64>,
     stage_latency: Histogram<f64>,
@@ -97,6 +99,7 @@
             denied_retries: meter.u64_counter("direct_repeats_refused").build(),
             unused_results: meter.u64_counter("direct_results_unused").build(),
             limited_sends: meter.u64_counter("direct_limited_sends").build(),
+            server_crashes: meter.u64_counter("direct_server_crashes").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
             stage_latency: seconds("direct_stage_call"),
             first_latency: seconds("direct_first_part"),
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -1,6 +1,7 @@
 //! State of an entry that its tasks share. All tasks run on one thread.
 
 use crate::calls::PieceWaiter;
+use crate::exposure::Exposures;
 use crate::http::{Conn, HttpError, IdleConns};
 use crate::log::{Kind, Log};
 use crate::metrics::{GaugeValues, Metrics, MetricsError};
@@ -33,7 +34,7 @@
 /// Connect timeout for backend servers. The latency between availability zones is a few
 /// milliseconds, so a longer wait means a lost packet. Its retransmission takes about a second, and
 /// trying another server is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after SIGTERM in which the platform may still send callers here: it probes readiness once a
 /// second and acts on two consecutive results.
 pub const DEREGISTER_DELAY: Span = Span::from_millis(2_600);
@@ -120,6 +121,8 @@
     pub(crate) last_piece: u64,
     /// What backend servers say about the requests that they accept.
     pub(crate) intake: Intake,
+    /// The requests that backend servers were given and have not answered.
+    pub(crate) exposures: Exposures,
     idle_connections: HashMap<ServerId, IdleConns>,
     /// Detectors of returning callers, by route name.
     return_detectors: HashMap<String, ReturnDetector>,
@@ -190,6 +193,7 @@
             wakeups: BTreeMap::new(),
             last_piece: 0,
             intake: Intake::default(),
+            exposures: Exposures::default(),
             idle_connections: HashMap::new(),
             return_detectors: HashMap::new(),
             last_refusal: None,
@@ -285,13 +289,13 @@
     }
 
     /// Applies changes of the server list.
-    pub fn apply_fleet_changes(&self, changes: Vec<FleetChange>) {
+    pub fn apply_fleet_changes(self: &Rc<Self>, changes: Vec<FleetChange>) {
         // Most reads change nothing, and computing the owners takes a pass over all servers.
         if changes.is_empty() {
             return;
         }
         let mut state = self.state.borrow_mut();
-        let mut pools = BTreeSet::new();
+        let (mut pools, mut removed) = (BTreeSet::new(), Vec::new());
         for change in changes {
             match change {
                 FleetChange::Up(replica) => {
@@ -310,12 +314,15 @@
                 FleetChange::Removed(id) => {
                     self.log.process(Kind::ServerGone, &[("server", id.as_str().into())]);
                     pools.extend(state.remove_server(&id));
+                    removed.push(id);
                 }
             }
         }
         let now = self.now();
         pools.iter().for_each(|pool| state.assign_pool_owners(pool, &self.config, now));
         state.assign_grantors(&self.config, now);
+        drop(state);
+        removed.iter().for_each(|id| self.check_replaced(id));
         self.changed.notify_waiters();
     }
 
@@ -364,6 +371,7 @@
             state.entries_changed(&self.config, now);
         }
         state.intake.expire(now, |id| state.fleet.get(id).is_some());
+        state.exposures.expire(now);
     }
 
     /// Estimates the time since the first attempt of a caller of `route` that will wait for `wait`.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -109,7 +109,7 @@
         let request = &mut self.request;
         // Closing the connection stops the first server from continuing work that the next one repeats.
         self.upstream.conn = None;
-        self.upstream.guard.record_end(AttemptOutcome::Failed);
+        self.upstream.guard.record_lost(AttemptOutcome::Failed);
         let (Some(last), true) = (self.upstream.last_event, request.can_retry()) else {
             return Err(StreamError(cause));
         };
