Refuse requests with a prompt part that crashes servers

Cause: a request that crashes its server is treated as the victim of a crash. Entries send it to the next server, and each new request like it to another one. Nothing that an entry learns from an attempt outlives the request, except what speaks against the server.

Change: a crash is evidence against each shared part of the requests that were open at the server. An answer clears a part, a crash that a quarantined part explains is no evidence against others, crashes within 100 ms count once, and crashes are counted by server process, whoever reports them. A part is quarantined after three such crashes if it was never answered, otherwise after five since its last answer; for the workspace whose requests crashed servers, or for all if there are several. Reports go to the entries that read the store; rulings reach the others along the tree of entries, and the store keeps them for entries that start. Each send checks them, whether a first attempt, a retry or a resumed stream, last when the connection is ready; requests in the queues of stages are refused at once. The refusal is a 503 without Retry-After. A ruling ends with an answer, an entry that has seen the part answered, or its term of 60 s; one more crash then renews it for twice the time.

--- a/crates/core/src/fresh.rs
+++ b/crates/core/src/fresh.rs
@@ -3,7 +3,7 @@
 //! The absence of updates confirms nothing. Only an answer from the store, or from another entry that
 //! reports the age of its own data, makes the data fresher.
 
-use crate::time::{Span, Time};
+use crate::time::{SignedTime, Span, Time};
 
 /// Data that an entry replicates from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,22 +14,6 @@
     Servers,
 }
 
-/// A time in microseconds that may lie before the start of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct SignedTime(i64);
-
-impl SignedTime {
-    fn before(time: Time, age: Span) -> Self {
-        let micros = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
-        Self(micros(time.0).saturating_sub(micros(age.0)))
-    }
-
-    fn age(self, now: Time) -> Span {
-        let passed = Self::before(now, Span::ZERO).0.saturating_sub(self.0);
-        Span(u64::try_from(passed).unwrap_or_default())
-    }
-}
-
 /// When the store last confirmed an entry's data.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod policy;
 pub mod predict;
 pub mod prelude;
+pub mod quarantine;
 pub mod queue;
 pub mod report;
 pub mod retry;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -15,6 +15,36 @@
     pub struct Span(pub u64);
 }
 
+/// A point in the same time that may lie before its origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct SignedTime(i64);
+
+impl SignedTime {
+    pub(crate) fn before(time: Time, age: Span) -> Self {
+        Self(to_signed(time.0)).earlier(age)
+    }
+
+    pub(crate) fn earlier(self, span: Span) -> Self {
+        Self(self.0.saturating_sub(to_signed(span.0)))
+    }
+
+    pub(crate) fn later(self, span: Span) -> Self {
+        Self(self.0.saturating_add(to_signed(span.0)))
+    }
+
+    pub(crate) fn since(self, earlier: Self) -> Span {
+        Span(u64::try_from(self.0.saturating_sub(earlier.0)).unwrap_or_default())
+    }
+
+    pub(crate) fn age(self, now: Time) -> Span {
+        Self::before(now, Span::ZERO).since(self)
+    }
+}
+
+fn to_signed(micros: u64) -> i64 {
+    i64::try_from(micros).unwrap_or(i64::MAX)
+}
+
 impl Span {
     /// The empty duration.
     pub const ZERO: Span = Span(0);
--- a/crates/core/src/tree.rs
+++ b/crates/core/src/tree.rs
@@ -16,7 +16,12 @@
 /// Whether an entry reads the store itself. The others ask their parents, because calls to the store
 /// are billed and its rate limits grow more slowly than the number of entries.
 pub fn reads_store(entries: &[EntryInfo], own: &str) -> bool {
-    entries.is_empty() || by_power(entries).iter().take(READERS_MAX).any(|entry| entry.name == own)
+    entries.is_empty() || readers(entries).any(|entry| entry.name == own)
+}
+
+/// The entries that read the store on behalf of all.
+pub fn readers(entries: &[EntryInfo]) -> impl Iterator<Item = &EntryInfo> {
+    by_power(entries).into_iter().take(READERS_MAX)
 }
 
 /// The entries that `own` may ask, in order of preference: its parent, the parent's two siblings, and
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -13,6 +13,7 @@
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId, WorkspaceId};
 use damaskweir_core::place::{AttemptOutcome, PromptPart};
+use damaskweir_core::quarantine::OpenRequest;
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
 use std::cell::RefCell;
@@ -40,6 +41,8 @@
     NotRun(AttemptOutcome),
     /// The server no longer finds the stage results that the request needs, and did not run it.
     InputsLost,
+    /// A part of the prompt is quarantined, and nothing was sent.
+    Quarantined,
     /// The attempt failed and the request may have run. Holds the cause.
     MaybeRun(&'static str),
 }
@@ -160,8 +163,9 @@
             let placer = state.placers.get_mut(&self.pool);
             let uncached =
                 placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts));
-            let parts = shared_parts(&self.info.parts);
-            (uncached, state.exposures.open(server, parts, self.workspace.clone()))
+            let request =
+                OpenRequest { parts: self.shared_parts.clone(), workspace: self.workspace.clone() };
+            (uncached, state.exposures.open(server, request))
         };
         let mut guard = OpenRequestGuard {
             node: node.clone(),
@@ -181,6 +185,12 @@
                 return Outcome::NotRun(AttemptOutcome::Unresponsive);
             }
         };
+        // It may have been ruled on while the request waited for the connection.
+        if self.blocking_part().is_some() {
+            guard.record_end(AttemptOutcome::Abandoned);
+            node.keep_connection(&server.id, conn);
+            return Outcome::Quarantined;
+        }
         let left = self.deadline.since(node.now());
         let params = DispatchParams {
             server,
@@ -191,8 +201,7 @@
             rank: self.rank,
         };
         let head = node.wire.encode_request(&self.head, self.body.len(), &params);
-        let parts = shared_parts(&self.info.parts);
-        let parts: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+        let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{part:x}")).collect();
         let parts = parts.join(",");
         let fields = [
             ("server", server.id.as_str().into()),
@@ -310,6 +319,7 @@
                 }),
                 None => {
                     guard.record_end(AttemptOutcome::Completed);
+                    self.node.record_answer_to(&self.shared_parts);
                     self.node.keep_connection(&guard.server, conn);
                     None
                 }
@@ -345,10 +355,3 @@
         self.node.log.request(Kind::AttemptFailed, &self.info.id, &fields);
     }
 }
-
-/// Returns the ids of the prompt parts that other requests may share. The last part is the request's
-/// own.
-pub(crate) fn shared_parts(parts: &[PromptPart]) -> Vec<u64> {
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| part.id).collect()
-}
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -10,7 +10,8 @@
 use crate::node::{CONNECT_TIMEOUT, Node};
 use crate::wire::Wire;
 use damaskweir_core::fleet::{Replica, ServerProcess};
-use damaskweir_core::ids::{ServerId, WorkspaceId};
+use damaskweir_core::ids::ServerId;
+use damaskweir_core::quarantine::{OpenPart, OpenRequest};
 use damaskweir_core::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -30,10 +31,8 @@
 
 /// A request that a server was given.
 #[derive(Clone, Debug)]
-pub(crate) struct Exposed {
-    /// Prompt parts that other requests may share.
-    pub(crate) parts: Vec<u64>,
-    pub(crate) workspace: Option<WorkspaceId>,
+struct Exposed {
+    request: OpenRequest,
     /// When its answer broke off or was given up; `None` while it is open.
     lost: Option<Time>,
 }
@@ -62,16 +61,11 @@
 
 impl Exposures {
     /// Records that a request is sent to a server. Returns the number of the attempt.
-    pub(crate) fn open(
-        &mut self,
-        replica: &Replica,
-        parts: Vec<u64>,
-        workspace: Option<WorkspaceId>,
-    ) -> u64 {
+    pub(crate) fn open(&mut self, replica: &Replica, request: OpenRequest) -> u64 {
         self.last_attempt += 1;
         let new = || ExposedServer { replica: replica.clone(), requests: BTreeMap::new() };
         let server = self.servers.entry(replica.process()).or_insert_with(new);
-        server.requests.insert(self.last_attempt, Exposed { parts, workspace, lost: None });
+        server.requests.insert(self.last_attempt, Exposed { request, lost: None });
         self.last_attempt
     }
 
@@ -104,9 +98,13 @@
     }
 
     /// Removes and returns the requests that were lost at a server or are still open there.
-    fn take(&mut self, process: &ServerProcess) -> Vec<Exposed> {
+    fn take(&mut self, process: &ServerProcess) -> Vec<OpenRequest> {
         let server = self.servers.remove(process);
-        server.into_iter().flat_map(|server| server.requests.into_values()).collect()
+        server
+            .into_iter()
+            .flat_map(|s| s.requests.into_values())
+            .map(|exposed| exposed.request)
+            .collect()
     }
 
     /// Removes the requests that were lost at a server.
@@ -127,16 +125,6 @@
     }
 }
 
-/// Counts the requests with each prompt part.
-pub(crate) fn count_parts(requests: &[Exposed]) -> BTreeMap<u64, u32> {
-    let mut counts = BTreeMap::new();
-    for request in requests {
-        let parts: BTreeSet<_> = request.parts.iter().collect();
-        parts.into_iter().for_each(|part| *counts.entry(*part).or_default() += 1);
-    }
-    counts
-}
-
 impl<W: Wire> Node<W> {
     /// Records that the answer of a server broke off or was given up, and checks whether it crashed.
     pub(crate) fn record_lost(self: &Rc<Self>, server: &Replica, attempt: u64) {
@@ -195,11 +183,13 @@
         if requests.is_empty() {
             return;
         }
-        let mut counts: Vec<_> = count_parts(&requests).into_iter().collect();
-        counts.sort_by_key(|(_, count)| *count);
+        let report = {
+            let quarantine = &self.state.borrow().quarantine;
+            quarantine.report(self.now(), server.process(), &requests)
+        };
         let workspaces: BTreeSet<_> = requests.iter().map(|request| &request.workspace).collect();
-        let text = |(part, count): &(u64, u32)| format!("{part:x}*{count}");
-        let parts: Vec<_> = counts.iter().take(MAX_LOGGED_PARTS).map(text).collect();
+        let text = |row: &OpenPart| format!("{:x}*{}", row.part, row.requests);
+        let parts: Vec<_> = report.parts.iter().take(MAX_LOGGED_PARTS).map(text).collect();
         let parts = parts.join(",");
         let fields = [
             ("server", server.id.as_str().into()),
@@ -210,5 +200,6 @@
         ];
         self.log.process(Kind::ServerCrashed, &fields);
         self.metrics.server_crashes.add(1, &[]);
+        self.share_crash(report);
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod exposure;
 mod peers;
 mod permits;
+mod quarantine;
 mod request;
 mod stages;
 mod stream;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -60,6 +60,10 @@
     ServerGone = "server_gone"
     /// A backend server crashed while it had requests of this entry.
     ServerCrashed = "server_crashed"
+    /// Requests with a prompt part are refused because it crashes servers.
+    PartQuarantined = "part_quarantined"
+    /// Requests with a prompt part are no longer refused, because one was answered.
+    PartCleared = "part_cleared"
     /// A backend server named a limit for requests, or changed it.
     ServerLimited = "server_limited"
     /// A backend server no longer names a limit.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -44,6 +44,7 @@
     request_latency: Histogram<f64>,
     servers: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    quarantined_parts: Gauge<u64>,
     queued_pieces: Gauge<u64>,
     entries: Gauge<u64>,
     suspects: Gauge<u64>,
@@ -60,6 +61,8 @@
     pub servers: Vec<(&'a str, u64)>,
     /// Backend servers that name a limit, as far as this entry knows.
     pub limited_servers: u64,
+    /// Prompt parts that are quarantined.
+    pub quarantined_parts: u64,
     /// Pieces queued at this entry, by pool.
     pub queued_pieces: Vec<(&'a str, u64)>,
     /// Entries in the list of entries.
@@ -106,6 +109,7 @@
             request_latency: seconds("direct_request"),
             servers: meter.u64_gauge("direct_servers").build(),
             limited_servers: meter.u64_gauge("direct_servers_limited").build(),
+            quarantined_parts: meter.u64_gauge("direct_parts_quarantined").build(),
             queued_pieces: meter.u64_gauge("direct_pieces_waiting").build(),
             entries: meter.u64_gauge("direct_entries").build(),
             suspects: meter.u64_gauge("direct_entries_silent").build(),
@@ -158,6 +162,7 @@
         let pool = |name: &str| [KeyValue::new("pool", name.to_owned())];
         values.servers.iter().for_each(|(name, n)| self.servers.record(*n, &pool(name)));
         self.limited_servers.record(values.limited_servers, &[]);
+        self.quarantined_parts.record(values.quarantined_parts, &[]);
         values
             .queued_pieces
             .iter()
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -7,6 +7,7 @@
 use crate::metrics::{GaugeValues, Metrics, MetricsError};
 use crate::peers::ResultRelease;
 use crate::permits::Permit;
+use crate::quarantine::Outbox;
 use crate::stages::PieceFailure;
 use crate::wire::Wire;
 use damaskweir_core::Rng;
@@ -19,6 +20,7 @@
 use damaskweir_core::owner::{EntryInfo, Owners};
 use damaskweir_core::pace::ReturnSlots;
 use damaskweir_core::place::Placer;
+use damaskweir_core::quarantine::Quarantine;
 use damaskweir_core::returns::ReturnDetector;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
@@ -123,6 +125,12 @@
     pub(crate) intake: Intake,
     /// The requests that backend servers were given and have not answered.
     pub(crate) exposures: Exposures,
+    /// Prompt parts that crash servers.
+    pub(crate) quarantine: Quarantine,
+    /// What is to be told to the entries that count crashes.
+    pub(crate) outbox: Outbox,
+    /// Parts with an own ruling that the store does not have yet.
+    pub(crate) unsaved_rulings: BTreeSet<u64>,
     idle_connections: HashMap<ServerId, IdleConns>,
     /// Detectors of returning callers, by route name.
     return_detectors: HashMap<String, ReturnDetector>,
@@ -165,6 +173,8 @@
     /// Notified when the configuration, the server list or the list of entries changes, or when the
     /// store confirms them.
     pub(crate) changed: Notify,
+    /// Notified when the ruling on a prompt part changes.
+    pub(crate) rulings_changed: Notify,
     /// Random id of this process, which tells it apart from earlier processes of the same entry.
     pub(crate) incarnation: u64,
     start: Instant,
@@ -194,6 +204,9 @@
             last_piece: 0,
             intake: Intake::default(),
             exposures: Exposures::default(),
+            quarantine: Quarantine::default(),
+            outbox: Outbox::default(),
+            unsaved_rulings: BTreeSet::new(),
             idle_connections: HashMap::new(),
             return_detectors: HashMap::new(),
             last_refusal: None,
@@ -213,6 +226,7 @@
             metrics,
             state: RefCell::new(state),
             changed: Notify::new(),
+            rulings_changed: Notify::new(),
             incarnation,
             start: Instant::now(),
         }
@@ -372,6 +386,7 @@
         }
         state.intake.expire(now, |id| state.fleet.get(id).is_some());
         state.exposures.expire(now);
+        state.quarantine.expire(now);
     }
 
     /// Estimates the time since the first attempt of a caller of `route` that will wait for `wait`.
@@ -421,6 +436,7 @@
         self.metrics.record_gauges(&GaugeValues {
             servers: servers.map(|(pool, n)| (pool, n as u64)).collect(),
             limited_servers: state.intake.limited().count() as u64,
+            quarantined_parts: state.quarantine.len(self.now()) as u64,
             queued_pieces: queued.map(|(pool, n)| (pool, n as u64)).collect(),
             entries: state.entries.len() as u64,
             suspects: state.suspects.len() as u64,
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -49,6 +49,11 @@
         /// Delay after which the caller may try again.
         retry: Span,
     },
+    /// The request has not run and will not run, and the caller should not try again soon.
+    Rejected {
+        /// Cause in the log and the response body.
+        cause: &'static str,
+    },
     /// The request may have run.
     Unknown {
         /// Cause in the log and the response body.
@@ -70,6 +75,8 @@
     pub(crate) pool: PoolId,
     pub(crate) arrived: Time,
     pub(crate) deadline: Time,
+    /// Ids of the prompt parts that other requests may share. The last part is the request's own.
+    pub(crate) shared_parts: Vec<u64>,
     /// Servers on which the request may have run.
     pub(crate) maybe_ran: Vec<ServerId>,
     /// Servers that were chosen for an attempt, including those that could not be reached.
@@ -110,6 +117,8 @@
         node.state.borrow_mut().active += 1;
         let (workspace, rank) = caller;
         let (maybe_ran, sent) = (Vec::new(), Vec::new());
+        let shared = info.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_parts = shared.iter().map(|part| part.id).collect();
         Some(Self {
             node,
             info,
@@ -121,6 +130,7 @@
             pool,
             arrived,
             deadline,
+            shared_parts,
             maybe_ran,
             sent,
             timing: StreamTiming::default(),
@@ -171,6 +181,7 @@
                     held = self.run_stages().await?;
                 }
                 Outcome::InputsLost => return Err(self.failure("inputs_gone")),
+                Outcome::Quarantined => return Err(self.quarantined()),
                 Outcome::NotRun(outcome) => self.retry_not_run(outcome)?,
                 Outcome::MaybeRun(cause) => self.retry_maybe_run(cause)?,
             }
@@ -185,6 +196,9 @@
         if node.ends_too_soon(self.route.repeat.streams()) {
             return Err(RequestError::NotRun { cause: "draining", retry: DRAINING_RETRY });
         }
+        if self.blocking_part().is_some() {
+            return Err(self.quarantined());
+        }
         let known = {
             let mut state = node.state.borrow_mut();
             if let Some(budget) = state.retry_budgets.get_mut(&self.pool) {
@@ -240,7 +254,12 @@
             lane: if self.admitted_late { Lane::Late } else { Lane::Timely(self.ranks_behind()) },
             preferred_zone: self.preferred_zone(),
         };
-        let done = self.node.run_stages(&job).await;
+        let done = tokio::select! {
+            done = self.node.run_stages(&job) => done,
+            () = self.node.wait_blocked(&self.shared_parts, self.workspace.as_ref()) => {
+                return Err(self.quarantined());
+            }
+        };
         done.map(Some).map_err(|fault: StageError| match fault {
             StageError::Failed(PieceFailure::Overload) if self.maybe_ran.is_empty() => {
                 RequestError::NotRun { cause: fault.cause(), retry: self.overload_retry() }
@@ -287,6 +306,21 @@
         }
     }
 
+    /// Returns the part of the prompt because of which the request is refused, if any.
+    pub(crate) fn blocking_part(&self) -> Option<u64> {
+        self.node.blocking_part(&self.shared_parts, self.workspace.as_ref())
+    }
+
+    /// Returns the error for a request with a part that crashes servers. The caller is not told to
+    /// return: nothing is known of when the part will be sound.
+    fn quarantined(&self) -> RequestError {
+        let cause = "part_quarantined";
+        match self.maybe_ran.is_empty() {
+            true => RequestError::Rejected { cause },
+            false => RequestError::Unknown { cause },
+        }
+    }
+
     /// Returns the zone of the server that is preferred for the prompt.
     fn preferred_zone(&self) -> Option<AvailabilityZone> {
         let now = self.node.now();
@@ -323,6 +357,9 @@
         path: SendPath,
     ) -> Result<Permit, RequestError> {
         loop {
+            if self.blocking_part().is_some() {
+                return Err(self.quarantined());
+            }
             let server = self.choose_server(held)?;
             // Without a permit the server is blocked for a while, so that another one is chosen.
             let permit = self.node.permit(&server, path).await;
@@ -451,6 +488,10 @@
                 self.log_end(Kind::Refused, "not_run", cause);
                 error_response(StatusCode::SERVICE_UNAVAILABLE, cause, Some(*retry))
             }
+            RequestError::Rejected { cause } => {
+                self.log_end(Kind::Refused, "not_run", cause);
+                error_response(StatusCode::SERVICE_UNAVAILABLE, cause, None)
+            }
             RequestError::Unknown { cause } => {
                 self.log_end(Kind::Failed, "unknown", cause);
                 error_response(StatusCode::BAD_GATEWAY, cause, None)
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -262,6 +262,10 @@
             Some(call) => json_response(&node.serve_permit(&call)),
             None => bytes_response(StatusCode::BAD_REQUEST, Bytes::new()),
         },
+        "/crashes" => match read_json(request).await {
+            Some(call) => json_response(&node.serve_crashes(call)),
+            None => bytes_response(StatusCode::BAD_REQUEST, Bytes::new()),
+        },
         "/metrics" => match node.metrics_text() {
             Ok(text) => bytes_response(StatusCode::OK, Bytes::from(text)),
             Err(_) => bytes_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,7 +5,7 @@
 use crate::body::{Body, StreamError};
 use crate::event::Splitter;
 use crate::log::Kind;
-use crate::request::ActiveRequest;
+use crate::request::{ActiveRequest, RequestError};
 use crate::wire::{SendPath, Wire};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::place::AttemptOutcome;
@@ -99,6 +99,7 @@
     /// Ends the attempt after the server has sent the whole stream.
     fn finish(&mut self) {
         self.upstream.guard.record_end(AttemptOutcome::Completed);
+        self.request.node.record_answer_to(&self.request.shared_parts);
         if let Some(conn) = self.upstream.conn.take() {
             self.request.node.keep_connection(&self.upstream.guard.server, conn);
         }
@@ -118,7 +119,10 @@
         }
         let held = request.run_stages().await.map_err(|_| StreamError("stages_after_break"))?;
         let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
-        let permit = permit.map_err(|_| StreamError("no_other_server"))?;
+        let permit = permit.map_err(|error| match error {
+            RequestError::Unknown { cause: cause @ "part_quarantined" } => StreamError(cause),
+            _ => StreamError("no_other_server"),
+        })?;
         let fields = [
             ("cause", cause.into()),
             ("server", permit.server().id.as_str().into()),
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -4,12 +4,14 @@
 use crate::http::{Conn, HttpError};
 use crate::log::Kind;
 use crate::node::{Node, UpdateSource};
+use crate::quarantine;
 use crate::wire::{Source, SourceError, SourceErrorKind, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Delta;
 use damaskweir_core::fresh::Dataset;
 use damaskweir_core::intake::Statement;
 use damaskweir_core::owner::EntryInfo;
+use damaskweir_core::quarantine::{Ruling, RulingStatement};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
 use serde::{Deserialize, Serialize};
@@ -88,6 +90,9 @@
     sequence: u64,
     /// Digest of the list of entries that it last received.
     entries: u64,
+    /// Digest of the rulings on prompt parts that it last received.
+    #[serde(default)]
+    rulings: u64,
     /// Time for which the response may be held until there are changes.
     wait: Span,
     /// Time since the store confirmed its data.
@@ -111,6 +116,9 @@
     /// The limits that servers name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<Statement>,
+    /// The rulings on prompt parts; omitted if the polling entry has them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    rulings: Option<Vec<RulingStatement>>,
     /// Time for which the response was held.
     #[serde(default)]
     held: Span,
@@ -140,6 +148,8 @@
         let newer = state.catalog.as_ref().filter(|catalog| catalog.revision > known.catalog);
         let sequence = if known.teller == node.incarnation { known.sequence } else { 0 };
         let fresh = digest(&state.entries) != known.entries;
+        let rulings = state.quarantine.statements(node.now());
+        let ruled = quarantine::digest(&rulings) != known.rulings;
         Self {
             teller: node.incarnation,
             catalog: newer.map(|catalog| (**catalog).clone()),
@@ -147,6 +157,7 @@
             entries: fresh.then(|| state.entries.clone()),
             age: state.freshness.age(node.now()),
             limits: state.intake.statements(node.now()),
+            rulings: ruled.then_some(rulings),
             held: node.now().since(received),
         }
     }
@@ -156,7 +167,11 @@
             (Some(own), Some(other)) => own + MIN_AGE_GAIN < other + self.held,
             _ => false,
         };
-        self.catalog.is_some() || self.servers.is_some() || self.entries.is_some() || younger
+        self.catalog.is_some()
+            || self.servers.is_some()
+            || self.entries.is_some()
+            || self.rulings.is_some()
+            || younger
     }
 }
 
@@ -220,12 +235,14 @@
     pub fn start(self: &Rc<Self>) {
         let (a, b, c, d, e, f) =
             (self.clone(), self.clone(), self.clone(), self.clone(), self.clone(), self.clone());
+        let g = self.clone();
         tokio::task::spawn_local(async move { a.follow_catalog().await });
         tokio::task::spawn_local(async move { b.follow_servers().await });
         tokio::task::spawn_local(async move { c.follow_entries().await });
         tokio::task::spawn_local(async move { d.maintain_lease().await });
         tokio::task::spawn_local(async move { e.poll_peers().await });
         tokio::task::spawn_local(async move { f.expire().await });
+        tokio::task::spawn_local(async move { g.save_rulings().await });
     }
 
     /// Revokes this entry's lease, so that other entries learn that it is leaving.
@@ -337,18 +354,22 @@
         let announced = self.announced.notified();
         drop(timeout(ANNOUNCE_TIMEOUT.into(), announced).await);
         loop {
-            let read = self.source.entries().await;
+            let read = self.source.registry().await;
             self.record_call("entries", read.as_ref().err());
+            if let Ok(read) = &read {
+                self.node.merge_ruling_records(&read.value.rulings);
+            }
             let changed = match read {
                 Ok(read) => match self.reannounce_wait() {
                     Some(remaining) => {
-                        self.node.merge_entries(read.value);
+                        self.node.merge_entries(read.value.entries);
                         sleep(remaining).await;
                         Ok(())
                     }
                     None => {
-                        if read.value.iter().any(|e| e.name == self.node.config.entry.name) {
-                            self.node.set_entries(read.value);
+                        let entries = read.value.entries;
+                        if entries.iter().any(|e| e.name == self.node.config.entry.name) {
+                            self.node.set_entries(entries);
                         }
                         self.wait_for_entries(read.revision).await
                     }
@@ -363,10 +384,34 @@
         }
     }
 
+    /// Writes own rulings to the store.
+    async fn save_rulings(&self) {
+        loop {
+            let changed = self.node.rulings_changed.notified();
+            let next = self.node.state.borrow_mut().unsaved_rulings.pop_first();
+            let Some(part) = next else {
+                changed.await;
+                continue;
+            };
+            let told = self.node.state.borrow().quarantine.statement(self.node.now(), part);
+            let quarantined = told.filter(|told| told.ruling != Ruling::Cleared);
+            let saved = match quarantined {
+                Some(told) => self.source.put_ruling(&told).await,
+                None => self.source.remove_ruling(part).await,
+            };
+            self.record_call("ruling", saved.as_ref().err());
+            if let Err(error) = saved {
+                self.node.state.borrow_mut().unsaved_rulings.insert(part);
+                sleep(RETRY_DELAYS.0).await;
+                self.wait_for_contact(error.kind()).await;
+            }
+        }
+    }
+
     /// Waits for a change of the list of entries, for as long as this entry reads the store.
     async fn wait_for_entries(&self, mut after: u64) -> Result<(), S::Error> {
         while self.reads_store() {
-            let read = self.source.watch_entries(after, ENTRY_WATCH_TIMEOUT).await?;
+            let read = self.source.watch_registry(after, ENTRY_WATCH_TIMEOUT).await?;
             if read.value {
                 return Ok(());
             }
@@ -614,10 +659,14 @@
         for told in snapshot.limits {
             self.node.merge_statement(told, sent + snapshot.held);
         }
+        if let Some(rulings) = &snapshot.rulings {
+            self.node.merge_rulings(rulings, now.since(sent + snapshot.held));
+        }
         if let Some(catalog) = snapshot.catalog {
             self.node.apply_catalog(catalog, UpdateSource::Entry(peer));
         }
         let mut known = self.known.get();
+        known.rulings = snapshot.rulings.as_deref().map_or(known.rulings, quarantine::digest);
         if let Some(delta) = &snapshot.servers {
             let changes = {
                 let fleet = &mut self.node.state.borrow_mut().fleet;
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -7,6 +7,7 @@
 use damaskweir_core::intake::Notice;
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::place::PromptPart;
+use damaskweir_core::quarantine::RulingStatement;
 use damaskweir_core::time::Span;
 use http::StatusCode;
 use http::request::Parts;
@@ -187,6 +188,15 @@
     pub value: T,
 }
 
+/// What entries write to the source.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    /// The registered entries.
+    pub entries: Vec<EntryInfo>,
+    /// Prompt parts that are quarantined.
+    pub rulings: Vec<RulingStatement>,
+}
+
 /// The source of the configuration, the server list and the list of entries.
 pub trait Source: 'static {
     /// The error of a failed call.
@@ -213,11 +223,16 @@
     fn renew_lease(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
     /// Revokes a lease.
     fn revoke_lease(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
-    /// Returns all registered entries.
-    fn entries(&self) -> impl Future<Output = Result<Versioned<Vec<EntryInfo>>, Self::Error>>;
-    /// Waits up to `wait` for a change of the entries after revision `after`. The value tells
+    /// Returns all registered entries, and the quarantines.
+    fn registry(&self) -> impl Future<Output = Result<Versioned<Registry>, Self::Error>>;
+    /// Keeps a quarantine for [`RECORD_TTL`](damaskweir_core::quarantine::RECORD_TTL).
+    fn put_ruling(&self, ruling: &RulingStatement)
+    -> impl Future<Output = Result<(), Self::Error>>;
+    /// Removes the quarantine of a part.
+    fn remove_ruling(&self, part: u64) -> impl Future<Output = Result<(), Self::Error>>;
+    /// Waits up to `wait` for a change of the registry after revision `after`. The value tells
     /// whether there was one.
-    fn watch_entries(
+    fn watch_registry(
         &self,
         after: u64,
         wait: Span,
