Don't pass on a stream without length that ends before its first event

Callers of a stream saw a whole, empty answer with the server's signature, and a stream that may be resumed was not sent to another server. Cause: an answer with neither a length nor chunks is whole when its connection ends, also when nothing follows the head. Such a stream has at least one event now; without one it counts as broken off.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -75,7 +75,7 @@
     uncached_tokens: u64,
     /// Number of the attempt among the requests that servers have not answered.
     attempt: u64,
-    replica: Replica,
+    pub(crate) replica: Replica,
     ended: bool,
 }
 
@@ -281,7 +281,10 @@
                 match conn.read_chunk().await? {
                     Some(bytes) if splitter.push(&bytes) => {}
                     Some(_) => return Err(HttpError::Malformed("event too long")),
-                    None if splitter.has_partial() => return Err(HttpError::UnexpectedEof),
+                    // A stream that ends with its connection has at least one event.
+                    None if splitter.has_partial() || conn.is_unframed() => {
+                        return Err(HttpError::UnexpectedEof);
+                    }
                     None => return Ok((head, info, Bytes::new(), None)),
                 }
             }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -91,6 +91,8 @@
     stream: TcpStream,
     buf: BytesMut,
     framing: Framing,
+    /// The body of the response ends with the connection, so nothing in it tells whether it is complete.
+    unframed: bool,
     /// No further request may be sent: the server closes the connection, or a request was sent only in
     /// part.
     must_close: bool,
@@ -116,6 +118,7 @@
             stream,
             buf: BytesMut::new(),
             framing: Framing::Done,
+            unframed: false,
             must_close: false,
             reusable_until: Instant::now() + Duration::from(IDLE_TIMEOUT_DEFAULT),
             uses: 0,
@@ -134,6 +137,12 @@
         idle && Instant::now() < self.reusable_until && quiet()
     }
 
+    /// Returns whether the response ends with the connection, so that one which its server broke off looks
+    /// complete.
+    pub fn is_unframed(&self) -> bool {
+        self.unframed
+    }
+
     /// Returns the number of requests sent so far.
     pub fn uses(&self) -> u32 {
         self.uses
@@ -179,6 +188,7 @@
                 continue;
             }
             self.framing = body_framing(&head)?;
+            self.unframed = self.framing == Framing::UntilClose;
             self.update_keep_alive(&head);
             if is_own(&head) {
                 return Ok(head);
@@ -278,7 +288,7 @@
         let close = text(header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
         let named = text(HeaderName::from_static("keep-alive")).and_then(keep_alive_timeout);
         let idle = named.map_or(IDLE_TIMEOUT_DEFAULT, |idle| idle.saturating_sub(IDLE_MARGIN));
-        self.must_close |= close || self.framing == Framing::UntilClose;
+        self.must_close |= close || self.unframed;
         self.reusable_until = Instant::now() + Duration::from(idle);
     }
 
