Check that a server still runs after an answer without length

Callers saw a broken answer that looks whole: a server that crashes between two events of a stream without length, or in the body of a call without length, ends it like one that is done. Cause: the end of the connection is the only sign of the end of such an answer, and a crash gives it as well. The entry now connects to the server 5 ms after the end; if that is refused, the answer was broken off. The connection is kept in place of the one that ended. A server that is leaving is not checked, since it may exit after its last answer.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -298,6 +298,9 @@
                 return Err(HttpError::Malformed("body too large"));
             }
         }
+        if self.node.broke_unframed(server, conn).await {
+            return Err(HttpError::UnexpectedEof);
+        }
         Ok((head, info, all.freeze(), None))
     }
 
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -21,6 +21,8 @@
 
 /// Delay of the check of a server, by which all connections that its crash breaks have broken.
 const CHECK_DELAY: Duration = Duration::from_millis(30);
+/// Delay of the check of a server that ended a response with its connection.
+const CLOSE_DELAY: Duration = Duration::from_millis(5);
 /// Time for which a request without an answer is kept, until it is known whether its server crashed.
 /// The record of a silent server is removed after some seconds.
 const LOST_RETENTION: Span = Span::from_secs(10);
@@ -29,6 +31,17 @@
 /// Prompt parts that are named in a log line.
 const MAX_LOGGED_PARTS: usize = 12;
 
+/// What a new connection to a server shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerState {
+    /// It accepts connections, or resets those beyond its limit.
+    Running,
+    /// It refuses connections.
+    Crashed,
+    /// It doesn't respond.
+    Unreachable,
+}
+
 /// A request that a server was given.
 #[derive(Clone, Debug)]
 struct Exposed {
@@ -140,21 +153,15 @@
         }
         let (node, server) = (self.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            sleep(CHECK_DELAY).await;
-            let connected = Conn::connect(server.address, CONNECT_TIMEOUT).await;
+            let state = node.probe(&server, CHECK_DELAY).await;
             node.state.borrow_mut().exposures.checks.remove(&server.process());
-            match connected {
-                Ok(conn) => {
-                    node.keep_connection(&server.id, conn);
+            match state {
+                ServerState::Running => {
                     node.state.borrow_mut().exposures.forget_lost(&server.process());
                 }
-                Err(HttpError::Connect(error))
-                    if error.kind() == io::ErrorKind::ConnectionRefused =>
-                {
-                    node.record_crash(&server, "refused");
-                }
-                // It may be out of reach. Its record tells later.
-                Err(_) => {
+                ServerState::Crashed => node.record_crash(&server, "refused"),
+                // Its record tells later.
+                ServerState::Unreachable => {
                     let listed = node.state.borrow().fleet.get(&server.id).map(Replica::process);
                     if listed != Some(server.process()) {
                         node.record_crash(&server, "removed");
@@ -164,6 +171,34 @@
         });
     }
 
+    /// Connects to a server after a delay. The connection is kept for a later request.
+    async fn probe(&self, server: &Replica, delay: Duration) -> ServerState {
+        sleep(delay).await;
+        match Conn::connect(server.address, CONNECT_TIMEOUT).await {
+            Ok(conn) => {
+                self.keep_connection(&server.id, conn);
+                ServerState::Running
+            }
+            Err(HttpError::Connect(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                ServerState::Crashed
+            }
+            Err(HttpError::Connect(e)) if e.kind() == io::ErrorKind::ConnectionReset => {
+                ServerState::Running
+            }
+            Err(_) => ServerState::Unreachable,
+        }
+    }
+
+    /// Whether the end of a response without a length is that of its connection in a crash. A server
+    /// that is leaving may exit after its last response.
+    pub(crate) async fn broke_unframed(&self, server: &Replica, conn: &Conn) -> bool {
+        let staying =
+            self.state.borrow().fleet.get(&server.id).is_some_and(|replica| !replica.leaving);
+        conn.is_unframed()
+            && staying
+            && self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
+    }
+
     /// Records a crash if another process has taken the place of a server that lost requests, and
     /// checks it if its record was removed.
     pub(crate) fn check_replaced(self: &Rc<Self>, id: &ServerId) {
