--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -26,7 +26,7 @@
     pub deadline: Option<Span>,
     /// Id of the last stream event that the caller received.
     pub last_event: Option<u64>,
-    /// Parts of the prompt, to route by shared prefix.
+    /// Parts of the prompt, in order. The last one is the request's own, the others may be shared.
     pub parts: Vec<PromptPart>,
     /// Number of pieces of each stage.
     pub pieces: Vec<usize>,
