Bound the term of a ruling that was told

A record in the store that another program wrote, with a term of years, would have had a part refused until the record's lease ends, and after it at entries that know it. Cause: the term was taken as it was told. Evidence: term_of_a_record_is_bounded failed before. It is ten minutes at most now.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -302,7 +302,7 @@
         }
         let known = self.rulings.get(&told.part).map(|(_, ruling)| ruling);
         let changed = !known.is_some_and(|known| known.same_effect(&told.ruling));
-        self.insert(at, told.part, told.ruling.clone());
+        self.insert(at, told.part, told.ruling.clone().bounded());
         changed.then(|| RulingChange { part: told.part, ruling: told.ruling.clone(), own: false })
     }
 
@@ -455,6 +455,16 @@
 }
 
 impl Ruling {
+    /// Limits the term, which may come from a record that another program wrote.
+    fn bounded(self) -> Self {
+        match self {
+            Self::Quarantined { scope, crashes, span, term } => {
+                Self::Quarantined { scope, crashes, span, term: term.min(TERM_RANGE.1) }
+            }
+            Self::Cleared => Self::Cleared,
+        }
+    }
+
     /// Orders the rulings on a part by time.
     fn rank(&self, at: SignedTime) -> SignedTime {
         match self {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -2,7 +2,9 @@
 
 use damaskweir_core::fleet::ServerProcess;
 use damaskweir_core::ids::{ServerId, WorkspaceId};
-use damaskweir_core::quarantine::{OpenRequest, Quarantine, Ruling, RulingChange, RulingStatement};
+use damaskweir_core::quarantine::{
+    OpenRequest, Quarantine, Ruling, RulingChange, RulingStatement, Scope,
+};
 use damaskweir_core::time::{Span, Time};
 use rstest::rstest;
 
@@ -235,3 +237,15 @@
     }
     assert!(observer.quarantine.statements(at(2_000_000)).len() <= 512);
 }
+
+/// Guards against a record in the store that refuses a part for ever.
+#[test]
+fn term_of_a_record_is_bounded() {
+    let mut observer = Observer::default();
+    let (crashes, span, term) = (3, Span::ZERO, Span(u64::MAX));
+    let ruling = Ruling::Quarantined { scope: Scope::All, crashes, span, term };
+    let told = RulingStatement { part: DEADLY, ruling, age: Span::ZERO };
+    observer.quarantine.merge_record(at(0), &told);
+    assert!(observer.blocks(at(0), DEADLY));
+    assert!(!observer.blocks(at(601_000), DEADLY));
+}
