--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -235,6 +235,8 @@
         ];
         self.log.process(Kind::ServerCrashed, &fields);
         self.metrics.server_crashes.add(1, &[]);
-        self.share_crash(report);
+        if !report.parts.is_empty() {
+            self.share_crash(report);
+        }
     }
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -39,6 +39,9 @@
 /// because the server call after the stages sometimes takes longer than its mean latency.
 const DUE_RATIO: f64 = 0.9;
 
+/// Cause of the refusal of a request with a part that crashes servers.
+pub(crate) const PART_QUARANTINED: &str = "part_quarantined";
+
 /// Final result of a request that is not a response of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum RequestError {
@@ -314,7 +317,7 @@
     /// Returns the error for a request with a part that crashes servers. The caller is not told to
     /// return: nothing is known of when the part will be sound.
     fn quarantined(&self) -> RequestError {
-        let cause = "part_quarantined";
+        let cause = PART_QUARANTINED;
         match self.maybe_ran.is_empty() {
             true => RequestError::Rejected { cause },
             false => RequestError::Unknown { cause },
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,7 +5,7 @@
 use crate::body::{Body, StreamError};
 use crate::event::Splitter;
 use crate::log::Kind;
-use crate::request::{ActiveRequest, RequestError};
+use crate::request::{ActiveRequest, PART_QUARANTINED, RequestError};
 use crate::wire::{SendPath, Wire};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::place::AttemptOutcome;
@@ -124,7 +124,7 @@
         let held = request.run_stages().await.map_err(|_| StreamError("stages_after_break"))?;
         let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
         let permit = permit.map_err(|error| match error {
-            RequestError::Unknown { cause: cause @ "part_quarantined" } => StreamError(cause),
+            RequestError::Unknown { cause: PART_QUARANTINED } => StreamError(PART_QUARANTINED),
             _ => StreamError("no_other_server"),
         })?;
         let fields = [
