--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -37,7 +37,7 @@
 const MAX_CRASHES: usize = 128;
 /// Parts that are kept of each crash: first those that were never answered, then the rarest.
 const MAX_CRASH_PARTS: usize = 256;
-/// Rulings that are kept. A crash rules on one or two parts.
+/// Rulings that are kept.
 const MAX_RULINGS: usize = 512;
 /// Parts in each of the two generations of answered ones. The older generation is dropped when the
 /// newer one is full.
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
-use damaskweir_core::ids::{PoolId, ServerId, WorkspaceId};
+use damaskweir_core::ids::{PoolId, WorkspaceId};
 use damaskweir_core::place::{AttemptOutcome, PromptPart};
 use damaskweir_core::quarantine::OpenRequest;
 use damaskweir_core::time::{Span, Time};
@@ -69,13 +69,12 @@
 pub(crate) struct OpenRequestGuard<W: Wire> {
     node: Rc<Node<W>>,
     pool: PoolId,
-    pub(crate) server: ServerId,
+    pub(crate) replica: Replica,
     parts: Vec<PromptPart>,
     /// Prompt tokens that the server still has to prefill; 0 once it has responded.
     uncached_tokens: u64,
     /// Number of the attempt among the requests that servers have not answered.
     attempt: u64,
-    pub(crate) replica: Replica,
     ended: bool,
 }
 
@@ -86,7 +85,7 @@
         let uncached_tokens = std::mem::take(&mut self.uncached_tokens);
         let mut state = self.node.state.borrow_mut();
         if let Some(placer) = state.placers.get_mut(&self.pool) {
-            placer.record_response(now, &self.server, uncached_tokens, latency, route);
+            placer.record_response(now, &self.replica.id, uncached_tokens, latency, route);
         }
     }
 
@@ -112,7 +111,13 @@
             let now = self.node.now();
             let mut state = self.node.state.borrow_mut();
             if let Some(placer) = state.placers.get_mut(&self.pool) {
-                placer.record_end(now, &self.server, &self.parts, self.uncached_tokens, outcome);
+                placer.record_end(
+                    now,
+                    &self.replica.id,
+                    &self.parts,
+                    self.uncached_tokens,
+                    outcome,
+                );
             }
         }
     }
@@ -170,11 +175,10 @@
         let mut guard = OpenRequestGuard {
             node: node.clone(),
             pool: self.pool.clone(),
-            server: server.id.clone(),
+            replica: server.clone(),
             parts: self.info.parts.clone(),
             uncached_tokens,
             attempt,
-            replica: server.clone(),
             ended: false,
         };
         let mut conn = match node.connection(permit).await {
@@ -326,13 +330,13 @@
                 None => {
                     guard.record_end(AttemptOutcome::Completed);
                     self.node.record_answer_to(&self.shared_parts);
-                    self.node.keep_connection(&guard.server, conn);
+                    self.node.keep_connection(&guard.replica.id, conn);
                     None
                 }
             };
             return Outcome::Response(Box::new(ServerResponse { head, body: bytes, stream }));
         }
-        self.node.keep_connection(&guard.server, conn);
+        self.node.keep_connection(&guard.replica.id, conn);
         if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
             if status == StatusCode::CONFLICT {
                 guard.record_end(AttemptOutcome::Abandoned);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -105,7 +105,7 @@
         self.upstream.guard.record_end(AttemptOutcome::Completed);
         self.request.node.record_answer_to(&self.request.shared_parts);
         if let Some(conn) = self.upstream.conn.take() {
-            self.request.node.keep_connection(&self.upstream.guard.server, conn);
+            self.request.node.keep_connection(&self.upstream.guard.replica.id, conn);
         }
     }
 
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -233,9 +233,7 @@
 
     /// Starts all tasks.
     pub fn start(self: &Rc<Self>) {
-        let (a, b, c, d, e, f) =
-            (self.clone(), self.clone(), self.clone(), self.clone(), self.clone(), self.clone());
-        let g = self.clone();
+        let [a, b, c, d, e, f, g] = std::array::from_fn(|_| self.clone());
         tokio::task::spawn_local(async move { a.follow_catalog().await });
         tokio::task::spawn_local(async move { b.follow_servers().await });
         tokio::task::spawn_local(async move { c.follow_entries().await });
