Replace the files of the separate-process test at once

Cause: the bundle file is written again for the second entry while the first one starts; an entry that reads it empty ends. Evidence: with the output kept, entry-1 ended with "bundle.ini: no section [operator NAME]". The test now writes a new file and renames it; its assertions are unchanged.

--- a/crates/damaskweir/tests/processes.rs
+++ b/crates/damaskweir/tests/processes.rs
@@ -69,7 +69,10 @@
 
     fn write(&self, name: &str, text: &str) -> PathBuf {
         let path = self.directory.join(name);
-        std::fs::write(&path, text).unwrap();
+        // A process that is starting may read the file meanwhile.
+        let new = path.with_extension("new");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(&new, &path).unwrap();
         path
     }
 
