End a disagreement about owners with the first refusal

Callers got 503 `stage_moved`: an entry that got pieces of a pool of which it owns no server refused them without saying why, and the sender tried the same entry three times in 0.25 s. Cause: nothing in a refusal tells which of the two lists of entries is the later one.

Change: the refusal tells the list of the receiver. If it is the later one, the sender takes it, and its next attempt goes to the owner; otherwise the sender sends the group once more with its own list, and the receiver takes that first. A refusal has run nothing, so no piece runs twice: the test counts one call. Entries of earlier versions ignore the new fields. `stage_done` tells the revision and age of the receiver's list.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -5,22 +5,32 @@
 
 use crate::owner::EntryInfo;
 use crate::time::{SignedTime, Span, Time};
-use serde::{Deserialize, Serialize};
+use crate::value;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Time by which a list without a revision may be behind the store.
 const UNMARKED_LAG: Span = Span::from_secs(2);
 
-/// What one entry tells another about its list. Together with the list it is enough to replace an older one,
-/// and without it to confirm an equal one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RosterMark {
-    /// Store revision that the list reflects.
-    pub as_of: u64,
-    /// Hash of the list.
-    pub digest: u64,
-    /// Time since the store confirmed the list; `None` if it never has.
-    pub age: Option<Span>,
+value! {
+    /// What one entry tells another about its list. Together with the list it is enough to replace an older
+    /// one, and without it to confirm an equal one.
+    #[derive(Copy)]
+    pub struct RosterMark {
+        /// Store revision that the list reflects.
+        pub as_of: u64,
+        /// Hash of the list.
+        pub digest: u64,
+        /// Time since the store confirmed the list; `None` if it never has.
+        pub age: Option<Span>,
+    }
+
+    /// A list that one entry tells another.
+    pub struct RosterStatement {
+        /// Its revision and age.
+        pub mark: RosterMark,
+        /// The entries.
+        pub entries: Vec<EntryInfo>,
+    }
 }
 
 /// The list of entries.
@@ -54,6 +64,11 @@
         RosterMark { as_of: self.as_of, digest: self.digest(), age: self.age(now) }
     }
 
+    /// What to tell an entry that may have another list.
+    pub fn statement(&self, now: Time) -> RosterStatement {
+        RosterStatement { mark: self.mark(now), entries: self.entries.clone() }
+    }
+
     /// Whether an entry with a list of this revision and hash lacks this one. An entry of an earlier version
     /// tells no revision.
     pub fn is_news_for(&self, as_of: u64, digest: u64) -> bool {
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -72,6 +72,9 @@
     pub(crate) async fn serve_group(self: &Rc<Self>, call: GroupRequest) -> GroupResponse {
         let now = self.now();
         let pool = call.pool.clone();
+        if let Some(told) = call.roster {
+            self.merge_entries(told, Span::ZERO);
+        }
         if !self.owns_servers(&pool) {
             let others = call.suspects.iter().filter(|name| **name != self.config.entry.name);
             others.for_each(|name| self.suspect_entry(name));
@@ -86,6 +89,7 @@
                 return GroupResponse {
                     ends: vec![Err(PieceFailure::Moved); call.items.len()],
                     fullness: Fullness::uniform(1.0),
+                    roster: Some(state.roster.statement(now)),
                 };
             };
             let group = state.last_piece + 1;
@@ -124,7 +128,7 @@
         let state = self.state.borrow();
         let fullness = state.batchers.get(&pool).map(|batcher| batcher.fullness(now));
         let fullness = fullness.unwrap_or_default();
-        GroupResponse { ends, fullness }
+        GroupResponse { ends, fullness, roster: None }
     }
 
     fn owns_servers(&self, pool: &PoolId) -> bool {
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -22,7 +22,7 @@
 use damaskweir_core::place::Placer;
 use damaskweir_core::quarantine::Quarantine;
 use damaskweir_core::returns::ReturnDetector;
-use damaskweir_core::roster::Roster;
+use damaskweir_core::roster::{Roster, RosterStatement};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
 use rand_core::Rng as _;
@@ -359,6 +359,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes a list of entries that another entry told `delay` ago, if it is later than the known one and
+    /// names this entry.
+    pub(crate) fn merge_entries(&self, told: RosterStatement, delay: Span) {
+        let RosterStatement { mark, entries } = told;
+        let later = self.state.borrow().roster.is_older_than(self.now(), Some(&mark));
+        let named = entries.iter().any(|entry| entry.name == self.config.entry.name);
+        if later && named {
+            self.set_entries(entries, mark.as_of, mark.age.map(|age| age + delay), "entry");
+        }
+    }
+
     /// Marks an entry as suspect. For [`SUSPECT_DURATION`] this entry assigns its servers to other
     /// owners.
     pub(crate) fn suspect_entry(&self, name: &str) {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,6 +9,7 @@
 use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
+use damaskweir_core::roster::RosterStatement;
 use damaskweir_core::time::Span;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,9 @@
     /// servers without knowing it yet.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) suspects: Vec<String>,
+    /// The sender's list of entries, if the receiver refused the group because of an older one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) roster: Option<RosterStatement>,
 }
 
 /// Outcomes of a group, in the order of its items.
@@ -61,6 +65,9 @@
     pub(crate) ends: Vec<Result<StoredResult, PieceFailure>>,
     /// Load of the owner's batcher.
     pub(crate) fullness: Fullness,
+    /// The list of entries by which the receiver owns no server of the pool.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) roster: Option<RosterStatement>,
 }
 
 /// A stored result to release.
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -348,6 +348,7 @@
             lane: self.job.lane,
             refusable: untouched.then_some(left),
             suspects,
+            roster: None,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
@@ -442,6 +443,28 @@
 }
 
 impl<W: Wire> Node<W> {
+    /// Sends a group to another entry. If that refuses it because the two have different lists of entries,
+    /// the later list is taken by the other of them, and the group is sent once more if that is the receiver.
+    async fn request_group_from(
+        self: &Rc<Self>,
+        owner: &EntryInfo,
+        mut call: GroupRequest,
+    ) -> Result<GroupResponse, HttpError> {
+        let sent = self.now();
+        let answer = self.request_group(owner, &call).await?;
+        let Some(told) = &answer.roster else { return Ok(answer) };
+        let (own, took) =
+            (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
+        if own.mark.as_of <= told.mark.as_of || own.mark.digest == told.mark.digest {
+            self.merge_entries(told.clone(), took);
+            return Ok(answer);
+        }
+        call.roster = Some(own);
+        call.due = call.due.saturating_sub(took);
+        call.left = call.left.saturating_sub(took);
+        self.request_group(owner, &call).await
+    }
+
     /// Has a group run by its owner and sends the outcome of each piece to `sender`.
     async fn run_group(
         self: &Rc<Self>,
@@ -465,11 +488,13 @@
         let answer = if own {
             Ok(self.serve_group(call).await)
         } else {
-            self.request_group(owner, &call).await
+            self.request_group_from(owner, call).await
         };
+        let mut refused_by = None;
         let ends = match answer {
-            Ok(GroupResponse { ends, fullness }) if ends.len() == group.len() => {
+            Ok(GroupResponse { ends, fullness, roster }) if ends.len() == group.len() => {
                 open.fullness = Some(fullness);
+                refused_by = roster.map(|told| told.mark);
                 ends
             }
             Ok(_) => vec![Err(PieceFailure::Failed); group.len()],
@@ -502,7 +527,7 @@
             state.owners.get_mut(&pool).into_iter().for_each(|o| o.record_time(took, expected));
         }
         let failed = ends.iter().filter(|end| end.is_err()).count();
-        let fields = [
+        let mut fields = vec![
             ("pool", pool.as_str().into()),
             ("stage", (group[0].stage as u64).into()),
             ("pieces", (group.len() as u64).into()),
@@ -515,6 +540,10 @@
             ("expected_ms", expected.as_millis().into()),
             ("took_ms", took.as_millis().into()),
         ];
+        if let Some(mark) = refused_by {
+            fields.push(("peer_as_of", mark.as_of.into()));
+            fields.push(("peer_age_ms", mark.age.unwrap_or_default().as_millis().into()));
+        }
         self.log.request(Kind::StageDone, &id, &fields);
         for (at, end) in group.iter().zip(ends) {
             // The request ended meanwhile, so its result is unused.
