Answer requests whose server hangs before a stopping entry exits

Cause: a request's time was bounded by its deadline alone, not by the end of the process that serves it.

Change: 0.8 s before the grace time ends, each request that has no answer yet gets a 504 `draining`, or a 503 with `Retry-After` if it has not run, also those that were in progress at SIGTERM. The exit stays 0.4 s before the end.

--- a/crates/damaskweir/src/platform.rs
+++ b/crates/damaskweir/src/platform.rs
@@ -1,10 +1,9 @@
 //! Process of a platform entry: startup, signal handling, reload and shutdown.
 
 use crate::entry::{EntryError, seeded_rng};
-use damaskweir_core::time::Span;
 use damaskweir_direct::log::{Kind, Log};
 use damaskweir_direct::metrics::{Metrics, MetricsError};
-use damaskweir_direct::node::{DEREGISTER_DELAY, Node};
+use damaskweir_direct::node::{DEREGISTER_DELAY, Node, SHUTDOWN_RESERVE};
 use damaskweir_direct::serve::{listen, serve_admin, serve_callers, serve_readiness};
 use damaskweir_direct::sync::Synchronizer;
 use damaskweir_platform::{Headers, Settings, Store};
@@ -18,8 +17,6 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Part of the grace time that is reserved for the process exit after the drain.
-const SHUTDOWN_RESERVE: Span = Span::from_millis(400);
 /// Interval at which a drain checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time of the store call that withdraws this entry, which tells other entries that it leaves.
@@ -131,11 +128,7 @@
 async fn drain(node: &Rc<Node<Headers>>, sync: &Synchronizer<Headers, Store>) {
     let began = Instant::now();
     let end = began + Duration::from(node.config.grace.saturating_sub(SHUTDOWN_RESERVE));
-    let active = {
-        let mut state = node.state.borrow_mut();
-        state.draining = Some(node.now());
-        state.active as u64
-    };
+    let active = node.start_draining() as u64;
     node.log.process(Kind::Draining, &[("active", active.into())]);
     if timeout(LEAVE_TIMEOUT, sync.revoke_lease()).await.is_err() {
         // Not fatal: the entry's lease in the store expires on its own.
--- a/crates/damaskweir/tests/platform.rs
+++ b/crates/damaskweir/tests/platform.rs
@@ -3,21 +3,25 @@
 
 use damaskweir_direct::log::Kind;
 use damaskweir_platform_standins::{
-    Action, EntrySettings, Server, StoreStandIn, manifest, read_response, request_text,
-    signed_response,
+    Action, EntrySettings, REQUEST_DEADLINE, Server, StoreStandIn, manifest, read_response,
+    request_text, signed_response,
 };
 use std::io::{BufRead, BufReader};
-use std::net::Ipv4Addr;
-use std::path::Path;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Loopback address of the entry's listeners. No other test uses it, so that ports don't collide.
 const ENTRY_HOST: Ipv4Addr = Ipv4Addr::new(127, 91, 4, 1);
+/// The same for the entry whose server hangs.
+const HANGING_HOST: Ipv4Addr = Ipv4Addr::new(127, 91, 4, 2);
+/// Requests in progress at that entry when its grace time ends.
+const HANGING_CALLS: usize = 300;
 /// `bounds.grace_s` of the settings below.
 const GRACE_TIME: Duration = Duration::from_secs(3);
 
@@ -65,6 +69,36 @@
     assert!(status.success());
 }
 
+fn settings(host: Ipv4Addr, store: SocketAddr, grace: Duration) -> EntrySettings<'static> {
+    EntrySettings {
+        name: "e-1",
+        host,
+        seeds: &[],
+        store,
+        grace,
+        config_apply: Duration::from_secs(2),
+        budget_ratio: 0.2,
+        budget_slack: 50.0,
+        budget_window: Duration::from_secs(10),
+    }
+}
+
+fn write_settings(name: &str, settings: &EntrySettings<'_>) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, settings.to_string()).expect("the folder is there");
+    path
+}
+
+/// Connects to an entry that may not listen yet.
+async fn connect(address: SocketAddr) -> TcpStream {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => return stream,
+            Err(_) => sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
 async fn send_request(stream: &mut TcpStream, id: usize) -> Duration {
     let began = Instant::now();
     let request = request_text("POST", "/order/", &format!("id-{id}"), "Content-Length: 0\r\n");
@@ -87,27 +121,9 @@
                 Server::start(|received| Action::Send(signed_response(received, 200, "done")))
                     .await;
             store.register("i-1", "orders", &server, "ready");
-            let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stopped-reader.conf");
-            let settings = EntrySettings {
-                name: "e-1",
-                host: ENTRY_HOST,
-                seeds: &[],
-                store: store.server.address,
-                grace: GRACE_TIME,
-                config_apply: Duration::from_secs(2),
-                budget_ratio: 0.2,
-                budget_slack: 50.0,
-                budget_window: Duration::from_secs(10),
-            };
-            std::fs::write(&path, settings.to_string()).expect("the folder is there");
-            let mut process = Process::start(&path);
-            let address = settings.frontend();
-            let mut stream = loop {
-                match TcpStream::connect(address).await {
-                    Ok(stream) => break stream,
-                    Err(_) => sleep(Duration::from_millis(20)).await,
-                }
-            };
+            let settings = settings(ENTRY_HOST, store.server.address, GRACE_TIME);
+            let mut process = Process::start(&write_settings("stopped-reader.conf", &settings));
+            let mut stream = connect(settings.frontend()).await;
             sleep(Duration::from_millis(1_500)).await;
             // Nothing reads the pipes. Each holds 64 KB, which a few hundred requests fill.
             let mut longest = Duration::ZERO;
@@ -134,6 +150,51 @@
         .await;
 }
 
+/// Guards against an entry that stops and cuts requests whose server hangs, without an answer.
+#[tokio::test]
+async fn stopping_entry_answers_requests_whose_server_hangs() {
+    LocalSet::new()
+        .run_until(async {
+            let store = StoreStandIn::start().await;
+            store.approve(&manifest(1));
+            let server = Server::start(|_| Action::Hang).await;
+            store.register("i-1", "orders", &server, "ready");
+            let grace = Duration::from_secs(5);
+            let settings = settings(HANGING_HOST, store.server.address, grace);
+            let mut process = Process::start(&write_settings("hanging-server.conf", &settings));
+            let mut streams = vec![connect(settings.frontend()).await];
+            sleep(Duration::from_millis(1_500)).await;
+            for _ in 1..HANGING_CALLS {
+                streams.push(connect(settings.frontend()).await);
+            }
+            let signaled = Instant::now();
+            process.signal("-TERM");
+            // The deadline of a request is later than the end of the grace time.
+            sleep(grace - REQUEST_DEADLINE + Duration::from_millis(500)).await;
+            process.signal("-TERM");
+            process.signal("-HUP");
+            let answers = streams.into_iter().enumerate().map(|(n, mut stream)| {
+                spawn_local(async move {
+                    let id = format!("id-{n}");
+                    let request = request_text("POST", "/order/", &id, "Content-Length: 0\r\n");
+                    stream.write_all(request.as_bytes()).await.expect("the entry reads");
+                    read_response(&mut stream).await
+                })
+            });
+            for answer in answers.collect::<Vec<_>>() {
+                let got = timeout(grace, answer).await.expect("an answer in time").expect("one");
+                let refused = got.status == 503 && got.field("retry-after").is_some();
+                assert!(got.complete && (got.status == 504 || refused), "{got:?}");
+            }
+            while process.0.try_wait().expect("it was started here").is_none() {
+                sleep(Duration::from_millis(20)).await;
+            }
+            assert!(signaled.elapsed() < grace, "{:?}", signaled.elapsed());
+            assert!(!server.received("/order/").is_empty());
+        })
+        .await;
+}
+
 /// Guards against starts, reloads and exits that are not logged.
 #[test]
 fn process_logs_start_reload_and_end() {
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -32,7 +32,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Connect timeout for backend servers. The latency between availability zones is a few
 /// milliseconds, so a longer wait means a lost packet. Its retransmission takes about a second, and
@@ -41,6 +41,10 @@
 /// Time after SIGTERM in which the platform may still send callers here: it probes readiness once a
 /// second and acts on two consecutive results.
 pub const DEREGISTER_DELAY: Span = Span::from_millis(2_600);
+/// Part of the grace time that is reserved for the process exit after the drain.
+pub const SHUTDOWN_RESERVE: Span = Span::from_millis(400);
+/// Time before the end of the drain at which requests in progress are answered.
+const ANSWER_RESERVE: Span = Span::from_millis(400);
 /// Least remaining grace time in which a new stream is admitted while draining.
 const MIN_STREAM_GRACE: Span = Span::from_secs(60);
 /// Least remaining grace time in which a new plain call is admitted while draining.
@@ -176,6 +180,8 @@
     pub(crate) changed: Notify,
     /// Notified when the ruling on a prompt part changes.
     pub(crate) rulings_changed: Notify,
+    /// Notified when the process is told to stop.
+    drain_began: Notify,
     /// Random id of this process, which tells it apart from earlier processes of the same entry.
     pub(crate) incarnation: u64,
     start: Instant,
@@ -228,6 +234,7 @@
             state: RefCell::new(state),
             changed: Notify::new(),
             rulings_changed: Notify::new(),
+            drain_began: Notify::new(),
             incarnation,
             start: Instant::now(),
         }
@@ -251,6 +258,26 @@
             && state.fleet.replicas().next().is_some()
     }
 
+    /// Fails readiness and refuses requests that the process ends too soon for. Returns the number of
+    /// requests in progress.
+    pub fn start_draining(&self) -> usize {
+        let mut state = self.state.borrow_mut();
+        state.draining = Some(self.now());
+        self.drain_began.notify_waiters();
+        state.active
+    }
+
+    /// Waits until requests in progress must be answered, since the process ends soon.
+    pub(crate) async fn wait_last_answers(&self) {
+        let began = self.drain_began.notified();
+        if self.state.borrow().draining.is_none() {
+            began.await;
+        }
+        let since = self.state.borrow().draining.unwrap_or_else(|| self.now());
+        let end = since + self.config.grace.saturating_sub(SHUTDOWN_RESERVE + ANSWER_RESERVE);
+        sleep_until(self.instant(end)).await;
+    }
+
     /// Whether the process ends too soon to serve a request that arrives now. The platform has
     /// stopped sending callers here by then; such requests arrive on connections that are kept
     /// open.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -62,8 +62,27 @@
         /// Cause in the log and the response body.
         cause: &'static str,
     },
-    /// The deadline has passed and the request may have run.
-    Expired,
+    /// No time is left and the request may have run.
+    Expired(TimeLimit),
+}
+
+/// What ended the time of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TimeLimit {
+    /// Its deadline.
+    Deadline,
+    /// The end of this process.
+    Shutdown,
+}
+
+impl TimeLimit {
+    /// Cause in the log and the response body.
+    fn cause(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Shutdown => "draining",
+        }
+    }
 }
 
 /// A request whose route is known, and its state.
@@ -147,13 +166,21 @@
 
     /// Serves the request and returns its final response.
     pub(crate) async fn serve(mut self) -> Response<Body> {
-        let limit = self.node.instant(self.deadline);
-        let result = match timeout_at(limit, self.execute()).await {
+        let (node, limit) = (self.node.clone(), self.node.instant(self.deadline));
+        let ended = tokio::select! {
+            biased;
+            answer = timeout_at(limit, self.execute()) => answer.map_err(|_| TimeLimit::Deadline),
+            () = node.wait_last_answers() => Err(TimeLimit::Shutdown),
+        };
+        let result = match ended {
             Ok(answer) => answer,
-            Err(_) if self.maybe_ran.is_empty() => {
+            Err(limit) if !self.maybe_ran.is_empty() => Err(RequestError::Expired(limit)),
+            Err(TimeLimit::Deadline) => {
                 Err(RequestError::NotRun { cause: "deadline_before_sending", retry: BUSY_RETRY })
             }
-            Err(_) => Err(RequestError::Expired),
+            Err(TimeLimit::Shutdown) => {
+                Err(RequestError::NotRun { cause: "draining", retry: DRAINING_RETRY })
+            }
         };
         match result {
             Ok(response) => self.into_response(*response),
@@ -499,9 +526,9 @@
                 self.log_end(Kind::Failed, "unknown", cause);
                 error_response(StatusCode::BAD_GATEWAY, cause, None)
             }
-            RequestError::Expired => {
-                self.log_end(Kind::Failed, "unknown", "deadline");
-                error_response(StatusCode::GATEWAY_TIMEOUT, "deadline", None)
+            RequestError::Expired(limit) => {
+                self.log_end(Kind::Failed, "unknown", limit.cause());
+                error_response(StatusCode::GATEWAY_TIMEOUT, limit.cause(), None)
             }
         }
     }
