Confirm only the list of entries that was read

An entry whose record in the store was gone stamped its old list with the revision of each watch that told no change, so others would have taken it as the latest. Callers would have got `stage_moved` again.

Change: the watch confirms with the digest of the list that was read, by the code that confirms with another entry's. The two functions that take another entry's list are one.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -103,31 +103,24 @@
         changed
     }
 
-    /// Records that the store had no other list up to a revision, `age` ago.
-    pub fn confirm(&mut self, now: Time, as_of: u64, age: Span) {
-        if as_of >= self.as_of {
-            self.as_of = as_of;
-            self.confirmed = self.confirmed.max(Some(SignedTime::before(now, age)));
+    /// Records that the store, or another entry, had the list with this mark `delay` ago. That confirms this
+    /// list if it is the same one.
+    pub fn confirm(&mut self, now: Time, mark: &RosterMark, delay: Span) {
+        let Some(age) = mark.age else { return };
+        if mark.digest == self.digest() && mark.as_of >= self.as_of {
+            self.as_of = mark.as_of;
+            let at = SignedTime::before(now, age + delay);
+            self.confirmed = self.confirmed.max(Some(at));
         }
     }
 
-    /// Confirms the list if another entry has the same one.
-    pub fn confirm_equal(&mut self, now: Time, mark: &RosterMark, delay: Span) {
-        if let Some(age) = mark.age
-            && mark.digest == self.digest()
-        {
-            self.confirm(now, mark.as_of, age + delay);
-        }
-    }
-
-    /// Hashes the list.
     fn digest(&self) -> u64 {
         digest(&self.entries)
     }
 }
 
-/// Hashes a list of entries, to detect whether two lists differ.
-fn digest(entries: &[EntryInfo]) -> u64 {
+/// Hashes a list of entries that is sorted by name, to detect whether two lists differ.
+pub fn digest(entries: &[EntryInfo]) -> u64 {
     let mut hash = Xxh3::new();
     for entry in entries {
         hash.update(entry.name.as_bytes());
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -65,11 +65,11 @@
 #[test]
 fn only_the_same_list_confirms() {
     let mut own = roster(&["e-1", "e-2"], 10);
-    own.confirm_equal(seconds(9), &roster(&["e-1"], 20).mark(seconds(1)), Span::ZERO);
+    own.confirm(seconds(9), &roster(&["e-1"], 20).mark(seconds(1)), Span::ZERO);
     assert_eq!(own.age(seconds(9)), Some(Span::from_secs(8)));
-    own.confirm(seconds(9), 9, Span::ZERO);
+    own.confirm(seconds(9), &roster(&["e-1", "e-2"], 9).mark(seconds(9)), Span::ZERO);
     assert_eq!(own.age(seconds(9)), Some(Span::from_secs(8)));
     let same = roster(&["e-1", "e-2"], 20).mark(seconds(3));
-    own.confirm_equal(seconds(9), &same, Span::from_secs(1));
+    own.confirm(seconds(9), &same, Span::from_secs(1));
     assert_eq!((own.as_of(), own.age(seconds(9))), (20, Some(Span::from_secs(3))));
 }
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -72,8 +72,8 @@
     pub(crate) async fn serve_group(self: &Rc<Self>, call: GroupRequest) -> GroupResponse {
         let now = self.now();
         let pool = call.pool.clone();
-        if let Some(told) = call.roster {
-            self.merge_entries(told, Span::ZERO);
+        if let Some(told) = &call.roster {
+            self.merge_roster(told, Span::ZERO);
         }
         if !self.owns_servers(&pool) {
             let others = call.suspects.iter().filter(|name| **name != self.config.entry.name);
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -22,7 +22,7 @@
 use damaskweir_core::place::Placer;
 use damaskweir_core::quarantine::Quarantine;
 use damaskweir_core::returns::ReturnDetector;
-use damaskweir_core::roster::{Roster, RosterStatement};
+use damaskweir_core::roster::{Roster, RosterMark, RosterStatement};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
 use rand_core::Rng as _;
@@ -386,14 +386,29 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes a list of entries that another entry told `delay` ago, if it is later than the known one and
-    /// names this entry.
-    pub(crate) fn merge_entries(&self, told: RosterStatement, delay: Span) {
-        let RosterStatement { mark, entries } = told;
-        let later = self.state.borrow().roster.is_older_than(self.now(), Some(&mark));
-        let named = entries.iter().any(|entry| entry.name == self.config.entry.name);
-        if later && named {
-            self.set_entries(entries, mark.as_of, mark.age.map(|age| age + delay), "entry");
+    /// Whether a list of entries names this one.
+    pub(crate) fn is_listed(&self, entries: &[EntryInfo]) -> bool {
+        entries.iter().any(|entry| entry.name == self.config.entry.name)
+    }
+
+    /// Takes a list of entries that another entry told `delay` ago, if it is later than the known one.
+    pub(crate) fn merge_entries(
+        &self,
+        entries: Vec<EntryInfo>,
+        mark: Option<&RosterMark>,
+        delay: Span,
+    ) {
+        let later = self.state.borrow().roster.is_older_than(self.now(), mark);
+        if later {
+            let age = mark.and_then(|mark| mark.age).map(|age| age + delay);
+            self.set_entries(entries, mark.map_or(0, |mark| mark.as_of), age, "entry");
+        }
+    }
+
+    /// Takes a list with which another entry answered or repeated a call, `delay` ago.
+    pub(crate) fn merge_roster(&self, told: &RosterStatement, delay: Span) {
+        if self.is_listed(&told.entries) {
+            self.merge_entries(told.entries.clone(), Some(&told.mark), delay);
         }
     }
 
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -456,7 +456,7 @@
         let (own, took) =
             (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
         if own.mark.as_of <= told.mark.as_of || own.mark.digest == told.mark.digest {
-            self.merge_entries(told.clone(), took);
+            self.merge_roster(told, took);
             return Ok(answer);
         }
         call.roster = Some(own);
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -12,7 +12,7 @@
 use damaskweir_core::intake::Statement;
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::quarantine::{Ruling, RulingStatement};
-use damaskweir_core::roster::RosterMark;
+use damaskweir_core::roster::{self, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
 use serde::{Deserialize, Serialize};
@@ -366,11 +366,13 @@
                         Ok(())
                     }
                     None => {
-                        let entries = read.value.entries;
-                        if entries.iter().any(|e| e.name == self.node.config.entry.name) {
+                        let mut entries = read.value.entries;
+                        entries.sort();
+                        let digest = roster::digest(&entries);
+                        if self.node.is_listed(&entries) {
                             self.take_read_entries(entries, read.revision, sent);
                         }
-                        self.wait_for_entries(read.revision).await
+                        self.wait_for_entries(read.revision, digest).await
                     }
                 },
                 Err(error) => Err(error),
@@ -425,8 +427,9 @@
         }
     }
 
-    /// Waits for a change of the list of entries, for as long as this entry reads the store.
-    async fn wait_for_entries(&self, mut after: u64) -> Result<(), S::Error> {
+    /// Waits for a change of the list of entries after it was read with this digest, for as long as this entry
+    /// reads the store.
+    async fn wait_for_entries(&self, mut after: u64, digest: u64) -> Result<(), S::Error> {
         while self.reads_store() {
             let sent = self.node.now();
             let read = self.source.watch_registry(after, ENTRY_WATCH_TIMEOUT).await?;
@@ -436,8 +439,8 @@
             after = read.revision;
             let now = self.node.now();
             let held = ENTRY_WATCH_TIMEOUT.min(now.since(sent));
-            let age = now.since(sent + held);
-            self.node.state.borrow_mut().roster.confirm(now, after, age);
+            let mark = RosterMark { as_of: after, digest, age: Some(now.since(sent + held)) };
+            self.node.state.borrow_mut().roster.confirm(now, &mark, Span::ZERO);
         }
         Ok(())
     }
@@ -734,42 +737,20 @@
         self.node.state.borrow_mut().servable |= since_start;
         self.known.set(known);
         let delay = now.since(sent + snapshot.held);
-        let usable = match snapshot.entries {
-            Some(entries) => {
-                self.merge_entries(entries, snapshot.roster.as_ref(), delay, confirmed.is_some())
+        let mut usable = true;
+        if let Some(entries) = snapshot.entries {
+            let unknown = self.node.state.borrow().roster.entries().is_empty();
+            usable = unknown || confirmed.is_some() && self.node.is_listed(&entries);
+            if usable {
+                self.node.merge_entries(entries, snapshot.roster.as_ref(), delay);
             }
-            None => true,
-        };
+        }
         if let Some(mark) = &snapshot.roster {
-            self.node.state.borrow_mut().roster.confirm_equal(now, mark, delay);
+            self.node.state.borrow_mut().roster.confirm(now, mark, delay);
         }
         usable && confirmed.is_some()
     }
 
-    /// Takes a list of entries that another entry told `delay` ago, if it is later than the known one.
-    /// Returns whether the list is usable: it names this entry and its teller is in contact with the store,
-    /// or there is no other.
-    fn merge_entries(
-        &self,
-        entries: Vec<EntryInfo>,
-        mark: Option<&RosterMark>,
-        delay: Span,
-        confirmed: bool,
-    ) -> bool {
-        let (later, known) = {
-            let roster = &self.node.state.borrow().roster;
-            let later = roster.is_older_than(self.node.now(), mark);
-            (later, !roster.entries().is_empty())
-        };
-        let named = entries.iter().any(|entry| entry.name == self.node.config.entry.name);
-        let usable = named && confirmed || !known;
-        if usable && later {
-            let age = mark.and_then(|mark| mark.age).map(|age| age + delay);
-            self.node.set_entries(entries, mark.map_or(0, |mark| mark.as_of), age, "entry");
-        }
-        usable
-    }
-
     async fn expire(&self) {
         loop {
             sleep(EXPIRY_INTERVAL).await;
