Remember refused connections to a server that still answers

Cause: the end of such an answer is checked with a new connection, and the server ran again when the link let the end through.

Change: a refused connection to a server that has open requests is a crash, and so is the report of another entry: the open requests that were sent before are evidence against their parts, and their answers without length are broken off however they end.

--- a/crates/damaskweir/tests/soak.rs
+++ b/crates/damaskweir/tests/soak.rs
@@ -40,6 +40,7 @@
 #[case::stream_broken_off_after_its_first_event(7270010, NO_SERVER_FAULTS)]
 #[case::list_of_entries_replaced_by_an_older_one(7270049, NO_SERVER_FAULTS)]
 #[case::list_of_entries_replaced_23_ms_after_it_was_read(88360038, &[])]
+#[case::stream_ended_by_a_crash_behind_a_stalled_link(99120026, &[])]
 fn regression_seeds_keep_all_promises(#[case] seed: u64, #[case] options: &[&str]) {
     let seed = seed.to_string();
     let (passed, output) = soak(&[&["--seed", &seed], options].concat());
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -74,7 +74,7 @@
     /// Prompt tokens that the server still has to prefill; 0 once it has responded.
     uncached_tokens: u64,
     /// Number of the attempt among the requests that servers have not answered.
-    attempt: u64,
+    pub(crate) attempt: u64,
     ended: bool,
 }
 
@@ -170,7 +170,7 @@
                 placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts));
             let request =
                 OpenRequest { parts: self.shared_parts.clone(), workspace: self.workspace.clone() };
-            (uncached, state.exposures.open(server, request))
+            (uncached, state.exposures.open(started, server, request))
         };
         let mut guard = OpenRequestGuard {
             node: node.clone(),
@@ -186,6 +186,9 @@
             Err(error) => {
                 self.log_broken(server, &error);
                 guard.record_end(AttemptOutcome::Unresponsive);
+                if error.is_refusal() {
+                    node.record_crash(server, "refused");
+                }
                 return Outcome::NotRun(AttemptOutcome::Unresponsive);
             }
         };
@@ -219,7 +222,7 @@
         self.maybe_ran.push(server.id.clone());
         let limit = node.instant(self.response_deadline(started));
         let body = self.body.clone();
-        let exchange = self.exchange(server, &mut conn, &head, &body);
+        let exchange = self.exchange((server, attempt), &mut conn, &head, &body);
         let result = match timeout_at(limit, exchange).await {
             Ok(result) => result,
             Err(_) => Err(HttpError::TimedOut),
@@ -267,7 +270,7 @@
     /// Sends the request and reads a complete response, or up to the first event of a stream.
     async fn exchange(
         &self,
-        server: &Replica,
+        (server, attempt): (&Replica, u64),
         conn: &mut Conn,
         head: &[u8],
         body: &[u8],
@@ -302,7 +305,7 @@
                 return Err(HttpError::Malformed("body too large"));
             }
         }
-        if self.node.broke_unframed(server, conn).await {
+        if self.node.broke_unframed(server, attempt, conn).await {
             return Err(HttpError::UnexpectedEof);
         }
         Ok((head, info, all.freeze(), None))
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -26,6 +26,8 @@
 /// Time for which a request without an answer is kept, until it is known whether its server crashed.
 /// The record of a silent server is removed after some seconds.
 const LOST_RETENTION: Span = Span::from_secs(10);
+/// Time for which a crash is kept. An answer that a link holds back for longer has been given up.
+const CRASH_RETENTION: Span = Span::from_secs(60);
 /// Requests without an answer that are kept per server.
 const MAX_LOST: usize = 256;
 /// Prompt parts that are named in a log line.
@@ -46,6 +48,8 @@
 #[derive(Clone, Debug)]
 struct Exposed {
     request: OpenRequest,
+    /// When it was given to the server.
+    sent: Time,
     /// When its answer broke off or was given up; `None` while it is open.
     lost: Option<Time>,
 }
@@ -70,15 +74,17 @@
     last_attempt: u64,
     /// Servers that are being checked.
     checks: BTreeSet<ServerProcess>,
+    /// Servers that have crashed, when, and the last attempt before that.
+    crashed: BTreeMap<ServerProcess, (Time, u64)>,
 }
 
 impl Exposures {
     /// Records that a request is sent to a server. Returns the number of the attempt.
-    pub(crate) fn open(&mut self, replica: &Replica, request: OpenRequest) -> u64 {
+    pub(crate) fn open(&mut self, now: Time, replica: &Replica, request: OpenRequest) -> u64 {
         self.last_attempt += 1;
         let new = || ExposedServer { replica: replica.clone(), requests: BTreeMap::new() };
         let server = self.servers.entry(replica.process()).or_insert_with(new);
-        server.requests.insert(self.last_attempt, Exposed { request, lost: None });
+        server.requests.insert(self.last_attempt, Exposed { request, sent: now, lost: None });
         self.last_attempt
     }
 
@@ -110,14 +116,30 @@
         lost.map(|server| server.replica.clone()).collect()
     }
 
-    /// Removes and returns the requests that were lost at a server or are still open there.
-    fn take(&mut self, process: &ServerProcess) -> Vec<OpenRequest> {
-        let server = self.servers.remove(process);
-        server
-            .into_iter()
-            .flat_map(|s| s.requests.into_values())
-            .map(|exposed| exposed.request)
-            .collect()
+    /// Records a crash. Removes and returns the requests that the server was given before, and that were lost
+    /// there or are still open.
+    fn crash(&mut self, at: Time, process: &ServerProcess) -> Vec<OpenRequest> {
+        let Some(server) = self.servers.get_mut(process) else { return Vec::new() };
+        let before = server.requests.extract_if(.., |_, request| request.sent <= at);
+        let (attempts, requests): (Vec<_>, Vec<_>) =
+            before.map(|(attempt, exposed)| (attempt, exposed.request)).unzip();
+        if server.requests.is_empty() {
+            self.servers.remove(process);
+        }
+        if let Some(last) = attempts.into_iter().max() {
+            self.crashed.insert(process.clone(), (at, last));
+        }
+        requests
+    }
+
+    /// The record of a server process that has not answered all requests.
+    fn replica(&self, process: &ServerProcess) -> Option<Replica> {
+        self.servers.get(process).map(|server| server.replica.clone())
+    }
+
+    /// Whether the server has crashed since it was given the request.
+    fn has_crashed(&self, process: &ServerProcess, attempt: u64) -> bool {
+        self.crashed.get(process).is_some_and(|(_, last)| attempt <= *last)
     }
 
     /// Removes the requests that were lost at a server.
@@ -125,9 +147,10 @@
         self.retain(|other, request| other != process || request.lost.is_none());
     }
 
-    /// Removes the requests that were lost long ago.
+    /// Removes the requests that were lost long ago, and old crashes.
     pub(crate) fn expire(&mut self, now: Time) {
         self.retain(|_, request| request.lost.is_none_or(|at| now.since(at) < LOST_RETENTION));
+        self.crashed.retain(|_, (at, _)| now.since(*at) < CRASH_RETENTION);
     }
 
     fn retain(&mut self, keep: impl Fn(&ServerProcess, &Exposed) -> bool) {
@@ -179,9 +202,7 @@
                 self.keep_connection(&server.id, conn);
                 ServerState::Running
             }
-            Err(HttpError::Connect(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                ServerState::Crashed
-            }
+            Err(error) if error.is_refusal() => ServerState::Crashed,
             Err(HttpError::Connect(e)) if e.kind() == io::ErrorKind::ConnectionReset => {
                 ServerState::Running
             }
@@ -190,13 +211,17 @@
     }
 
     /// Whether the end of a response without a length is that of its connection in a crash. A server
-    /// that is leaving may exit after its last response.
-    pub(crate) async fn broke_unframed(&self, server: &Replica, conn: &Conn) -> bool {
-        let staying =
-            self.state.borrow().fleet.get(&server.id).is_some_and(|replica| !replica.leaving);
-        conn.is_unframed()
-            && staying
-            && self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
+    /// that is leaving may exit after its last response; one that has crashed may run again.
+    pub(crate) async fn broke_unframed(&self, server: &Replica, attempt: u64, conn: &Conn) -> bool {
+        if !conn.is_unframed() {
+            return false;
+        }
+        let (crashed, staying) = {
+            let state = self.state.borrow();
+            let crashed = state.exposures.has_crashed(&server.process(), attempt);
+            (crashed, state.fleet.get(&server.id).is_some_and(|replica| !replica.leaving))
+        };
+        crashed || staying && self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
     }
 
     /// Records a crash if another process has taken the place of a server that lost requests, and
@@ -213,8 +238,20 @@
     }
 
     /// Records that a server has crashed, with the requests that it had not answered.
-    fn record_crash(self: &Rc<Self>, server: &Replica, how: &'static str) {
-        let requests = self.state.borrow_mut().exposures.take(&server.process());
+    pub(crate) fn record_crash(self: &Rc<Self>, server: &Replica, how: &'static str) {
+        self.record_crash_at(self.now(), server, how);
+    }
+
+    /// Records a crash that another entry reports, if this entry has requests at the server.
+    pub(crate) fn record_told_crash(self: &Rc<Self>, process: &ServerProcess, age: Span) {
+        let server = self.state.borrow().exposures.replica(process);
+        if let Some(server) = server {
+            self.record_crash_at(self.now() - age, &server, "told");
+        }
+    }
+
+    fn record_crash_at(self: &Rc<Self>, at: Time, server: &Replica, how: &'static str) {
+        let requests = self.state.borrow_mut().exposures.crash(at, &server.process());
         if requests.is_empty() {
             return;
         }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -59,6 +59,13 @@
     TimedOut,
 }
 
+impl HttpError {
+    /// Whether nothing listens at the address.
+    pub(crate) fn is_refusal(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// How the end of the body is found, and the position in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -114,6 +114,9 @@
     pub(crate) fn serve_crashes(self: &Rc<Self>, call: CrashCall) -> CrashResponse {
         let now = self.now();
         self.merge_rulings(&call.rulings, Span::ZERO);
+        for report in &call.reports {
+            self.record_told_crash(&report.process, report.age);
+        }
         let changes = {
             let quarantine = &mut self.state.borrow_mut().quarantine;
             call.reports.into_iter().for_each(|report| quarantine.merge_report(now, report));
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -69,7 +69,7 @@
                 self.request.record_events();
                 return Ok(Some(out.freeze()));
             }
-            let server = &self.upstream.guard.replica;
+            let (server, attempt) = (&self.upstream.guard.replica, self.upstream.guard.attempt);
             let Some(conn) = &mut self.upstream.conn else { return Ok(None) };
             let stall_deadline = self.request.node.instant(last_progress + stall_timeout);
             let limit =
@@ -78,7 +78,7 @@
                 Ok(Ok(Some(bytes))) if self.upstream.splitter.push(&bytes) => continue,
                 Ok(Ok(Some(_))) => "event_too_long",
                 Ok(Ok(None)) if self.upstream.splitter.has_partial() => "partial_event",
-                Ok(Ok(None)) if self.request.node.broke_unframed(server, conn).await => {
+                Ok(Ok(None)) if self.request.node.broke_unframed(server, attempt, conn).await => {
                     "server_broke"
                 }
                 Ok(Ok(None)) => {
