--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -443,9 +443,9 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Sends a group to another entry. If that refuses it because the two have different lists of entries,
-    /// the later list is taken by the other of them, and the group is sent once more if that is the receiver.
-    async fn request_group_from(
+    /// Sends a group to another entry. If the two have different lists of entries and the receiver refuses
+    /// the group, the later list replaces the other, and a receiver that was behind gets the group once more.
+    async fn request_and_reconcile(
         self: &Rc<Self>,
         owner: &EntryInfo,
         mut call: GroupRequest,
@@ -488,7 +488,7 @@
         let answer = if own {
             Ok(self.serve_group(call).await)
         } else {
-            self.request_group_from(owner, call).await
+            self.request_and_reconcile(owner, call).await
         };
         let mut refused_by = None;
         let ends = match answer {
