--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -44,8 +44,12 @@
     DependencyLost = "dependency_lost"
     /// A dependency responds again.
     DependencyRegained = "dependency_regained"
+    /// The store returned with an older state; later changes are lost.
+    StoreRestored = "store_restored"
     /// A new configuration took effect.
     CatalogApplied = "catalog_taken"
+    /// A configuration was not applied, since the one in force is later.
+    CatalogIgnored = "catalog_ignored"
     /// A configuration or record is invalid and was ignored.
     Unusable = "unusable"
     /// The store last confirmed the local state longer ago than the apply limit.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -52,6 +52,7 @@
     config_version: Gauge<u64>,
     store_current: Gauge<u64>,
     config_age: Gauge<f64>,
+    store_generation: Gauge<u64>,
     active_requests: Gauge<u64>,
 }
 
@@ -78,6 +79,8 @@
     pub store_current: bool,
     /// Seconds since the store confirmed the local state; `None` if it never has.
     pub config_age: Option<f64>,
+    /// Generation of the store, or 0 if it is unknown.
+    pub store_generation: u64,
     /// Requests in progress.
     pub active_requests: u64,
 }
@@ -120,6 +123,7 @@
             config_version: meter.u64_gauge("direct_config_version").build(),
             store_current: meter.u64_gauge("direct_store_current").build(),
             config_age: meter.f64_gauge("direct_config_age").with_unit("s").build(),
+            store_generation: meter.u64_gauge("direct_store_generation").build(),
             active_requests: meter.u64_gauge("direct_requests_active").build(),
             registry,
             _provider: provider,
@@ -177,6 +181,7 @@
         self.config_version.record(values.config_version, &[]);
         self.store_current.record(u64::from(values.store_current), &[]);
         values.config_age.into_iter().for_each(|age| self.config_age.record(age, &[]));
+        self.store_generation.record(values.store_generation, &[]);
         self.active_requests.record(values.active_requests, &[]);
     }
 
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -145,6 +145,9 @@
     pub store_current: bool,
     /// When the store last confirmed the local state.
     pub(crate) freshness: Freshness,
+    /// Highest known generation of the store: a number that rises when it returns with an older state. 0 if
+    /// it is unknown.
+    pub(crate) generation: u64,
     /// Whether the local state was stale at the last check.
     pub(crate) stale: bool,
     /// Whether requests may be served with the known configuration. A previous process may have
@@ -219,6 +222,7 @@
             last_refusal: None,
             store_current: false,
             freshness: Freshness::default(),
+            generation: 0,
             stale: false,
             servable: false,
             draining: None,
@@ -293,13 +297,25 @@
         let mut state = self.state.borrow_mut();
         let newer =
             |old: &Rc<Catalog>| catalog.revision > old.revision && catalog.version > old.version;
-        if !state.catalog.as_ref().is_none_or(newer) {
-            return false;
-        }
         let (from, address) = match from {
             UpdateSource::Store => ("store", String::new()),
             UpdateSource::Entry(address) => ("entry", address.to_string()),
         };
+        if let Some(known) = state.catalog.as_ref().filter(|old| !newer(old)) {
+            // A full read often returns the configuration that is in force.
+            if (catalog.version, catalog.revision) != (known.version, known.revision) {
+                let fields = [
+                    ("version", catalog.version.0.into()),
+                    ("revision", catalog.revision.into()),
+                    ("from", from.into()),
+                    ("address", address.as_str().into()),
+                    ("known_version", known.version.0.into()),
+                    ("known_revision", known.revision.into()),
+                ];
+                self.log.process(Kind::CatalogIgnored, &fields);
+            }
+            return false;
+        }
         let before = state.freshness.age(self.now()).unwrap_or_default();
         self.log.process(
             Kind::CatalogApplied,
@@ -316,6 +332,20 @@
         true
     }
 
+    /// Records a generation of the store that the store or another entry named.
+    pub(crate) fn observe_generation(&self, generation: u64) {
+        let mut state = self.state.borrow_mut();
+        let before = state.generation;
+        if generation <= before {
+            return;
+        }
+        state.generation = generation;
+        if before > 0 {
+            let fields = [("generation", generation.into()), ("before", before.into())];
+            self.log.process(Kind::StoreRestored, &fields);
+        }
+    }
+
     /// Logs when the local state becomes stale and when it is confirmed again.
     pub(crate) fn log_staleness(&self) {
         let now = self.now();
@@ -492,6 +522,7 @@
             suspects: state.suspects.len() as u64,
             config_version: state.catalog.as_ref().map_or(0, |catalog| catalog.version.0),
             store_current: state.store_current,
+            store_generation: state.generation,
             config_age: state.freshness.age(self.now()).map(Span::as_secs_f64),
             active_requests: state.active as u64,
         });
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -771,6 +771,7 @@
             Some(SourceErrorKind::NotFound) => "missing",
         };
         self.node.metrics.store_call(call, outcome);
+        self.node.observe_generation(self.source.generation());
         let away = outcome == "away";
         if self.contact.lost.replace(away) == away {
             return;
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -201,6 +201,9 @@
 pub trait Source: 'static {
     /// The error of a failed call.
     type Error: SourceError;
+    /// Returns the highest generation of the source that a response named: a number that rises when the
+    /// source returns with an older state. 0 if none did.
+    fn generation(&self) -> u64;
     /// Returns the newest valid configuration, if any.
     fn catalog(&self) -> impl Future<Output = Result<Versioned<Option<Catalog>>, Self::Error>>;
     /// Waits up to `wait` for a configuration newer than revision `after`.
