Order configurations by their version, not by the store's revision

Callers got 404 for routes that a change had added, and answers of services that it had taken from a route: a change that the operator made after the store came back from a copy never took effect.

Cause: an entry took a configuration only if its revision was higher than the known one, and polls between entries compared revisions alone. A store that comes back from a copy gives revisions out again; the change had the revision of the known version.

Change: the operator's version orders configurations, here and between entries; an entry of an earlier version of this program tells none in its poll and is answered by revision as before.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -9,9 +9,10 @@
 value! {
     /// A validated configuration.
     pub struct Catalog {
-        /// Only increases.
+        /// Only increases. A configuration of a higher version replaces it.
         pub version: Version,
-        /// Store revision at which it was written. A configuration of a higher revision replaces it.
+        /// Store revision at which it was written. The store may give it out again after it has returned
+        /// from a copy, so it orders no versions.
         pub revision: u64,
         /// Routes by host, in order of descending prefix length.
         pub hosts: BTreeMap<String, Vec<Arc<Route>>>,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -295,8 +295,7 @@
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
     pub fn apply_catalog(&self, catalog: Catalog, from: UpdateSource) -> bool {
         let mut state = self.state.borrow_mut();
-        let newer =
-            |old: &Rc<Catalog>| catalog.revision > old.revision && catalog.version > old.version;
+        let newer = |old: &Rc<Catalog>| catalog.version > old.version;
         let (from, address) = match from {
             UpdateSource::Store => ("store", String::new()),
             UpdateSource::Entry(address) => ("entry", address.to_string()),
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -9,6 +9,7 @@
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Delta;
 use damaskweir_core::fresh::Dataset;
+use damaskweir_core::ids::Version;
 use damaskweir_core::intake::Statement;
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::quarantine::{Ruling, RulingStatement};
@@ -85,8 +86,12 @@
 /// A poll: what the polling entry already has.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct KnownState {
-    /// Revision of its configuration, or 0 if it has none.
+    /// Revision of its configuration, or 0 if it has none. Decides only for entries of earlier versions of
+    /// this program, which tell no version.
     catalog: u64,
+    /// Version of its configuration; `None` if it has none.
+    #[serde(default)]
+    version: Option<Version>,
     /// Incarnation of the process that sent it its server list.
     teller: u64,
     /// Sequence number up to which it has that process's server changes.
@@ -106,6 +111,16 @@
     age: Option<Span>,
 }
 
+impl KnownState {
+    /// Whether the polling entry would apply a configuration.
+    fn lacks(&self, catalog: &Catalog) -> bool {
+        match self.version {
+            Some(version) => catalog.version > version,
+            None => catalog.revision > self.catalog,
+        }
+    }
+}
+
 /// The response to a poll: what the polling entry lacks.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Snapshot {
@@ -154,7 +169,7 @@
 
     fn capture<W: Wire>(node: &Node<W>, known: &KnownState, received: Time) -> Self {
         let state = node.state.borrow();
-        let newer = state.catalog.as_ref().filter(|catalog| catalog.revision > known.catalog);
+        let newer = state.catalog.as_ref().filter(|catalog| known.lacks(catalog));
         let sequence = if known.teller == node.incarnation { known.sequence } else { 0 };
         let fresh = state.roster.is_news_for(known.entries_as_of, known.entries);
         let rulings = state.quarantine.statements(node.now());
@@ -663,10 +678,10 @@
     async fn fetch(&self, peer: SocketAddr, wait: Span) -> Result<Snapshot, HttpError> {
         let known = {
             let state = self.node.state.borrow();
-            let catalog = state.catalog.as_ref().map_or(0, |catalog| catalog.revision);
             let mark = state.roster.mark(self.node.now());
             KnownState {
-                catalog,
+                catalog: state.catalog.as_ref().map_or(0, |catalog| catalog.revision),
+                version: state.catalog.as_ref().map(|catalog| catalog.version),
                 wait,
                 age: state.freshness.age(self.node.now()),
                 entries: mark.digest,
