Never continue a watch or a paged read across the store's return from a copy

Callers saw the configuration from before a change, as with the order of configurations, when the store came back so fast that no call failed: the change was never delivered.

Cause: a watch went on from a revision of the time before. The store had given out that revision, and later ones, with other content, so it reported no change. In the same way a list could be put together from pages before and after the return, and an answer from before that arrived late was taken after one from after it.

Change: a revision is a pair of the store's generation and the number in it (core::revision). The client answers a watch or a page of another generation than the revision it belongs to, and any answer of an earlier generation than the latest, with the error that makes the reader read everything anew; a full read that ends so is repeated with a delay.

Not covered: a store whose answers have no number, if it comes back unnoticed.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,6 +1,7 @@
 //! Configuration of an entry that calls backend servers directly: routes, pools and API keys.
 
 use crate::ids::{PoolId, Version, WorkspaceId};
+use crate::revision::Revision;
 use crate::time::Span;
 use crate::value;
 use std::collections::BTreeMap;
@@ -14,6 +15,9 @@
         /// Store revision at which it was written. The store may give it out again after it has returned
         /// from a copy, so it orders no versions.
         pub revision: u64,
+        /// Generation of the store that gave out the revision; 0 if it is unknown.
+        #[serde(default)]
+        pub generation: u64,
         /// Routes by host, in order of descending prefix length.
         pub hosts: BTreeMap<String, Vec<Arc<Route>>>,
         /// Pools that routes and stages refer to. A pool that is missing here has no servers.
@@ -167,6 +171,11 @@
 }
 
 impl Catalog {
+    /// Revision of the store at which it was written.
+    pub fn written_at(&self) -> Revision {
+        Revision::new(self.generation, self.revision)
+    }
+
     /// The route with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod report;
 pub mod retry;
 pub mod returns;
+pub mod revision;
 pub mod room;
 pub mod roster;
 pub mod route;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -11,5 +11,6 @@
 pub use crate::message::{AttemptStatus, Dispatch, Failure, Outcome, Refusal, Report};
 pub use crate::policy::Policy;
 pub use crate::predict::SizeClass;
+pub use crate::revision::Revision;
 pub use crate::time::{Span, Time};
 pub use crate::value;
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -13,6 +13,7 @@
 use damaskweir_core::intake::Statement;
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::quarantine::{Ruling, RulingStatement};
+use damaskweir_core::revision::Revision;
 use damaskweir_core::roster::{self, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
@@ -200,6 +201,14 @@
     }
 }
 
+/// Returns how to wait after a failed read. A full read that needs another full read is repeated with a delay.
+fn retry_kind(kind: SourceErrorKind, full_read: bool) -> SourceErrorKind {
+    match kind {
+        SourceErrorKind::Compacted if full_read => SourceErrorKind::Unavailable,
+        kind => kind,
+    }
+}
+
 /// Reachability of the store, according to the latest calls.
 #[derive(Debug, Default)]
 struct StoreContact {
@@ -308,7 +317,7 @@
                     // After an error a change may have been missed, so a full read is needed.
                     after = None;
                     compacted = error.kind() == SourceErrorKind::Compacted;
-                    self.back_off(&mut delay, error.kind()).await;
+                    self.back_off(&mut delay, retry_kind(error.kind(), full_read)).await;
                 }
             }
         }
@@ -342,9 +351,9 @@
                         let fleet = &mut self.node.state.borrow_mut().fleet;
                         fleet.store_recovered(now);
                         if full_read {
-                            fleet.replace(now, read.revision, &read.value)
+                            fleet.replace(now, read.revision.number, &read.value)
                         } else {
-                            fleet.apply(now, read.revision, &read.value)
+                            fleet.apply(now, read.revision.number, &read.value)
                         }
                     };
                     self.node.apply_fleet_changes(changes);
@@ -355,7 +364,7 @@
                         self.node.state.borrow_mut().fleet.store_lost();
                     }
                     after = None;
-                    self.wait_for_contact(error.kind()).await;
+                    self.wait_for_contact(retry_kind(error.kind(), full_read)).await;
                 }
             }
         }
@@ -376,7 +385,7 @@
                 Ok(read) => match self.reannounce_wait() {
                     Some(remaining) => {
                         let entries = self.with_known(read.value.entries);
-                        self.take_read_entries(entries, read.revision, sent);
+                        self.take_read_entries(entries, read.revision.number, sent);
                         sleep(remaining).await;
                         Ok(())
                     }
@@ -385,16 +394,19 @@
                         entries.sort();
                         let digest = roster::digest(&entries);
                         if self.node.is_listed(&entries) {
-                            self.take_read_entries(entries, read.revision, sent);
+                            self.take_read_entries(entries, read.revision.number, sent);
                         }
-                        self.wait_for_entries(read.revision, digest).await
+                        let changed = self.wait_for_entries(read.revision, digest).await;
+                        changed.map_err(|error| (error, false))
                     }
                 },
-                Err(error) => Err(error),
+                Err(error) => Err((error, true)),
             };
             match changed {
                 Ok(()) => sleep(LISTING_INTERVAL).await,
-                Err(error) => self.wait_for_contact(error.kind()).await,
+                Err((error, full_read)) => {
+                    self.wait_for_contact(retry_kind(error.kind(), full_read)).await;
+                }
             }
             self.wait_to_read_entries().await;
         }
@@ -444,7 +456,7 @@
 
     /// Waits for a change of the list of entries after it was read with this digest, for as long as this entry
     /// reads the store.
-    async fn wait_for_entries(&self, mut after: u64, digest: u64) -> Result<(), S::Error> {
+    async fn wait_for_entries(&self, mut after: Revision, digest: u64) -> Result<(), S::Error> {
         while self.reads_store() {
             let sent = self.node.now();
             let read = self.source.watch_registry(after, ENTRY_WATCH_TIMEOUT).await?;
@@ -454,7 +466,8 @@
             after = read.revision;
             let now = self.node.now();
             let held = ENTRY_WATCH_TIMEOUT.min(now.since(sent));
-            let mark = RosterMark { as_of: after, digest, age: Some(now.since(sent + held)) };
+            let mark =
+                RosterMark { as_of: after.number, digest, age: Some(now.since(sent + held)) };
             self.node.state.borrow_mut().roster.confirm(now, &mark, Span::ZERO);
         }
         Ok(())
@@ -641,9 +654,9 @@
     }
 
     /// Returns the revision of the known configuration if it may not be served yet.
-    fn unservable_revision(&self) -> Option<u64> {
+    fn unservable_revision(&self) -> Option<Revision> {
         let state = self.node.state.borrow();
-        state.catalog.as_ref().filter(|_| !state.servable).map(|catalog| catalog.revision)
+        state.catalog.as_ref().filter(|_| !state.servable).map(|catalog| catalog.written_at())
     }
 
     /// Updates and returns whether the known configuration may be served. An old one may be if
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -8,6 +8,7 @@
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::place::PromptPart;
 use damaskweir_core::quarantine::RulingStatement;
+use damaskweir_core::revision::Revision;
 use damaskweir_core::time::Span;
 use http::StatusCode;
 use http::request::Parts;
@@ -167,7 +168,8 @@
 pub enum SourceErrorKind {
     /// The source is unreachable or overloaded, or it rejected the call.
     Unavailable,
-    /// Changes after the given revision were compacted; a full read is needed.
+    /// Changes after the given revision are not available, or the response is older than what the source
+    /// has answered since; a full read is needed.
     Compacted,
     /// The object of the call does not exist.
     NotFound,
@@ -183,7 +185,7 @@
 #[derive(Clone, Debug)]
 pub struct Versioned<T> {
     /// Revision of the source at which the value was current.
-    pub revision: u64,
+    pub revision: Revision,
     /// The value.
     pub value: T,
 }
@@ -209,7 +211,7 @@
     /// Waits up to `wait` for a configuration newer than revision `after`.
     fn watch_catalog(
         &self,
-        after: u64,
+        after: Revision,
         wait: Span,
     ) -> impl Future<Output = Result<Versioned<Option<Catalog>>, Self::Error>>;
     /// Returns all servers.
@@ -217,7 +219,7 @@
     /// Waits up to `wait` for server changes after revision `after`.
     fn watch_listings(
         &self,
-        after: u64,
+        after: Revision,
         wait: Span,
     ) -> impl Future<Output = Result<Versioned<Vec<Listing>>, Self::Error>>;
     /// Registers this entry under a new lease and returns the lease id.
@@ -237,7 +239,7 @@
     /// whether there was one.
     fn watch_registry(
         &self,
-        after: u64,
+        after: Revision,
         wait: Span,
     ) -> impl Future<Output = Result<Versioned<bool>, Self::Error>>;
 }
