Order the records of backend servers by the store's generation, and keep what is known through its return

Callers lost requests, or would have: after the store came back from a copy, a server that left at a revision given out before kept getting work, a server that had registered in the lost time and was gone was kept for good, and one that was removed in the lost time got new work again.

Cause: records were ordered by revision alone, and what a copy says of a server was taken for news.

Change: the first list of a later generation replaces the one before whatever its revisions, and is sent to other entries in full. Servers that it lacks have the grace time of an outage. A record up to its revision that contradicts what is known (a server that was removed or is leaving as available, an earlier process) is held for 5 s: servers write their records again within 2 s, and records of servers that are gone expire before. Lists and changes of an earlier generation are ignored.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,11 @@
-//! List of registered backend servers, replicated from the store with delay and through outages.
+//! List of registered backend servers, replicated from the store with delay, through outages, and through
+//! returns of the store from a copy.
+//!
+//! Such a copy lacks servers that have registered since, and lists others as they were. What is known of both
+//! holds for the time in which servers write their records again.
 
 use crate::ids::{AvailabilityZone, PoolId, ServerId};
+use crate::revision::Revision;
 use crate::time::{Span, Time};
 use crate::value;
 use serde::{Deserialize, Serialize};
@@ -12,6 +17,9 @@
 /// Time after the store's recovery within which servers rewrite records that expired during the
 /// outage. The platform specifies two seconds; the rest allows for the delay of a read.
 const LAPSE_GRACE: Span = Span::from_millis(2_200);
+/// Time for which a record of a copy is not applied if it contradicts what is known of the server. A server
+/// that it describes truly is still listed then; the record of one that is gone expires sooner.
+const RECALL_HOLD: Span = Span::from_secs(5);
 
 value! {
     /// A registered backend server.
@@ -55,6 +63,11 @@
 }
 
 impl Replica {
+    /// Whether another record describes the same process.
+    fn is_same_process(&self, other: &Self) -> bool {
+        self.started == other.started && self.address == other.address
+    }
+
     /// The process that the record describes.
     pub fn process(&self) -> ServerProcess {
         ServerProcess { id: self.id.clone(), started: self.started }
@@ -66,6 +79,9 @@
 pub struct Delta {
     /// Store revision that the sender's list reflects.
     pub as_of: u64,
+    /// Generation of that revision; 0 if it is unknown.
+    #[serde(default)]
+    pub generation: u64,
     /// The sender's change counter, to be passed to [`Fleet::delta_since`] for the next delta.
     pub sequence: u64,
     /// Whether `listings` contains all servers rather than only those that changed.
@@ -88,6 +104,7 @@
 
 #[derive(Clone, Debug)]
 struct Record {
+    /// 0 if it was written in an earlier generation of the store.
     revision: u64,
     /// Value of the list's `sequence` when the content of the record last changed.
     last_change: u64,
@@ -96,16 +113,29 @@
     expires: Option<Time>,
 }
 
+/// A server that was removed.
+#[derive(Clone, Debug)]
+struct Removal {
+    /// Value of the list's `sequence`.
+    sequence: u64,
+    /// Store revision of the removal.
+    revision: u64,
+    replica: Replica,
+}
+
 /// The list of registered servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     records: BTreeMap<ServerId, Record>,
-    as_of: u64,
+    as_of: Revision,
+    /// Highest revision that the copy from which the store last returned may have. 0 if it never did.
+    recalled: u64,
+    /// Records of that copy that contradict what is known, and when they are applied.
+    held: BTreeMap<ServerId, (Time, Listing)>,
     /// Number of content changes and removals so far, counted by this process.
     sequence: u64,
-    /// Removed servers with the sequence number and store revision of the removal, in ascending
-    /// order.
-    removed: VecDeque<(u64, u64, ServerId)>,
+    /// Removed servers, in ascending order of the sequence number.
+    removed: VecDeque<Removal>,
     /// Highest sequence number dropped from `removed`. A receiver that is further behind needs the
     /// full list.
     compacted: u64,
@@ -117,7 +147,7 @@
 
 impl Fleet {
     /// Store revision up to which changes are applied.
-    pub fn as_of(&self) -> u64 {
+    pub fn as_of(&self) -> Revision {
         self.as_of
     }
 
@@ -154,21 +184,25 @@
             let gone = self
                 .removed
                 .iter()
-                .filter(|(at, _, id)| *at > known && !self.records.contains_key(id));
-            listings.extend(gone.map(|(_, revision, id)| Listing {
-                id: id.clone(),
-                revision: *revision,
+                .filter(|r| r.sequence > known && !self.records.contains_key(&r.replica.id));
+            listings.extend(gone.map(|removal| Listing {
+                id: removal.replica.id.clone(),
+                revision: removal.revision,
                 replica: None,
             }));
         }
-        Some(Delta { as_of: self.as_of, sequence: self.sequence, full, listings })
+        let Revision { generation, number: as_of } = self.as_of;
+        Some(Delta { as_of, generation, sequence: self.sequence, full, listings })
     }
 
-    /// Applies changes from another process. Returns `None` if they are older than this list.
+    /// Applies changes from another process. Returns `None` if they are older than this list, or if they
+    /// follow a list of another generation.
     pub fn merge(&mut self, now: Time, delta: &Delta) -> Option<Vec<FleetChange>> {
-        (delta.as_of >= self.as_of).then(|| match delta.full {
-            true => self.replace(now, delta.as_of, &delta.listings),
-            false => self.apply(now, delta.as_of, &delta.listings),
+        let as_of = Revision::new(delta.generation, delta.as_of);
+        let follows = delta.full || as_of.generation == self.as_of.generation;
+        (as_of >= self.as_of && follows).then(|| match delta.full {
+            true => self.replace(now, as_of, &delta.listings),
+            false => self.apply(now, as_of, &delta.listings),
         })
     }
 
@@ -185,9 +219,13 @@
         }
     }
 
-    /// Applies changes, which must be in order of revision.
-    pub fn apply(&mut self, now: Time, as_of: u64, changes: &[Listing]) -> Vec<FleetChange> {
+    /// Applies changes, which must be in order of revision. Those that don't follow a list of the same
+    /// generation are ignored.
+    pub fn apply(&mut self, now: Time, as_of: Revision, changes: &[Listing]) -> Vec<FleetChange> {
         let mut out = Vec::new();
+        if as_of.generation != self.as_of.generation {
+            return out;
+        }
         for change in changes {
             self.apply_one(now, change, &mut out);
         }
@@ -195,18 +233,24 @@
         out
     }
 
-    /// Applies a full list as of a revision. Servers that it does not contain count as missing.
-    pub fn replace(&mut self, now: Time, as_of: u64, list: &[Listing]) -> Vec<FleetChange> {
+    /// Applies a full list as of a revision. Servers that it does not contain count as missing. A list of an
+    /// earlier generation is ignored.
+    pub fn replace(&mut self, now: Time, as_of: Revision, list: &[Listing]) -> Vec<FleetChange> {
+        if as_of.generation < self.as_of.generation {
+            return Vec::new();
+        }
+        self.enter_generation(now, as_of);
         let named: BTreeSet<_> = list.iter().map(|listing| &listing.id).collect();
         let absent: Vec<_> = self
             .records
             .values()
-            .filter(|record| record.revision <= as_of && !named.contains(&record.replica.id))
+            .filter(|record| record.revision <= as_of.number && !named.contains(&record.replica.id))
             .map(|record| record.replica.id.clone())
             .collect();
+        self.held.retain(|id, _| named.contains(id));
         let mut out = Vec::new();
         for id in absent {
-            self.mark_missing(now, &id, as_of, &mut out);
+            self.mark_missing(now, &id, as_of.number, &mut out);
         }
         for listing in list {
             self.apply_one(now, listing, &mut out);
@@ -215,13 +259,41 @@
         out
     }
 
-    /// Removes servers whose records are still missing after the grace period.
+    /// Takes up the first list of a later generation. Revisions of earlier ones have been given out again.
+    fn enter_generation(&mut self, now: Time, as_of: Revision) {
+        if as_of.generation == self.as_of.generation {
+            return;
+        }
+        let is_first = self.as_of == Revision::default();
+        self.as_of = as_of;
+        if is_first {
+            return;
+        }
+        for record in self.records.values_mut() {
+            // A server that had not returned yet gets time again.
+            (record.revision, record.expires) = (0, None);
+        }
+        self.recovered = Some(now);
+        self.recalled = as_of.number;
+        self.held.clear();
+        // Receivers of deltas need the full list of this generation.
+        self.sequence += 1;
+        self.compacted = self.sequence;
+    }
+
+    /// Removes servers whose records are still missing after the grace period, and applies records of a copy
+    /// that are still listed.
     pub fn expire(&mut self, now: Time) -> Vec<FleetChange> {
         let due = |record: &Record| record.expires.is_some_and(|at| at <= now);
         let gone: Vec<_> =
             self.records.values().filter(|r| due(r)).map(|r| r.replica.id.clone()).collect();
-        gone.iter().for_each(|id| self.remove(id, self.as_of));
-        gone.into_iter().map(FleetChange::Removed).collect()
+        gone.iter().for_each(|id| self.remove(id, self.as_of.number));
+        let mut out: Vec<_> = gone.into_iter().map(FleetChange::Removed).collect();
+        let released = self.held.extract_if(.., |_, (until, _)| *until <= now);
+        for (_, (_, listing)) in released.collect::<Vec<_>>() {
+            self.apply_record(&listing, &mut out);
+        }
+        out
     }
 
     fn apply_one(&mut self, now: Time, change: &Listing, out: &mut Vec<FleetChange>) {
@@ -232,9 +304,46 @@
             return;
         }
         let Some(replica) = &change.replica else {
+            self.held.remove(&change.id);
             self.mark_missing(now, &change.id, change.revision, out);
             return;
         };
+        if change.revision <= self.recalled && self.contradicts(replica) {
+            self.hold(now, change);
+            return;
+        }
+        self.held.remove(&change.id);
+        self.apply_record(change, out);
+    }
+
+    /// Whether a record of a copy contradicts what is known: it lists a server that was removed or is leaving
+    /// as available, or an earlier process.
+    fn contradicts(&self, listed: &Replica) -> bool {
+        match self.records.get(&listed.id).map(|record| &record.replica) {
+            Some(known) if known.is_same_process(listed) => known.leaving && !listed.leaving,
+            Some(known) => known.started > listed.started,
+            None => self.removed.iter().any(|removal| {
+                let known = &removal.replica;
+                let later = known.is_same_process(listed) || known.started > listed.started;
+                known.id == listed.id && later
+            }),
+        }
+    }
+
+    /// Keeps a record of a copy until the server has had time to write its record again.
+    fn hold(&mut self, now: Time, change: &Listing) {
+        let until = self.held.get(&change.id).map_or(now + RECALL_HOLD, |(until, _)| *until);
+        self.held.insert(change.id.clone(), (until, change.clone()));
+        if let (Some(record), Some(listed)) = (self.records.get_mut(&change.id), &change.replica)
+            && !record.replica.is_same_process(listed)
+        {
+            record.expires = Some(record.expires.unwrap_or(now + LAPSE_GRACE));
+        }
+    }
+
+    fn apply_record(&mut self, change: &Listing, out: &mut Vec<FleetChange>) {
+        let Some(replica) = &change.replica else { return };
+        let known = self.records.get(&change.id);
         let unchanged = known.is_some_and(|record| record.replica == *replica);
         let last_change = match known {
             Some(record) if unchanged => record.last_change,
@@ -244,9 +353,7 @@
             }
         };
         let known = self.records.get(&change.id);
-        let same_process = known.is_some_and(|record| {
-            record.replica.started == replica.started && record.replica.address == replica.address
-        });
+        let same_process = known.is_some_and(|record| record.replica.is_same_process(replica));
         let was_leaving = known.is_some_and(|record| same_process && record.replica.leaving);
         if !same_process {
             if known.is_some() {
@@ -286,13 +393,13 @@
     }
 
     fn remove(&mut self, id: &ServerId, revision: u64) {
-        self.records.remove(id);
+        let Some(Record { replica, .. }) = self.records.remove(id) else { return };
         self.sequence += 1;
-        self.removed.push_back((self.sequence, revision, id.clone()));
+        self.removed.push_back(Removal { sequence: self.sequence, revision, replica });
         if self.removed.len() > REMOVALS_MAX
-            && let Some((at, ..)) = self.removed.pop_front()
+            && let Some(oldest) = self.removed.pop_front()
         {
-            self.compacted = at;
+            self.compacted = self.compacted.max(oldest.sequence);
         }
     }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -2,8 +2,10 @@
 
 use damaskweir_core::fleet::{Delta, Fleet, FleetChange, Listing, Replica};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
+use damaskweir_core::revision::Revision;
 use damaskweir_core::time::{Span, Time};
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn replica(id: &str, started: u64, leaving: bool) -> Replica {
     Replica {
@@ -29,9 +31,14 @@
     Time::default() + Span::from_secs(n)
 }
 
+/// A revision of the first generation.
+fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn known() -> Fleet {
     let mut fleet = Fleet::default();
-    fleet.replace(seconds(1), 10, &[listed(9, replica("a", 1, false))]);
+    fleet.replace(seconds(1), at(10), &[listed(9, replica("a", 1, false))]);
     fleet
 }
 
@@ -39,9 +46,9 @@
 #[test]
 fn leaving_and_removed_servers_are_reported_at_once() {
     let mut fleet = known();
-    let changes = fleet.apply(seconds(2), 11, &[listed(11, replica("a", 1, true))]);
+    let changes = fleet.apply(seconds(2), at(11), &[listed(11, replica("a", 1, true))]);
     assert_eq!(changes, [FleetChange::Leaving(ServerId::from("a"))]);
-    let changes = fleet.apply(seconds(3), 12, &[removed(12, "a")]);
+    let changes = fleet.apply(seconds(3), at(12), &[removed(12, "a")]);
     assert_eq!(changes, [FleetChange::Removed(ServerId::from("a"))]);
 }
 
@@ -49,7 +56,7 @@
 #[test]
 fn a_restart_under_the_same_id_is_another_server() {
     let mut fleet = known();
-    let changes = fleet.apply(seconds(2), 11, &[listed(11, replica("a", 2, false))]);
+    let changes = fleet.apply(seconds(2), at(11), &[listed(11, replica("a", 2, false))]);
     let up = replica("a", 2, false);
     assert_eq!(changes, [FleetChange::Removed(ServerId::from("a")), FleetChange::Up(up)]);
 }
@@ -58,8 +65,8 @@
 #[test]
 fn older_records_change_nothing() {
     let mut fleet = known();
-    fleet.apply(seconds(2), 20, &[listed(20, replica("a", 1, true))]);
-    assert_eq!(fleet.apply(seconds(3), 20, &[listed(15, replica("a", 1, false))]), []);
+    fleet.apply(seconds(2), at(20), &[listed(20, replica("a", 1, true))]);
+    assert_eq!(fleet.apply(seconds(3), at(20), &[listed(15, replica("a", 1, false))]), []);
 }
 
 /// Guards against removing all servers because their records expired during a store outage.
@@ -68,9 +75,9 @@
     let mut fleet = known();
     fleet.store_lost();
     fleet.store_recovered(seconds(10));
-    assert_eq!(fleet.replace(seconds(10), 30, &[]), []);
+    assert_eq!(fleet.replace(seconds(10), at(30), &[]), []);
     assert_eq!(fleet.expire(seconds(11)), []);
-    let again = fleet.apply(seconds(11), 31, &[listed(31, replica("a", 1, false))]);
+    let again = fleet.apply(seconds(11), at(31), &[listed(31, replica("a", 1, false))]);
     assert_eq!(again, [], "the server was never removed");
     assert_eq!(fleet.expire(seconds(20)), []);
 }
@@ -81,7 +88,7 @@
     let mut fleet = known();
     fleet.store_lost();
     fleet.store_recovered(seconds(10));
-    fleet.replace(seconds(10), 30, &[]);
+    fleet.replace(seconds(10), at(30), &[]);
     assert_eq!(fleet.expire(seconds(13)), [FleetChange::Removed(ServerId::from("a"))]);
 }
 
@@ -89,7 +96,7 @@
 #[test]
 fn an_unreadable_record_removes_its_server() {
     let mut fleet = known();
-    assert_eq!(fleet.apply(seconds(2), 11, &[removed(11, "b")]), []);
+    assert_eq!(fleet.apply(seconds(2), at(11), &[removed(11, "b")]), []);
     assert_eq!(fleet.replicas().count(), 1);
 }
 
@@ -99,12 +106,12 @@
 fn deltas_contain_only_changes() {
     let mut fleet = Fleet::default();
     let many: Vec<_> = (0..500).map(|n| listed(n, replica(&format!("r{n}"), 1, false))).collect();
-    fleet.replace(seconds(1), 500, &many);
+    fleet.replace(seconds(1), at(500), &many);
     let known = fleet.sequence();
     assert_eq!(fleet.delta_since(known), None);
-    fleet.apply(seconds(2), 510, &[listed(510, replica("r7", 1, false))]);
+    fleet.apply(seconds(2), at(510), &[listed(510, replica("r7", 1, false))]);
     assert_eq!(fleet.delta_since(known), None, "the record says the same");
-    fleet.apply(seconds(2), 512, &[listed(511, replica("r7", 1, true)), removed(512, "r9")]);
+    fleet.apply(seconds(2), at(512), &[listed(511, replica("r7", 1, true)), removed(512, "r9")]);
     let delta = fleet.delta_since(known).expect("two changes");
     assert!(!delta.full);
     let listed_ids: Vec<_> =
@@ -116,13 +123,108 @@
 #[test]
 fn older_deltas_are_ignored() {
     let mut fleet = known();
-    fleet.apply(seconds(2), 20, &[removed(20, "a")]);
+    fleet.apply(seconds(2), at(20), &[removed(20, "a")]);
     let listings = vec![listed(9, replica("a", 1, false))];
-    let old = Delta { as_of: 15, sequence: 3, full: false, listings };
+    let old = Delta { as_of: 15, generation: 1, sequence: 3, full: false, listings };
     assert_eq!(fleet.merge(seconds(3), &old), None);
     assert!(fleet.get(&ServerId::from("a")).is_none());
 }
 
+/// A fleet that knows a server, whose store then returns with a list of an earlier time.
+fn returned(known: &Listing, copy: &[Listing]) -> (Fleet, Vec<FleetChange>) {
+    let mut fleet = Fleet::default();
+    fleet.replace(seconds(1), at(20), std::slice::from_ref(known));
+    let changes = fleet.replace(seconds(10), Revision::new(2, 15), copy);
+    (fleet, changes)
+}
+
+/// Guards against removing servers that registered in the lost time.
+#[test]
+fn servers_that_the_copy_lacks_get_time_to_register_again() {
+    let (mut fleet, changes) = returned(&listed(19, replica("a", 1, false)), &[]);
+    assert_eq!((changes, fleet.expire(seconds(12))), (vec![], vec![]));
+    let again = [listed(16, replica("a", 1, false))];
+    assert_eq!(fleet.apply(seconds(12), Revision::new(2, 16), &again), []);
+    assert_eq!(fleet.expire(seconds(20)), []);
+}
+
+/// Guards against keeping a server forever because its revision is higher than any that the store has.
+#[test]
+fn servers_that_stay_missing_after_a_return_are_removed() {
+    let (mut fleet, _) = returned(&listed(19, replica("a", 1, false)), &[]);
+    assert_eq!(fleet.expire(seconds(13)), [FleetChange::Removed(ServerId::from("a"))]);
+}
+
+/// Guards against a change that is missed because its revision was given out before.
+#[test]
+fn reused_revisions_are_later_ones() {
+    let (mut fleet, _) =
+        returned(&listed(19, replica("a", 1, false)), &[listed(9, replica("a", 1, false))]);
+    let leaving = [listed(16, replica("a", 1, true))];
+    let changes = fleet.apply(seconds(11), Revision::new(2, 16), &leaving);
+    assert_eq!(changes, [FleetChange::Leaving(ServerId::from("a"))]);
+}
+
+/// Guards against new work for a server that the copy lists as it was before it began to leave, was removed,
+/// or started again.
+#[rstest]
+#[case::leaving(listed(19, replica("a", 1, true)), replica("a", 1, true))]
+#[case::restarted(listed(19, replica("a", 2, false)), replica("a", 2, false))]
+fn older_records_of_known_servers_wait(#[case] known: Listing, #[case] kept: Replica) {
+    let copied = listed(9, replica("a", 1, false));
+    let (mut fleet, changes) = returned(&known, std::slice::from_ref(&copied));
+    assert_eq!((changes, fleet.get(&kept.id)), (vec![], Some(&kept)));
+    // A second read and a second return change nothing.
+    fleet.replace(seconds(11), Revision::new(2, 15), std::slice::from_ref(&copied));
+    fleet.replace(seconds(11), Revision::new(3, 15), std::slice::from_ref(&copied));
+    assert_eq!((fleet.expire(seconds(12)), fleet.get(&kept.id)), (vec![], Some(&kept)));
+    // Nobody wrote it again, so it is true.
+    fleet.expire(seconds(17));
+    assert_eq!(fleet.get(&kept.id), copied.replica.as_ref());
+}
+
+/// Guards against new work for a server that was removed in the lost time.
+#[test]
+fn older_records_of_removed_servers_wait() {
+    let mut fleet = known();
+    fleet.apply(seconds(2), at(20), &[removed(20, "a")]);
+    let copied = [listed(9, replica("a", 1, false)), listed(8, replica("b", 1, false))];
+    let changes = fleet.replace(seconds(10), Revision::new(2, 15), &copied);
+    assert_eq!(changes, [FleetChange::Up(replica("b", 1, false))]);
+    assert_eq!(fleet.expire(seconds(14)), []);
+    // It is another process.
+    let again = [listed(16, replica("a", 2, false))];
+    let changes = fleet.apply(seconds(14), Revision::new(2, 16), &again);
+    assert_eq!(changes, [FleetChange::Up(replica("a", 2, false))]);
+    assert_eq!(fleet.expire(seconds(30)), []);
+}
+
+/// Guards against lists of an earlier generation, and against changes that follow one.
+#[test]
+fn lists_of_earlier_generations_are_ignored() {
+    let (mut fleet, _) =
+        returned(&listed(19, replica("a", 1, false)), &[listed(9, replica("a", 1, false))]);
+    let listings = vec![listed(30, replica("b", 1, false))];
+    let old =
+        Delta { as_of: 30, generation: 1, sequence: 3, full: true, listings: listings.clone() };
+    assert_eq!(fleet.merge(seconds(11), &old), None);
+    let next = Delta { as_of: 30, generation: 3, sequence: 3, full: false, listings };
+    assert_eq!(fleet.merge(seconds(11), &next), None);
+    assert_eq!(fleet.apply(seconds(11), at(30), &old.listings), []);
+    assert_eq!(fleet.replace(seconds(11), at(30), &old.listings), []);
+    assert_eq!(fleet.replicas().count(), 1);
+}
+
+/// Guards against a receiver of deltas that misses the servers of a new generation.
+#[test]
+fn first_delta_of_a_generation_is_full() {
+    let mut fleet = known();
+    let sequence = fleet.sequence();
+    fleet.replace(seconds(10), Revision::new(2, 5), &[listed(4, replica("a", 1, false))]);
+    let delta = fleet.delta_since(sequence).expect("a new generation");
+    assert_eq!((delta.full, delta.generation, delta.as_of), (true, 2, 5));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// Writes a record: server, start of its process, whether it is leaving.
@@ -154,6 +256,7 @@
     fn follower_matches_its_source(steps in steps()) {
         let mut store = std::collections::BTreeMap::<u8, Listing>::new();
         let mut sources = [Fleet::default(), Fleet::default()];
+        sources.iter_mut().for_each(|source| drop(source.replace(seconds(1), at(10), &[])));
         let mut follower = Fleet::default();
         let (mut last_source, mut sequence, mut revision) = (usize::MAX, 0, 10_u64);
         for step in steps {
@@ -164,17 +267,17 @@
                     revision += 1;
                     let listing = listed(revision, replica(&format!("r{n}"), started, leaving));
                     store.insert(n, listing.clone());
-                    sources.iter_mut().for_each(|t| drop(t.apply(now, revision, std::slice::from_ref(&listing))));
+                    sources.iter_mut().for_each(|t| drop(t.apply(now, at(revision), std::slice::from_ref(&listing))));
                 }
                 Step::Remove(n) => {
                     revision += 1;
                     store.remove(&n);
                     let listing = removed(revision, &format!("r{n}"));
-                    sources.iter_mut().for_each(|t| drop(t.apply(now, revision, std::slice::from_ref(&listing))));
+                    sources.iter_mut().for_each(|t| drop(t.apply(now, at(revision), std::slice::from_ref(&listing))));
                 }
                 Step::Reread => {
                     let list: Vec<_> = store.values().cloned().collect();
-                    sources[1].replace(now, revision, &list);
+                    sources[1].replace(now, at(revision), &list);
                 }
                 Step::Ask => ask = Some(0),
                 Step::AskOther => ask = Some(1),
@@ -192,3 +295,70 @@
         }
     }
 }
+
+/// What happens to a server between a copy and the return of the store from it.
+#[derive(Clone, Debug)]
+enum Fate {
+    Same,
+    Left,
+    Leaving,
+    Restarted(u64),
+}
+
+fn fates() -> impl Strategy<Value = Vec<(bool, Fate)>> {
+    let fate = prop_oneof![
+        2 => Just(Fate::Same),
+        1 => Just(Fate::Left),
+        1 => Just(Fate::Leaving),
+        1 => (2..4_u64).prop_map(Fate::Restarted),
+    ];
+    proptest::collection::vec((any::<bool>(), fate), 1..8)
+}
+
+proptest! {
+    /// Guards against a list that differs from the store's for good after a return, at an entry that reads the
+    /// store or at one that hears it from that entry, whatever servers did in the lost time.
+    #[test]
+    fn lists_agree_with_the_store_after_a_return(fates in fates(), heard in any::<bool>()) {
+        let (mut reader, mut follower) = (Fleet::default(), Fleet::default());
+        let name = |n: usize| format!("r{n}");
+        let copied = |n: usize| listed(n as u64 + 1, replica(&name(n), 1, false));
+        let copy: Vec<_> =
+            (0..fates.len()).filter(|n| fates[*n].0).map(copied).collect();
+        reader.replace(seconds(1), at(10), &copy);
+        let now: Vec<_> = fates.iter().enumerate().filter_map(|(n, (_, fate))| match fate {
+            Fate::Same => Some(replica(&name(n), 1, false)),
+            Fate::Left => None,
+            Fate::Leaving => Some(replica(&name(n), 1, true)),
+            Fate::Restarted(started) => Some(replica(&name(n), *started, false)),
+        }).collect();
+        let lost: Vec<_> = now.iter().map(|replica| listed(20, replica.clone())).collect();
+        reader.replace(seconds(2), at(20), &lost);
+        if let Some(delta) = reader.delta_since(0).filter(|_| heard) {
+            prop_assert!(follower.merge(seconds(2), &delta).is_some());
+        }
+        reader.replace(seconds(3), Revision::new(2, 10), &copy);
+        // Servers whose record the copy does not have as it was write it again, the others expire.
+        let stale = |listing: &&Listing| !now.iter().any(|r| Some(r) == listing.replica.as_ref());
+        let again = now.iter().filter(|r| !copy.iter().any(|l| l.replica.as_ref() == Some(r)));
+        let mut changes: Vec<_> = again.zip(11..).map(|(r, n)| listed(n, r.clone())).collect();
+        let gone = copy.iter().filter(stale).filter(|l| !now.iter().any(|r| r.id == l.id));
+        changes.extend(gone.map(|l| removed(30, l.id.as_str())));
+        reader.apply(seconds(5), Revision::new(2, 30), &changes);
+        let mut sequence = 0;
+        for time in [6, 9, 20] {
+            reader.expire(seconds(time));
+            follower.expire(seconds(time));
+            if let Some(delta) = reader.delta_since(sequence) {
+                prop_assert!(follower.merge(seconds(time), &delta).is_some());
+                sequence = delta.sequence;
+            }
+        }
+        follower.expire(seconds(30));
+        let of = |fleet: &Fleet| fleet.replicas().cloned().collect::<Vec<_>>();
+        let mut expected = now;
+        expected.sort_by(|a, b| a.id.cmp(&b.id));
+        prop_assert_eq!(of(&reader), expected.clone());
+        prop_assert_eq!(of(&follower), expected);
+    }
+}
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -351,9 +351,9 @@
                         let fleet = &mut self.node.state.borrow_mut().fleet;
                         fleet.store_recovered(now);
                         if full_read {
-                            fleet.replace(now, read.revision.number, &read.value)
+                            fleet.replace(now, read.revision, &read.value)
                         } else {
-                            fleet.apply(now, read.revision.number, &read.value)
+                            fleet.apply(now, read.revision, &read.value)
                         }
                     };
                     self.node.apply_fleet_changes(changes);
