Order lists of entries by the store's generation, and tell it between entries

An entry that started after the store's return from a copy was not seen by the others for as long as the store's revision was below the known one, so it owned no backend servers for them, and the retry budgets counted too few entries.

Cause: a list replaced another only if its revision was higher, in reads of the store, in polls, and when pieces are refused.

Change: the generation precedes the revision in all of them. Polls and their answers name the highest known generation, so an entry that hears only others learns of a return; all then keep the entries that they know for the time in which entries register again, as after an outage. Servers of an earlier generation are not sent to an entry that would ignore them. A list without a generation, of an entry of an earlier version, counts like one without a revision: it is taken once the own one is 2 s old.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -1,14 +1,15 @@
 //! The list of entries, ordered by the store revision that it reflects.
 //!
-//! Entries take the list from the store and from each other. A list never replaces one of a later revision,
-//! and its age is the time since the store confirmed it: the absence of changes confirms nothing.
+//! Entries take the list from the store and from each other. A list never replaces one of a later revision or
+//! generation, and its age is the time since the store confirmed it: the absence of changes confirms nothing.
 
 use crate::owner::EntryInfo;
+use crate::revision::Revision;
 use crate::time::{SignedTime, Span, Time};
 use crate::value;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Time by which a list without a revision may be behind the store.
+/// Time by which a list without a revision or generation may be behind the store.
 const UNMARKED_LAG: Span = Span::from_secs(2);
 
 value! {
@@ -18,6 +19,9 @@
     pub struct RosterMark {
         /// Store revision that the list reflects.
         pub as_of: u64,
+        /// Generation of that revision; 0 if it is unknown.
+        #[serde(default)]
+        pub generation: u64,
         /// Hash of the list.
         pub digest: u64,
         /// Time since the store confirmed the list; `None` if it never has.
@@ -33,13 +37,20 @@
     }
 }
 
+impl RosterMark {
+    /// Revision of the list.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.generation, self.as_of)
+    }
+}
+
 /// The list of entries.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     /// Sorted by name.
     entries: Vec<EntryInfo>,
-    /// Store revision that the list reflects; 0 if an entry of an earlier version told it.
-    as_of: u64,
+    /// Store revision that the list reflects; its number is 0 if an entry of an earlier version told it.
+    as_of: Revision,
     confirmed: Option<SignedTime>,
 }
 
@@ -49,8 +60,8 @@
         &self.entries
     }
 
-    /// Store revision that the list reflects; 0 if it is unknown.
-    pub fn as_of(&self) -> u64 {
+    /// Store revision that the list reflects; its number is 0 if it is unknown.
+    pub fn as_of(&self) -> Revision {
         self.as_of
     }
 
@@ -61,7 +72,8 @@
 
     /// What to tell other entries besides the list.
     pub fn mark(&self, now: Time) -> RosterMark {
-        RosterMark { as_of: self.as_of, digest: self.digest(), age: self.age(now) }
+        let Revision { generation, number: as_of } = self.as_of;
+        RosterMark { as_of, generation, digest: self.digest(), age: self.age(now) }
     }
 
     /// What to tell an entry that may have another list.
@@ -71,17 +83,19 @@
 
     /// Whether an entry with a list of this revision and hash lacks this one. An entry of an earlier version
     /// tells no revision.
-    pub fn is_news_for(&self, as_of: u64, digest: u64) -> bool {
-        digest != self.digest() && (as_of == 0 || self.as_of > as_of)
+    pub fn is_news_for(&self, as_of: Revision, digest: u64) -> bool {
+        digest != self.digest() && (as_of.number == 0 || self.as_of > as_of)
     }
 
     /// Whether a list of another entry is later than this one. An entry of an earlier version tells no
-    /// revision.
+    /// revision, or no generation.
     pub fn is_older_than(&self, now: Time, other: Option<&RosterMark>) -> bool {
-        match other.map_or(0, |mark| mark.as_of) {
+        let as_of = other.map(RosterMark::revision).unwrap_or_default();
+        let unmarked = as_of.number == 0 || as_of.generation == 0 && self.as_of.generation > 0;
+        match unmarked {
             _ if self.entries.is_empty() => true,
-            0 => self.age(now).is_none_or(|age| age > UNMARKED_LAG),
-            as_of => as_of > self.as_of,
+            true => self.age(now).is_none_or(|age| age > UNMARKED_LAG),
+            false => as_of > self.as_of,
         }
     }
 
@@ -91,7 +105,7 @@
         &mut self,
         now: Time,
         mut entries: Vec<EntryInfo>,
-        as_of: u64,
+        as_of: Revision,
         age: Option<Span>,
     ) -> bool {
         entries.sort();
@@ -107,8 +121,8 @@
     /// list if it is the same one.
     pub fn confirm(&mut self, now: Time, mark: &RosterMark, delay: Span) {
         let Some(age) = mark.age else { return };
-        if mark.digest == self.digest() && mark.as_of >= self.as_of {
-            self.as_of = mark.as_of;
+        if mark.digest == self.digest() && mark.revision() >= self.as_of {
+            self.as_of = mark.revision();
             let at = SignedTime::before(now, age + delay);
             self.confirmed = self.confirmed.max(Some(at));
         }
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,7 +1,8 @@
 //! Tests of the order and age of the list of entries.
 
 use damaskweir_core::owner::EntryInfo;
-use damaskweir_core::roster::Roster;
+use damaskweir_core::revision::Revision;
+use damaskweir_core::roster::{Roster, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use rstest::rstest;
 
@@ -11,6 +12,11 @@
 
 /// A list as of a revision, confirmed one second after the start.
 fn roster(names: &[&str], as_of: u64) -> Roster {
+    roster_of(names, Revision::new(1, as_of))
+}
+
+/// The same for a revision of any generation.
+fn roster_of(names: &[&str], as_of: Revision) -> Roster {
     let mut roster = Roster::default();
     let entries = names.iter().map(|name| entry(name)).collect();
     roster.replace(Time::default() + Span::from_secs(1), entries, as_of, Some(Span::ZERO));
@@ -56,8 +62,8 @@
 #[case::no_revision(0, true)]
 fn list_is_sent_to_those_who_lack_it(#[case] as_of: u64, #[case] sent: bool) {
     let (own, other) = (roster(&["e-1", "e-2"], 10), roster(&["e-1"], 1).mark(seconds(1)).digest);
-    assert_eq!(own.is_news_for(as_of, other), sent);
-    assert!(!own.is_news_for(as_of, own.mark(seconds(1)).digest));
+    assert_eq!(own.is_news_for(Revision::new(1, as_of), other), sent);
+    assert!(!own.is_news_for(Revision::new(1, as_of), own.mark(seconds(1)).digest));
 }
 
 /// Guards against a list that counts as confirmed because another entry, with another list, or an older
@@ -71,5 +77,26 @@
     assert_eq!(own.age(seconds(9)), Some(Span::from_secs(8)));
     let same = roster(&["e-1", "e-2"], 20).mark(seconds(3));
     own.confirm(seconds(9), &same, Span::from_secs(1));
-    assert_eq!((own.as_of(), own.age(seconds(9))), (20, Some(Span::from_secs(3))));
+    assert_eq!((own.as_of().number, own.age(seconds(9))), (20, Some(Span::from_secs(3))));
+}
+
+/// Guards against a list from before the store returned from a copy that counts as later, since the store gives
+/// its revisions out again.
+#[test]
+fn lists_of_later_generations_are_later() {
+    let (old, new) = (roster_of(&["e-1"], Revision::new(1, 90)), Revision::new(2, 10));
+    let new = roster_of(&["e-1", "e-2"], new);
+    let mark = |roster: &Roster| roster.mark(seconds(1));
+    assert!(old.is_older_than(seconds(2), Some(&mark(&new))));
+    assert!(!new.is_older_than(seconds(2), Some(&mark(&old))));
+    assert!(new.is_news_for(old.as_of(), mark(&old).digest));
+    assert!(!old.is_news_for(new.as_of(), mark(&new).digest));
+    // An entry of an earlier version tells no generation.
+    let unmarked = mark(&roster(&["e-1"], 90));
+    let unmarked = RosterMark { generation: 0, ..unmarked };
+    assert!(!new.is_older_than(seconds(3), Some(&unmarked)));
+    assert!(new.is_older_than(seconds(4), Some(&unmarked)));
+    let mut same = roster_of(&["e-1", "e-2"], Revision::new(3, 1));
+    same.confirm(seconds(9), &roster_of(&["e-1", "e-2"], new.as_of()).mark(seconds(9)), Span::ZERO);
+    assert_eq!(same.age(seconds(9)), Some(Span::from_secs(8)));
 }
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -22,6 +22,7 @@
 use damaskweir_core::place::Placer;
 use damaskweir_core::quarantine::Quarantine;
 use damaskweir_core::returns::ReturnDetector;
+use damaskweir_core::revision::Revision;
 use damaskweir_core::roster::{Roster, RosterMark, RosterStatement};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
@@ -148,6 +149,8 @@
     /// Highest known generation of the store: a number that rises when it returns with an older state. 0 if
     /// it is unknown.
     pub(crate) generation: u64,
+    /// When this entry learned that the store had returned with an older state.
+    pub(crate) returned_at: Option<Time>,
     /// Whether the local state was stale at the last check.
     pub(crate) stale: bool,
     /// Whether requests may be served with the known configuration. A previous process may have
@@ -223,6 +226,7 @@
             store_current: false,
             freshness: Freshness::default(),
             generation: 0,
+            returned_at: None,
             stale: false,
             servable: false,
             draining: None,
@@ -340,6 +344,7 @@
         }
         state.generation = generation;
         if before > 0 {
+            state.returned_at = Some(self.now());
             let fields = [("generation", generation.into()), ("before", before.into())];
             self.log.process(Kind::StoreRestored, &fields);
         }
@@ -399,14 +404,20 @@
 
     /// Replaces the list of entries by one that the store or another entry told `age` ago, as of a revision
     /// of the store.
-    pub fn set_entries(&self, entries: Vec<EntryInfo>, as_of: u64, age: Option<Span>, from: &str) {
+    pub fn set_entries(
+        &self,
+        entries: Vec<EntryInfo>,
+        as_of: Revision,
+        age: Option<Span>,
+        from: &str,
+    ) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if state.roster.replace(now, entries, as_of, age) {
             let fields = [
                 ("entries", (state.roster.entries().len() as u64).into()),
                 ("from", from.into()),
-                ("as_of", as_of.into()),
+                ("as_of", as_of.number.into()),
                 ("age_ms", age.unwrap_or_default().as_millis().into()),
             ];
             self.log.process(Kind::EntriesChanged, &fields);
@@ -430,7 +441,8 @@
         let later = self.state.borrow().roster.is_older_than(self.now(), mark);
         if later {
             let age = mark.and_then(|mark| mark.age).map(|age| age + delay);
-            self.set_entries(entries, mark.map_or(0, |mark| mark.as_of), age, "entry");
+            let as_of = mark.map(RosterMark::revision).unwrap_or_default();
+            self.set_entries(entries, as_of, age, "entry");
         }
     }
 
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -455,7 +455,7 @@
         let Some(told) = &answer.roster else { return Ok(answer) };
         let (own, took) =
             (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
-        if own.mark.as_of <= told.mark.as_of || own.mark.digest == told.mark.digest {
+        if own.mark.revision() <= told.mark.revision() || own.mark.digest == told.mark.digest {
             self.merge_roster(told, took);
             return Ok(answer);
         }
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -102,6 +102,12 @@
     /// Store revision of that list; 0 if it is unknown.
     #[serde(default)]
     entries_as_of: u64,
+    /// Generation of that revision; 0 if it is unknown.
+    #[serde(default)]
+    entries_generation: u64,
+    /// Highest generation of the store that it knows; 0 if it is unknown.
+    #[serde(default)]
+    generation: u64,
     /// Digest of the rulings on prompt parts that it last received.
     #[serde(default)]
     rulings: u64,
@@ -147,6 +153,9 @@
     /// Time for which the response was held.
     #[serde(default)]
     held: Span,
+    /// Highest generation of the store that the responding process knows; 0 if it is unknown.
+    #[serde(default)]
+    generation: u64,
 }
 
 impl Snapshot {
@@ -154,6 +163,7 @@
     /// returns a snapshot.
     pub(crate) async fn wait_for_changes<W: Wire>(node: &Node<W>, known: KnownState) -> Self {
         let received = node.now();
+        node.observe_generation(known.generation);
         let limit = Instant::now() + Duration::from(known.wait).min(MAX_POLL_TIMEOUT);
         loop {
             let changed = node.changed.notified();
@@ -172,19 +182,24 @@
         let state = node.state.borrow();
         let newer = state.catalog.as_ref().filter(|catalog| known.lacks(catalog));
         let sequence = if known.teller == node.incarnation { known.sequence } else { 0 };
-        let fresh = state.roster.is_news_for(known.entries_as_of, known.entries);
+        let entries_as_of = Revision::new(known.entries_generation, known.entries_as_of);
+        let fresh = state.roster.is_news_for(entries_as_of, known.entries);
+        // Servers of an earlier generation would be ignored.
+        let servers = (state.fleet.as_of().generation >= known.generation)
+            .then(|| state.fleet.delta_since(sequence));
         let rulings = state.quarantine.statements(node.now());
         let ruled = quarantine::digest(&rulings) != known.rulings;
         Self {
             teller: node.incarnation,
             catalog: newer.map(|catalog| (**catalog).clone()),
-            servers: state.fleet.delta_since(sequence),
+            servers: servers.flatten(),
             entries: fresh.then(|| state.roster.entries().to_vec()),
             roster: Some(state.roster.mark(node.now())),
             age: state.freshness.age(node.now()),
             limits: state.intake.statements(node.now()),
             rulings: ruled.then_some(rulings),
             held: node.now().since(received),
+            generation: state.generation,
         }
     }
 
@@ -385,7 +400,7 @@
                 Ok(read) => match self.reannounce_wait() {
                     Some(remaining) => {
                         let entries = self.with_known(read.value.entries);
-                        self.take_read_entries(entries, read.revision.number, sent);
+                        self.take_read_entries(entries, read.revision, sent);
                         sleep(remaining).await;
                         Ok(())
                     }
@@ -394,7 +409,7 @@
                         entries.sort();
                         let digest = roster::digest(&entries);
                         if self.node.is_listed(&entries) {
-                            self.take_read_entries(entries, read.revision.number, sent);
+                            self.take_read_entries(entries, read.revision, sent);
                         }
                         let changed = self.wait_for_entries(read.revision, digest).await;
                         changed.map_err(|error| (error, false))
@@ -423,7 +438,7 @@
 
     /// Takes a list of entries that was read from the store by a call sent at `sent`, unless a later one is
     /// known.
-    fn take_read_entries(&self, entries: Vec<EntryInfo>, as_of: u64, sent: Time) {
+    fn take_read_entries(&self, entries: Vec<EntryInfo>, as_of: Revision, sent: Time) {
         let (known, now) = (self.node.state.borrow().roster.as_of(), self.node.now());
         if as_of >= known {
             self.node.set_entries(entries, as_of, Some(now.since(sent)), "store");
@@ -466,8 +481,8 @@
             after = read.revision;
             let now = self.node.now();
             let held = ENTRY_WATCH_TIMEOUT.min(now.since(sent));
-            let mark =
-                RosterMark { as_of: after.number, digest, age: Some(now.since(sent + held)) };
+            let Revision { generation, number: as_of } = after;
+            let mark = RosterMark { as_of, generation, digest, age: Some(now.since(sent + held)) };
             self.node.state.borrow_mut().roster.confirm(now, &mark, Span::ZERO);
         }
         Ok(())
@@ -494,9 +509,10 @@
     }
 
     /// Returns the time until all live entries have registered again after an outage in which
-    /// leases may have expired. Until then a missing record does not mean that an entry is gone.
+    /// leases may have expired, or after the store returned with an older state. Until then a missing record does not mean that an entry is gone.
     fn reannounce_wait(&self) -> Option<Duration> {
-        let since = self.node.now().since(self.restored_at.get()?);
+        let returned = self.node.state.borrow().returned_at;
+        let since = self.node.now().since(self.restored_at.get().max(returned)?);
         let remaining = REANNOUNCE_PERIOD.saturating_sub(since);
         (remaining > Span::ZERO).then(|| remaining.into())
     }
@@ -699,6 +715,8 @@
                 age: state.freshness.age(self.node.now()),
                 entries: mark.digest,
                 entries_as_of: mark.as_of,
+                entries_generation: mark.generation,
+                generation: state.generation,
                 ..self.known.get()
             }
         };
@@ -726,6 +744,7 @@
     /// useful, that is, recently confirmed by the store.
     fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
+        self.node.observe_generation(snapshot.generation);
         let age = snapshot.age.map(|age| age + now.since(sent + snapshot.held));
         let confirmed = age.filter(|age| *age < self.apply_share(SWITCH_PEER_SHARE));
         self.failed_polls.set(if confirmed.is_some() { 0 } else { self.failed_polls.get() + 1 });
