Renew and remove only an entry's own record after the store's return from a copy

Entries that had registered in the lost time were missing from the list for good, so they owned no backend servers; one that stopped could remove the record of another.

Cause: lease numbers are given out again. An entry renewed the lease of another one, got an answer, and took that for its own registration. On SIGTERM it ended the lease by its number. A record could be written under a lease of the time before.

Change: a lease counts only in the generation that granted it, and a record only if lease and write are of one generation. An entry registers again within 1 s after it learns of a return, before it renews anything. It removes its record under the condition of the record's revision in place of ending a lease. If a confirmed list that is later than its registration lacks it, it registers again with the next renewal; that also covers a late write, or another writer, that takes its record away.

--- a/crates/damaskweir/src/platform.rs
+++ b/crates/damaskweir/src/platform.rs
@@ -130,7 +130,7 @@
     let end = began + Duration::from(node.config.grace.saturating_sub(SHUTDOWN_RESERVE));
     let active = node.start_draining() as u64;
     node.log.process(Kind::Draining, &[("active", active.into())]);
-    if timeout(LEAVE_TIMEOUT, sync.revoke_lease()).await.is_err() {
+    if timeout(LEAVE_TIMEOUT, sync.withdraw()).await.is_err() {
         // Not fatal: the entry's lease in the store expires on its own.
         node.log.process(
             Kind::DependencyLost,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -186,6 +186,8 @@
     pub(crate) changed: Notify,
     /// Notified when the ruling on a prompt part changes.
     pub(crate) rulings_changed: Notify,
+    /// Notified when the store has returned with an older state.
+    pub(crate) returned: Notify,
     /// Notified when the process is told to stop.
     drain_began: Notify,
     /// Random id of this process, which tells it apart from earlier processes of the same entry.
@@ -242,6 +244,7 @@
             state: RefCell::new(state),
             changed: Notify::new(),
             rulings_changed: Notify::new(),
+            returned: Notify::new(),
             drain_began: Notify::new(),
             incarnation,
             start: Instant::now(),
@@ -347,6 +350,7 @@
             state.returned_at = Some(self.now());
             let fields = [("generation", generation.into()), ("before", before.into())];
             self.log.process(Kind::StoreRestored, &fields);
+            self.returned.notify_waiters();
         }
     }
 
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -5,7 +5,7 @@
 use crate::log::Kind;
 use crate::node::{Node, UpdateSource};
 use crate::quarantine;
-use crate::wire::{Source, SourceError, SourceErrorKind, Wire};
+use crate::wire::{Lease, Source, SourceError, SourceErrorKind, Wire};
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::Delta;
 use damaskweir_core::fresh::Dataset;
@@ -17,6 +17,7 @@
 use damaskweir_core::roster::{self, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
+use rand_core::Rng as _;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -71,6 +72,8 @@
 /// Time after the store's recovery within which every entry has renewed its lease or registered
 /// again: two renewal intervals.
 const REANNOUNCE_PERIOD: Span = Span::from_secs(6);
+/// Time over which entries spread their registrations after the store returned with an older state.
+const REANNOUNCE_SPREAD_MS: u64 = 1_000;
 /// Connect timeout for another entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Age of the list of entries at which an entry asks others for it, or reads it itself. It exceeds
@@ -239,7 +242,9 @@
     contact: StoreContact,
     /// Addresses of other entries from the settings, for use before the list of entries is known.
     seeds: Vec<SocketAddr>,
-    lease: Cell<Option<u64>>,
+    lease: Cell<Option<Lease>>,
+    /// When this entry was last registered.
+    announced_at: Cell<Option<Time>>,
     /// What other entries last sent, to request only changes.
     known: Cell<KnownState>,
     /// When the store last recovered from an outage.
@@ -261,6 +266,7 @@
             contact: StoreContact::default(),
             seeds,
             lease: Cell::default(),
+            announced_at: Cell::default(),
             known: Cell::default(),
             restored_at: Cell::default(),
             announced: Notify::new(),
@@ -281,10 +287,10 @@
         tokio::task::spawn_local(async move { g.save_rulings().await });
     }
 
-    /// Revokes this entry's lease, so that other entries learn that it is leaving.
-    pub async fn revoke_lease(&self) {
+    /// Removes this entry's record, so that other entries learn that it is leaving.
+    pub async fn withdraw(&self) {
         if let Some(lease) = self.lease.take() {
-            let withdrawn = self.source.revoke_lease(lease).await;
+            let withdrawn = self.source.withdraw(&self.node.config.entry, &lease).await;
             self.record_call("withdraw", withdrawn.err().as_ref());
         }
     }
@@ -408,6 +414,7 @@
                         let mut entries = read.value.entries;
                         entries.sort();
                         let digest = roster::digest(&entries);
+                        self.check_listed(&entries, sent);
                         if self.node.is_listed(&entries) {
                             self.take_read_entries(entries, read.revision, sent);
                         }
@@ -526,12 +533,13 @@
                 None => {
                     let announced = self.source.announce(&self.node.config.entry).await;
                     self.record_call("announce", announced.as_ref().err());
+                    self.announced_at.set(announced.is_ok().then(|| self.node.now()));
                     self.lease.set(announced.ok());
                 }
                 Some(lease) => {
-                    let renewed = self.source.renew_lease(lease).await;
+                    let renewed = self.source.renew_lease(&lease).await;
                     self.record_call("renew", renewed.as_ref().err());
-                    if renewed.is_err_and(|error| error.kind() == SourceErrorKind::NotFound) {
+                    if renewed.is_err_and(|error| error.kind() != SourceErrorKind::Unavailable) {
                         self.lease.set(None);
                         continue;
                     }
@@ -539,7 +547,7 @@
             }
             self.announced.notify_waiters();
             match self.lease.get() {
-                Some(_) => sleep(LEASE_RENEWAL_INTERVAL).await,
+                Some(lease) => self.wait_to_renew(&lease).await,
                 None => self.wait_for_contact(SourceErrorKind::Unavailable).await,
             }
         }
@@ -620,6 +628,36 @@
         listed && reads_store(state.roster.entries(), &self.node.config.entry.name)
     }
 
+    /// Waits until a lease is to be renewed. Drops it if the store returned with an older state meanwhile: it
+    /// may have given the lease to another entry.
+    async fn wait_to_renew(&self, lease: &Lease) {
+        let outdated = || lease.record.generation < self.node.state.borrow().generation;
+        let returned = async {
+            loop {
+                let changed = self.node.returned.notified();
+                if outdated() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if timeout(LEASE_RENEWAL_INTERVAL, returned).await.is_ok() {
+            let draw = self.node.state.borrow_mut().rng.next_u64();
+            sleep(Duration::from_millis(draw % REANNOUNCE_SPREAD_MS)).await;
+            self.lease.set(None);
+        }
+    }
+
+    /// Registers this entry again if a list that the store confirmed at `confirmed` lacks it although it was
+    /// registered before.
+    fn check_listed(&self, entries: &[EntryInfo], confirmed: Time) {
+        let registered = self.announced_at.get().is_some_and(|at| at < confirmed);
+        if registered && !self.node.is_listed(entries) {
+            // The next renewal registers it.
+            self.lease.set(None);
+        }
+    }
+
     async fn poll_peers(&self) {
         let mut next_peer = 0;
         loop {
@@ -787,6 +825,9 @@
         let mut usable = true;
         if let Some(entries) = snapshot.entries {
             let unknown = self.node.state.borrow().roster.entries().is_empty();
+            if let Some(age) = snapshot.roster.as_ref().and_then(|mark| mark.age) {
+                self.check_listed(&entries, now - age - delay);
+            }
             usable = unknown || confirmed.is_some() && self.node.is_listed(&entries);
             if usable {
                 self.node.merge_entries(entries, snapshot.roster.as_ref(), delay);
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -171,7 +171,7 @@
     /// Changes after the given revision are not available, or the response is older than what the source
     /// has answered since; a full read is needed.
     Compacted,
-    /// The object of the call does not exist.
+    /// The object of the call does not exist, or is not the one that the call expects.
     NotFound,
 }
 
@@ -199,6 +199,15 @@
     pub rulings: Vec<RulingStatement>,
 }
 
+/// A lease of the source, and the record under it.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    /// The lease's number. Another generation of the source may give it out again.
+    pub id: u64,
+    /// Revision at which the record was written, in the generation that granted the lease.
+    pub record: Revision,
+}
+
 /// The source of the configuration, the server list and the list of entries.
 pub trait Source: 'static {
     /// The error of a failed call.
@@ -222,12 +231,16 @@
         after: Revision,
         wait: Span,
     ) -> impl Future<Output = Result<Versioned<Vec<Listing>>, Self::Error>>;
-    /// Registers this entry under a new lease and returns the lease id.
-    fn announce(&self, entry: &EntryInfo) -> impl Future<Output = Result<u64, Self::Error>>;
-    /// Renews a lease.
-    fn renew_lease(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
-    /// Revokes a lease.
-    fn revoke_lease(&self, lease: u64) -> impl Future<Output = Result<(), Self::Error>>;
+    /// Registers this entry under a new lease.
+    fn announce(&self, entry: &EntryInfo) -> impl Future<Output = Result<Lease, Self::Error>>;
+    /// Renews a lease. Fails if the source has returned with an older state since it was granted.
+    fn renew_lease(&self, lease: &Lease) -> impl Future<Output = Result<(), Self::Error>>;
+    /// Removes the record of an entry, if it is still the one under this lease.
+    fn withdraw(
+        &self,
+        entry: &EntryInfo,
+        lease: &Lease,
+    ) -> impl Future<Output = Result<(), Self::Error>>;
     /// Returns all registered entries, and the quarantines.
     fn registry(&self) -> impl Future<Output = Result<Versioned<Registry>, Self::Error>>;
     /// Keeps a quarantine for [`RECORD_TTL`](damaskweir_core::quarantine::RECORD_TTL).
