Record rulings again that the store lost, and none that had ended

An entry that started after the store's return did not refuse a part that crashes servers, or refused requests with a part that had been cleared in the lost time, and told the others so as a new ruling.

Cause: a ruling is written once, by the entry that makes it, and a record tells no age, so it counted as made now.

Change: the entries that read the store compare its records with what they know once a generation, write quarantines that are missing and remove those that have ended. A ruling known only from a record yields to any that is told and is not passed on.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -173,6 +173,9 @@
     crashes: BTreeMap<ServerProcess, Crash>,
     answers: Answers,
     rulings: BTreeMap<u64, (SignedTime, Ruling)>,
+    /// Parts whose ruling is known only from a record of the store. It may be older than any other, so it
+    /// isn't passed on.
+    recorded: BTreeSet<u64>,
 }
 
 impl Quarantine {
@@ -286,7 +289,7 @@
     /// known, and an own ruling if an answer contradicts the one that is told.
     pub fn merge_ruling(&mut self, now: Time, told: &RulingStatement) -> Option<RulingChange> {
         let at = SignedTime::before(now, told.age);
-        let known = self.rulings.get(&told.part);
+        let known = self.rulings.get(&told.part).filter(|_| !self.recorded.contains(&told.part));
         if known.is_some_and(|(time, known)| known.rank(*time) >= told.ruling.rank(at)) {
             return None;
         }
@@ -309,20 +312,37 @@
     /// Takes up a quarantine from the store, unless anything is known of the part. The store's record
     /// doesn't tell its age.
     pub fn merge_record(&mut self, now: Time, told: &RulingStatement) -> Option<RulingChange> {
-        match self.rulings.contains_key(&told.part) {
-            true => None,
-            false => self.merge_ruling(now, told),
+        if self.rulings.contains_key(&told.part) {
+            return None;
+        }
+        let change = self.merge_ruling(now, told)?;
+        if !change.own {
+            self.recorded.insert(told.part);
         }
+        Some(change)
+    }
+
+    /// The parts of which the store's records don't tell what is known: quarantined ones without a record, and
+    /// cleared ones with one.
+    pub fn unrecorded(&self, now: Time, records: &[RulingStatement]) -> Vec<u64> {
+        let records: BTreeSet<_> = records.iter().map(|record| record.part).collect();
+        let rulings = self.rulings.iter().filter(|(part, _)| !self.recorded.contains(part));
+        let differs = rulings.filter(|(part, (at, ruling))| match ruling {
+            Ruling::Cleared => records.contains(part),
+            Ruling::Quarantined { .. } => ruling.in_force(at.age(now)) && !records.contains(part),
+        });
+        differs.map(|(part, _)| *part).collect()
     }
 
     /// What to tell other entries.
     pub fn statements(&self, now: Time) -> Vec<RulingStatement> {
+        let told = self.rulings.iter().filter(|(part, _)| !self.recorded.contains(part));
         let statement = |(part, (at, ruling)): (&u64, &(SignedTime, Ruling))| RulingStatement {
             part: *part,
             ruling: ruling.clone(),
             age: at.age(now),
         };
-        self.rulings.iter().map(statement).collect()
+        told.map(statement).collect()
     }
 
     /// What to tell another entry about one part.
@@ -335,6 +355,7 @@
     pub fn expire(&mut self, now: Time) {
         self.crashes.retain(|_, crash| crash.at.age(now) < CRASH_RETENTION);
         self.rulings.retain(|_, (at, _)| at.age(now) < RULING_RETENTION);
+        self.recorded.retain(|part| self.rulings.contains_key(part));
     }
 
     /// The parts that enough crashes name to be worth weighing.
@@ -444,6 +465,7 @@
     }
 
     fn insert(&mut self, at: SignedTime, part: u64, ruling: Ruling) {
+        self.recorded.remove(&part);
         self.rulings.insert(part, (at, ruling));
         if self.rulings.len() > MAX_RULINGS {
             let oldest = self.rulings.iter().min_by_key(|(_, (at, _))| *at);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -249,3 +249,34 @@
     assert!(observer.blocks(at(0), DEADLY));
     assert!(!observer.blocks(at(601_000), DEADLY));
 }
+
+/// Guards against a record in the store, of unknown age, that is taken for later than what other entries know,
+/// and that they hear of as a new ruling.
+#[test]
+fn record_of_the_store_yields_to_what_entries_tell() {
+    let (mut old, mut started) = (Observer::default(), Observer::default());
+    let now = old.crash_times(at(0), 3, &[deadly()]);
+    let record = old.quarantine.statement(now, DEADLY).expect("a ruling");
+    old.quarantine.record_answer(now + STEP, &[DEADLY]);
+    let later = now + Span::from_secs(20);
+    started.quarantine.merge_record(later, &record);
+    assert!(started.blocks(later, DEADLY));
+    assert_eq!(started.quarantine.statements(later), []);
+    started.quarantine.merge_ruling(later, &old.quarantine.statements(later)[0]);
+    assert!(!started.blocks(later, DEADLY));
+    assert_eq!(started.quarantine.statements(later).len(), 1);
+}
+
+/// Guards against quarantines that the store lost, and against ones that it has again after their end.
+#[test]
+fn records_that_differ_from_the_rulings_are_found() {
+    let mut observer = Observer::default();
+    let now = observer.crash_times(at(0), 3, &[deadly()]);
+    let record = observer.quarantine.statement(now, DEADLY).expect("a ruling");
+    assert_eq!(observer.quarantine.unrecorded(now, &[]), [DEADLY]);
+    assert_eq!(observer.quarantine.unrecorded(now, std::slice::from_ref(&record)), []);
+    assert_eq!(observer.quarantine.unrecorded(now + Span::from_secs(61), &[]), []);
+    observer.quarantine.record_answer(now + STEP, &[DEADLY]);
+    assert_eq!(observer.quarantine.unrecorded(now + STEP, &[record]), [DEADLY]);
+    assert_eq!(observer.quarantine.unrecorded(now + STEP, &[]), []);
+}
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -147,6 +147,14 @@
         self.apply_rulings(&changes);
     }
 
+    /// Has rulings saved that the store's records don't tell, since it lost them.
+    pub(crate) fn restore_ruling_records(&self, records: &[RulingStatement]) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        state.unsaved_rulings.extend(state.quarantine.unrecorded(now, records));
+        self.rulings_changed.notify_waiters();
+    }
+
     /// Logs changes of rulings, and passes on those that were made here.
     fn apply_rulings(self: &Rc<Self>, changes: &[RulingChange]) {
         if changes.is_empty() {
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -251,6 +251,8 @@
     restored_at: Cell<Option<Time>>,
     /// Notified after each attempt to register this entry or renew its lease.
     announced: Notify,
+    /// Generation of the store in which its records of rulings were last read; 0 if it is unknown.
+    rulings_generation: Cell<u64>,
     /// Consecutive polls that failed or returned nothing that the store confirmed recently.
     failed_polls: Cell<usize>,
     /// Idle connection to the entry that was polled last.
@@ -270,6 +272,7 @@
             known: Cell::default(),
             restored_at: Cell::default(),
             announced: Notify::new(),
+            rulings_generation: Cell::default(),
             failed_polls: Cell::default(),
             peer_connection: Cell::default(),
         }
@@ -401,6 +404,11 @@
             self.record_call("entries", read.as_ref().err());
             if let Ok(read) = &read {
                 self.node.merge_ruling_records(&read.value.rulings);
+                let generation = read.revision.generation;
+                let before = self.rulings_generation.replace(generation);
+                if (1..generation).contains(&before) && self.reads_store() {
+                    self.node.restore_ruling_records(&read.value.rulings);
+                }
             }
             let changed = match read {
                 Ok(read) => match self.reannounce_wait() {
