Ask other entries before the store's configuration is served after the start

An entry that started between the store's return from a copy and the operator's next write served the older version, although others had the later one in force.

Cause: whatever the store confirmed after the start counted as the newest.

Change: a starting entry asks up to three others for a later configuration, at once and for the configuration alone, and serves what the store has confirmed once they have answered or failed, at the latest 0.4 s after its start. If nobody remembers, what the store has is served.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -17,6 +17,7 @@
 use damaskweir_core::roster::{self, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
+use futures::future::join_all;
 use rand_core::Rng as _;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -39,6 +40,10 @@
 /// Longest wait after the start for this entry to be registered and listed. After that an entry
 /// without a list assumes that it reads the store.
 const ANNOUNCE_TIMEOUT: Span = Span::from_millis(400);
+/// Other entries that a starting entry asks for a later configuration than that of the store.
+const MAX_CONSULTED: usize = 3;
+/// Time after the start by which it serves the store's configuration without their answers.
+const CONSULT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Watch timeout of a starting entry, so short that the store answers at once.
 const START_WATCH_TIMEOUT: Span = Span::from_millis(1);
 /// Longest time for which another entry may hold a poll of a starting entry until there are
@@ -116,6 +121,9 @@
     rulings: u64,
     /// Time for which the response may be held until there are changes.
     wait: Span,
+    /// Whether it asks for the configuration alone.
+    #[serde(default)]
+    catalog_only: bool,
     /// Time since the store confirmed its data.
     #[serde(default)]
     age: Option<Span>,
@@ -184,6 +192,20 @@
     fn capture<W: Wire>(node: &Node<W>, known: &KnownState, received: Time) -> Self {
         let state = node.state.borrow();
         let newer = state.catalog.as_ref().filter(|catalog| known.lacks(catalog));
+        if known.catalog_only {
+            return Self {
+                teller: node.incarnation,
+                catalog: newer.map(|catalog| (**catalog).clone()),
+                servers: None,
+                entries: None,
+                roster: None,
+                age: state.freshness.age(node.now()),
+                limits: Vec::new(),
+                rulings: None,
+                held: node.now().since(received),
+                generation: state.generation,
+            };
+        }
         let sequence = if known.teller == node.incarnation { known.sequence } else { 0 };
         let entries_as_of = Revision::new(known.entries_generation, known.entries_as_of);
         let fresh = state.roster.is_news_for(entries_as_of, known.entries);
@@ -219,6 +241,25 @@
     }
 }
 
+/// Polls another entry. Returns its response and the connection.
+async fn request_snapshot(
+    mut conn: Conn,
+    peer: SocketAddr,
+    known: &KnownState,
+) -> Result<(Snapshot, Conn), HttpError> {
+    let body =
+        serde_json::to_vec(known).map_err(|_| HttpError::Malformed("request can't be encoded"))?;
+    let head = format!(
+        "POST /snapshot HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    conn.send(head.as_bytes(), &body).await?;
+    conn.read_head(|_| true).await?;
+    let body = conn.read_body().await?;
+    let snapshot = serde_json::from_slice(&body);
+    Ok((snapshot.map_err(|_| HttpError::Malformed("invalid snapshot"))?, conn))
+}
+
 /// Returns how to wait after a failed read. A full read that needs another full read is repeated with a delay.
 fn retry_kind(kind: SourceErrorKind, full_read: bool) -> SourceErrorKind {
     match kind {
@@ -240,6 +281,10 @@
     node: Rc<Node<W>>,
     source: S,
     contact: StoreContact,
+    /// Whether other entries were asked, after the start, for a later configuration than that of the store.
+    consulted: Cell<bool>,
+    /// Whether the store has confirmed the configuration since the start.
+    catalog_confirmed: Cell<bool>,
     /// Addresses of other entries from the settings, for use before the list of entries is known.
     seeds: Vec<SocketAddr>,
     lease: Cell<Option<Lease>>,
@@ -266,6 +311,8 @@
             node,
             source,
             contact: StoreContact::default(),
+            consulted: Cell::default(),
+            catalog_confirmed: Cell::default(),
             seeds,
             lease: Cell::default(),
             announced_at: Cell::default(),
@@ -280,7 +327,7 @@
 
     /// Starts all tasks.
     pub fn start(self: &Rc<Self>) {
-        let [a, b, c, d, e, f, g] = std::array::from_fn(|_| self.clone());
+        let [a, b, c, d, e, f, g, h] = std::array::from_fn(|_| self.clone());
         tokio::task::spawn_local(async move { a.follow_catalog().await });
         tokio::task::spawn_local(async move { b.follow_servers().await });
         tokio::task::spawn_local(async move { c.follow_entries().await });
@@ -288,6 +335,7 @@
         tokio::task::spawn_local(async move { e.poll_peers().await });
         tokio::task::spawn_local(async move { f.expire().await });
         tokio::task::spawn_local(async move { g.save_rulings().await });
+        tokio::task::spawn_local(async move { h.consult_peers().await });
     }
 
     /// Removes this entry's record, so that other entries learn that it is leaving.
@@ -330,9 +378,9 @@
                     if let Some(catalog) = read.value {
                         self.node.apply_catalog(catalog, UpdateSource::Store);
                     }
-                    let known = self.node.state.borrow().catalog.is_some();
-                    self.node.state.borrow_mut().servable |= known;
-                    if !known {
+                    self.catalog_confirmed.set(true);
+                    self.serve_confirmed();
+                    if self.node.state.borrow().catalog.is_none() {
                         after = None;
                         sleep(RETRY_DELAYS.0).await;
                     }
@@ -715,10 +763,50 @@
         }
     }
 
-    /// Returns the revision of the known configuration if it may not be served yet.
+    /// Returns the revision of the known configuration if it may not be served before the store has confirmed
+    /// it.
     fn unservable_revision(&self) -> Option<Revision> {
         let state = self.node.state.borrow();
-        state.catalog.as_ref().filter(|_| !state.servable).map(|catalog| catalog.written_at())
+        let confirmed = state.servable || self.catalog_confirmed.get();
+        state.catalog.as_ref().filter(|_| !confirmed).map(|catalog| catalog.written_at())
+    }
+
+    /// Asks other entries for a later configuration than that of the store, which may have returned from a
+    /// copy. Until then the store's is not served.
+    async fn consult_peers(&self) {
+        let consultation = async {
+            // Without seeds, other entries are known once the list has been read.
+            while self.peers().is_empty() && self.node.state.borrow().roster.entries().is_empty() {
+                sleep(START_CHECK_INTERVAL).await;
+            }
+            let mut peers = self.peers();
+            let draw = usize::try_from(self.node.state.borrow_mut().rng.next_u64()).unwrap_or(0);
+            let first = draw % peers.len().max(1);
+            peers.rotate_left(first);
+            peers.truncate(MAX_CONSULTED);
+            join_all(peers.into_iter().map(|peer| self.consult(peer))).await
+        };
+        drop(timeout(CONSULT_TIMEOUT, consultation).await);
+        self.consulted.set(true);
+        self.serve_confirmed();
+    }
+
+    /// Asks another entry for its configuration.
+    async fn consult(&self, peer: SocketAddr) {
+        let known = KnownState { catalog_only: true, ..self.known_state(Span::ZERO) };
+        let Ok(conn) = Conn::connect(peer, CONNECT_TIMEOUT).await else { return };
+        let Ok((snapshot, _)) = request_snapshot(conn, peer, &known).await else { return };
+        self.node.observe_generation(snapshot.generation);
+        if let Some(catalog) = snapshot.catalog {
+            self.node.apply_catalog(catalog, UpdateSource::Entry(peer));
+        }
+    }
+
+    /// Allows serving the known configuration once it is confirmed and other entries were asked.
+    fn serve_confirmed(&self) {
+        let confirmed = self.consulted.get() && self.catalog_confirmed.get();
+        let mut state = self.node.state.borrow_mut();
+        state.servable |= confirmed && state.catalog.is_some();
     }
 
     /// Updates and returns whether the known configuration may be served. An old one may be if
@@ -751,39 +839,34 @@
     }
 
     async fn fetch(&self, peer: SocketAddr, wait: Span) -> Result<Snapshot, HttpError> {
-        let known = {
-            let state = self.node.state.borrow();
-            let mark = state.roster.mark(self.node.now());
-            KnownState {
-                catalog: state.catalog.as_ref().map_or(0, |catalog| catalog.revision),
-                version: state.catalog.as_ref().map(|catalog| catalog.version),
-                wait,
-                age: state.freshness.age(self.node.now()),
-                entries: mark.digest,
-                entries_as_of: mark.as_of,
-                entries_generation: mark.generation,
-                generation: state.generation,
-                ..self.known.get()
-            }
-        };
-        let body = serde_json::to_vec(&known)
-            .map_err(|_| HttpError::Malformed("request can't be encoded"))?;
+        let known = self.known_state(wait);
         let idle = self.peer_connection.take().filter(|(address, _)| *address == peer);
         let usable =
             idle.map(|(_, conn)| conn).and_then(|mut conn| conn.is_reusable().then_some(conn));
-        let mut conn = match usable {
+        let conn = match usable {
             Some(conn) => conn,
             None => Conn::connect(peer, CONNECT_TIMEOUT).await?,
         };
-        let head = format!(
-            "POST /snapshot HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        );
-        conn.send(head.as_bytes(), &body).await?;
-        conn.read_head(|_| true).await?;
-        let body = conn.read_body().await?;
+        let (snapshot, conn) = request_snapshot(conn, peer, &known).await?;
         self.peer_connection.set(Some((peer, conn)));
-        serde_json::from_slice(&body).map_err(|_| HttpError::Malformed("invalid snapshot"))
+        Ok(snapshot)
+    }
+
+    /// What to tell another entry that is polled.
+    fn known_state(&self, wait: Span) -> KnownState {
+        let state = self.node.state.borrow();
+        let mark = state.roster.mark(self.node.now());
+        KnownState {
+            catalog: state.catalog.as_ref().map_or(0, |catalog| catalog.revision),
+            version: state.catalog.as_ref().map(|catalog| catalog.version),
+            wait,
+            age: state.freshness.age(self.node.now()),
+            entries: mark.digest,
+            entries_as_of: mark.as_of,
+            entries_generation: mark.generation,
+            generation: state.generation,
+            ..self.known.get()
+        }
     }
 
     /// Applies the response of another entry to a poll sent at `sent`. Returns whether it was
@@ -827,7 +910,8 @@
         // served.
         let since_start =
             snapshot.age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
-        self.node.state.borrow_mut().servable |= since_start;
+        self.catalog_confirmed.set(self.catalog_confirmed.get() || since_start);
+        self.serve_confirmed();
         self.known.set(known);
         let delay = now.since(sent + snapshot.held);
         let mut usable = true;
