Let the store return from a copy in the soak, and check servers that leave in the lost time

Each run has one to three returns, drawn apart from the other faults: 0.8 to 5.8 s are lost, in a third of them unnoticed by any call. The operator and the servers write again what they wrote; in the first lost time a server leaves. An older manifest is excused only if every entry was started again since the copy and the operator has not written the newest again. Older regression seeds are played with --no-returns, as they were.

--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -159,6 +159,7 @@
   --seconds N            seconds with faults, 1 to 3600 (default 16); 16 more follow without faults
   --no-limits            servers name no limits, as in runs of seeds from before they did
   --no-crashes           no prompt part crashes servers and no answer lacks a length, likewise
+  --no-returns           the store never returns from a copy, likewise
   --broken WAY           add a defect on purpose, so that a check must fail
   --folder DIR           directory for settings and logs (default: the system's temporary directory)
 
@@ -362,6 +363,7 @@
     let broken: Option<String> = arguments.opt_value_from_str("--broken")?;
     let limits = !arguments.contains("--no-limits");
     let crashes = !arguments.contains("--no-crashes");
+    let returns = !arguments.contains("--no-returns");
     let folder = arguments.opt_value_from_str("--folder")?.unwrap_or(defaults.folder);
     reject_remaining(arguments)?;
     let within = (1..=32).contains(&jobs) && (1..=100).contains(&entries);
@@ -389,6 +391,7 @@
                     faults,
                     limits,
                     crashes,
+                    returns,
                     defect: broken,
                     folder,
                 };
