Continue a stream only with an answer of the type that the caller was told

A page that the next server sent with status 200 in place of events, after a stream had broken off, got into the caller's stream if it had empty lines, and an empty one ended the stream as if it were complete.

Cause: any signed 2xx answer counted as the rest of the stream.

Change: the answer must have the media type of the first one, which the caller has been told.

--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -6,7 +6,7 @@
 use crate::node::{Node, State};
 use crate::permits::Permit;
 use crate::stages::{HeldResults, PieceFailure, StageError, StageJob};
-use crate::stream::StreamRelay;
+use crate::stream::{StreamRelay, media_type};
 use crate::wire::{RequestInfo, SendPath, Wire};
 use bytes::Bytes;
 use damaskweir_core::batch::Lane;
@@ -495,7 +495,9 @@
         }
         match server_response.stream {
             Some(stream) => {
-                *response.body_mut() = StreamRelay { request: self, upstream: stream }.into_body()
+                let media_type = media_type(response.headers());
+                let relay = StreamRelay { request: self, upstream: stream, media_type };
+                *response.body_mut() = relay.into_body();
             }
             None => {
                 let status = server_response.head.status;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::place::AttemptOutcome;
 use damaskweir_core::time::Span;
+use http::{HeaderMap, header};
 use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
@@ -22,6 +23,14 @@
 pub(crate) struct StreamRelay<W: Wire> {
     pub(crate) request: ActiveRequest<W>,
     pub(crate) upstream: OpenStream<W>,
+    /// Media type that the caller was told, if any.
+    pub(crate) media_type: Option<String>,
+}
+
+/// Returns the media type of a response without its parameters.
+pub(crate) fn media_type(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    Some(text.split(';').next().unwrap_or_default().trim().to_ascii_lowercase())
 }
 
 impl<W: Wire> StreamRelay<W> {
@@ -134,6 +143,12 @@
         ];
         request.node.log.request(Kind::Resumed, &request.info.id, &fields);
         match request.send(permit, held.as_ref(), Some(last)).await {
+            // A page of another type is an error, whatever its status.
+            Outcome::Response(response)
+                if media_type(&response.head.headers) != self.media_type =>
+            {
+                Err(StreamError("failed_after_break"))
+            }
             Outcome::Response(response) => match response.stream {
                 Some(stream) => {
                     self.upstream = OpenStream { last_event: Some(last), ..stream };
