Take no confirmation from entries of earlier versions if the store's answers have generations

In a fleet of old and new entries, a new entry that heard only old ones would have kept an old configuration after a return of the store and counted it as confirmed: old entries order configurations by revision, refuse the change, and report a small age.

Change: the age that an entry without a generation tells counts only while the store's answers have none. New entries then read the store themselves until those that they ask are new as well.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -874,10 +874,14 @@
     fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
         self.node.observe_generation(snapshot.generation);
+        // An entry of an earlier version doesn't notice that the store has returned with an older state.
+        let notices = snapshot.generation > 0 || self.node.state.borrow().generation == 0;
+        let told_age = snapshot.age.filter(|_| notices);
         let age = snapshot.age.map(|age| age + now.since(sent + snapshot.held));
         let confirmed = age.filter(|age| *age < self.apply_share(SWITCH_PEER_SHARE));
-        self.failed_polls.set(if confirmed.is_some() { 0 } else { self.failed_polls.get() + 1 });
-        if let Some(age) = snapshot.age {
+        let trusted = confirmed.is_some() && notices;
+        self.failed_polls.set(if trusted { 0 } else { self.failed_polls.get() + 1 });
+        if let Some(age) = told_age {
             self.node.state.borrow_mut().freshness.relayed(sent, snapshot.held, age);
             self.node.changed.notify_waiters();
         }
@@ -909,7 +913,7 @@
         // Data confirmed before this process started may be older than what the previous process
         // served.
         let since_start =
-            snapshot.age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
+            told_age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
         self.catalog_confirmed.set(self.catalog_confirmed.get() || since_start);
         self.serve_confirmed();
         self.known.set(known);
@@ -928,7 +932,7 @@
         if let Some(mark) = &snapshot.roster {
             self.node.state.borrow_mut().roster.confirm(now, mark, delay);
         }
-        usable && confirmed.is_some()
+        usable && trusted
     }
 
     async fn expire(&self) {
