--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -572,7 +572,8 @@
     }
 
     /// Returns the time until all live entries have registered again after an outage in which
-    /// leases may have expired, or after the store returned with an older state. Until then a missing record does not mean that an entry is gone.
+    /// leases may have expired, or after the store returned with an older state. Until then a missing
+    /// record does not mean that an entry is gone.
     fn reannounce_wait(&self) -> Option<Duration> {
         let returned = self.node.state.borrow().returned_at;
         let since = self.node.now().since(self.restored_at.get().max(returned)?);
