--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod permits;
 mod quarantine;
 mod request;
+mod snapshot;
 mod stages;
 mod stream;
 
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::peers::{GroupRequest, GroupResponse, KEEPALIVE_INTERVAL};
 use crate::request::{ActiveRequest, error_response};
-use crate::sync::Snapshot;
+use crate::snapshot::Snapshot;
 use crate::wire::Wire;
 use bytes::Bytes;
 use damaskweir_core::catalog::{Catalog, Route};
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -5,27 +5,23 @@
 use crate::log::Kind;
 use crate::node::{Node, UpdateSource};
 use crate::quarantine;
+use crate::snapshot::{KnownState, MAX_POLL_TIMEOUT, Snapshot, request_snapshot};
 use crate::wire::{Lease, Source, SourceError, SourceErrorKind, Wire};
-use damaskweir_core::catalog::Catalog;
-use damaskweir_core::fleet::Delta;
 use damaskweir_core::fresh::Dataset;
-use damaskweir_core::ids::Version;
-use damaskweir_core::intake::Statement;
 use damaskweir_core::owner::EntryInfo;
-use damaskweir_core::quarantine::{Ruling, RulingStatement};
+use damaskweir_core::quarantine::Ruling;
 use damaskweir_core::revision::Revision;
 use damaskweir_core::roster::{self, RosterMark};
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::tree::{parents, reads_store};
 use futures::future::join_all;
 use rand_core::Rng as _;
-use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 /// Interval between reads of server changes. Each call to the store is billed and servers write
 /// often, so changes are batched. It is far below the time limit for a leaving server to get no
@@ -53,8 +49,6 @@
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between polls of other entries while the store is unreachable.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(400);
-/// Longest time for which a poll by another entry is held until there are changes.
-const MAX_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between a response and the next poll, so that changes are batched.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(40);
 /// Time after the start in which an entry waits for other entries to relay the store's data before
@@ -71,9 +65,6 @@
 /// Age of the data at which an entry reads the store itself, as a share of
 /// `NodeConfig::apply_limit`. The rest of the limit is for the call.
 const READ_STORE_SHARE: f64 = 0.8;
-/// How much fresher the local data must be than that of the polling entry for an immediate
-/// response.
-const MIN_AGE_GAIN: Span = Span::from_millis(300);
 /// Time after the store's recovery within which every entry has renewed its lease or registered
 /// again: two renewal intervals.
 const REANNOUNCE_PERIOD: Span = Span::from_secs(6);
@@ -92,174 +83,6 @@
 /// Interval between checks for servers whose records are missing.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A poll: what the polling entry already has.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct KnownState {
-    /// Revision of its configuration, or 0 if it has none. Decides only for entries of earlier versions of
-    /// this program, which tell no version.
-    catalog: u64,
-    /// Version of its configuration; `None` if it has none.
-    #[serde(default)]
-    version: Option<Version>,
-    /// Incarnation of the process that sent it its server list.
-    teller: u64,
-    /// Sequence number up to which it has that process's server changes.
-    sequence: u64,
-    /// Digest of its list of entries.
-    entries: u64,
-    /// Store revision of that list; 0 if it is unknown.
-    #[serde(default)]
-    entries_as_of: u64,
-    /// Generation of that revision; 0 if it is unknown.
-    #[serde(default)]
-    entries_generation: u64,
-    /// Highest generation of the store that it knows; 0 if it is unknown.
-    #[serde(default)]
-    generation: u64,
-    /// Digest of the rulings on prompt parts that it last received.
-    #[serde(default)]
-    rulings: u64,
-    /// Time for which the response may be held until there are changes.
-    wait: Span,
-    /// Whether it asks for the configuration alone.
-    #[serde(default)]
-    catalog_only: bool,
-    /// Time since the store confirmed its data.
-    #[serde(default)]
-    age: Option<Span>,
-}
-
-impl KnownState {
-    /// Whether the polling entry would apply a configuration.
-    fn lacks(&self, catalog: &Catalog) -> bool {
-        match self.version {
-            Some(version) => catalog.version > version,
-            None => catalog.revision > self.catalog,
-        }
-    }
-}
-
-/// The response to a poll: what the polling entry lacks.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Snapshot {
-    /// Incarnation of the responding process.
-    teller: u64,
-    /// The configuration; omitted if the polling entry has it.
-    catalog: Option<Catalog>,
-    /// Server changes; omitted if the polling entry has them.
-    servers: Option<Delta>,
-    /// The list of entries; omitted if the polling entry has it.
-    entries: Option<Vec<EntryInfo>>,
-    /// Revision and age of that list, also if it is omitted.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    roster: Option<RosterMark>,
-    /// Time since the store confirmed this data; `None` if it never has.
-    age: Option<Span>,
-    /// The limits that servers name.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    limits: Vec<Statement>,
-    /// The rulings on prompt parts; omitted if the polling entry has them.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    rulings: Option<Vec<RulingStatement>>,
-    /// Time for which the response was held.
-    #[serde(default)]
-    held: Span,
-    /// Highest generation of the store that the responding process knows; 0 if it is unknown.
-    #[serde(default)]
-    generation: u64,
-}
-
-impl Snapshot {
-    /// Waits until there are changes for the polling entry, or until its wait has passed, and
-    /// returns a snapshot.
-    pub(crate) async fn wait_for_changes<W: Wire>(node: &Node<W>, known: KnownState) -> Self {
-        let received = node.now();
-        node.observe_generation(known.generation);
-        let limit = Instant::now() + Duration::from(known.wait).min(MAX_POLL_TIMEOUT);
-        loop {
-            let changed = node.changed.notified();
-            let snapshot = Self::capture(node, &known, received);
-            if snapshot.has_changes(&known) {
-                return snapshot;
-            }
-            if timeout_at(limit, changed).await.is_err() {
-                // No changes, but the age must be current.
-                return Self::capture(node, &known, received);
-            }
-        }
-    }
-
-    fn capture<W: Wire>(node: &Node<W>, known: &KnownState, received: Time) -> Self {
-        let state = node.state.borrow();
-        let newer = state.catalog.as_ref().filter(|catalog| known.lacks(catalog));
-        if known.catalog_only {
-            return Self {
-                teller: node.incarnation,
-                catalog: newer.map(|catalog| (**catalog).clone()),
-                servers: None,
-                entries: None,
-                roster: None,
-                age: state.freshness.age(node.now()),
-                limits: Vec::new(),
-                rulings: None,
-                held: node.now().since(received),
-                generation: state.generation,
-            };
-        }
-        let sequence = if known.teller == node.incarnation { known.sequence } else { 0 };
-        let entries_as_of = Revision::new(known.entries_generation, known.entries_as_of);
-        let fresh = state.roster.is_news_for(entries_as_of, known.entries);
-        // Servers of an earlier generation would be ignored.
-        let servers = (state.fleet.as_of().generation >= known.generation)
-            .then(|| state.fleet.delta_since(sequence));
-        let rulings = state.quarantine.statements(node.now());
-        let ruled = quarantine::digest(&rulings) != known.rulings;
-        Self {
-            teller: node.incarnation,
-            catalog: newer.map(|catalog| (**catalog).clone()),
-            servers: servers.flatten(),
-            entries: fresh.then(|| state.roster.entries().to_vec()),
-            roster: Some(state.roster.mark(node.now())),
-            age: state.freshness.age(node.now()),
-            limits: state.intake.statements(node.now()),
-            rulings: ruled.then_some(rulings),
-            held: node.now().since(received),
-            generation: state.generation,
-        }
-    }
-
-    fn has_changes(&self, known: &KnownState) -> bool {
-        let younger = match (self.age, known.age) {
-            (Some(own), Some(other)) => own + MIN_AGE_GAIN < other + self.held,
-            _ => false,
-        };
-        self.catalog.is_some()
-            || self.servers.is_some()
-            || self.entries.is_some()
-            || self.rulings.is_some()
-            || younger
-    }
-}
-
-/// Polls another entry. Returns its response and the connection.
-async fn request_snapshot(
-    mut conn: Conn,
-    peer: SocketAddr,
-    known: &KnownState,
-) -> Result<(Snapshot, Conn), HttpError> {
-    let body =
-        serde_json::to_vec(known).map_err(|_| HttpError::Malformed("request can't be encoded"))?;
-    let head = format!(
-        "POST /snapshot HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    conn.send(head.as_bytes(), &body).await?;
-    conn.read_head(|_| true).await?;
-    let body = conn.read_body().await?;
-    let snapshot = serde_json::from_slice(&body);
-    Ok((snapshot.map_err(|_| HttpError::Malformed("invalid snapshot"))?, conn))
-}
-
 /// Returns how to wait after a failed read. A full read that needs another full read is repeated with a delay.
 fn retry_kind(kind: SourceErrorKind, full_read: bool) -> SourceErrorKind {
     match kind {
