Hold records of servers as records, and compare lists and versions directly

A held record kept a listing whose replica could be missing, so applying it had a branch that never ran. The order of lists of entries and of configurations is told without a match on a flag and a closure that was negated. No behaviour changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -113,6 +113,15 @@
     expires: Option<Time>,
 }
 
+/// A record that is not applied yet.
+#[derive(Clone, Debug)]
+struct HeldRecord {
+    /// When it is applied, if it is still listed.
+    until: Time,
+    revision: u64,
+    replica: Replica,
+}
+
 /// A server that was removed.
 #[derive(Clone, Debug)]
 struct Removal {
@@ -130,8 +139,8 @@
     as_of: Revision,
     /// Highest revision that the copy from which the store last returned may have. 0 if it never did.
     recalled: u64,
-    /// Records of that copy that contradict what is known, and when they are applied.
-    held: BTreeMap<ServerId, (Time, Listing)>,
+    /// Records of that copy that contradict what is known.
+    held: BTreeMap<ServerId, HeldRecord>,
     /// Number of content changes and removals so far, counted by this process.
     sequence: u64,
     /// Removed servers, in ascending order of the sequence number.
@@ -289,9 +298,9 @@
             self.records.values().filter(|r| due(r)).map(|r| r.replica.id.clone()).collect();
         gone.iter().for_each(|id| self.remove(id, self.as_of.number));
         let mut out: Vec<_> = gone.into_iter().map(FleetChange::Removed).collect();
-        let released = self.held.extract_if(.., |_, (until, _)| *until <= now);
-        for (_, (_, listing)) in released.collect::<Vec<_>>() {
-            self.apply_record(&listing, &mut out);
+        let released = self.held.extract_if(.., |_, held| held.until <= now);
+        for (_, held) in released.collect::<Vec<_>>() {
+            self.apply_record(held.revision, held.replica, &mut out);
         }
         out
     }
@@ -303,17 +312,19 @@
         {
             return;
         }
-        let Some(replica) = &change.replica else {
-            self.held.remove(&change.id);
-            self.mark_missing(now, &change.id, change.revision, out);
-            return;
-        };
-        if change.revision <= self.recalled && self.contradicts(replica) {
-            self.hold(now, change);
-            return;
+        match &change.replica {
+            Some(listed) if change.revision <= self.recalled && self.contradicts(listed) => {
+                self.hold(now, change.revision, listed);
+            }
+            Some(listed) => {
+                self.held.remove(&change.id);
+                self.apply_record(change.revision, listed.clone(), out);
+            }
+            None => {
+                self.held.remove(&change.id);
+                self.mark_missing(now, &change.id, change.revision, out);
+            }
         }
-        self.held.remove(&change.id);
-        self.apply_record(change, out);
     }
 
     /// Whether a record of a copy contradicts what is known: it lists a server that was removed or is leaving
@@ -322,29 +333,31 @@
         match self.records.get(&listed.id).map(|record| &record.replica) {
             Some(known) if known.is_same_process(listed) => known.leaving && !listed.leaving,
             Some(known) => known.started > listed.started,
-            None => self.removed.iter().any(|removal| {
-                let known = &removal.replica;
-                let later = known.is_same_process(listed) || known.started > listed.started;
-                known.id == listed.id && later
-            }),
+            None => {
+                let known = self.removed.iter().map(|removal| &removal.replica);
+                let mut known = known.filter(|known| known.id == listed.id);
+                known.any(|known| known.is_same_process(listed) || known.started > listed.started)
+            }
         }
     }
 
     /// Keeps a record of a copy until the server has had time to write its record again.
-    fn hold(&mut self, now: Time, change: &Listing) {
-        let until = self.held.get(&change.id).map_or(now + RECALL_HOLD, |(until, _)| *until);
-        self.held.insert(change.id.clone(), (until, change.clone()));
-        if let (Some(record), Some(listed)) = (self.records.get_mut(&change.id), &change.replica)
+    fn hold(&mut self, now: Time, revision: u64, listed: &Replica) {
+        let until = self.held.get(&listed.id).map_or(now + RECALL_HOLD, |held| held.until);
+        let held = HeldRecord { until, revision, replica: listed.clone() };
+        self.held.insert(listed.id.clone(), held);
+        if let Some(record) = self.records.get_mut(&listed.id)
             && !record.replica.is_same_process(listed)
         {
-            record.expires = Some(record.expires.unwrap_or(now + LAPSE_GRACE));
+            record.expires.get_or_insert(now + LAPSE_GRACE);
         }
     }
 
-    fn apply_record(&mut self, change: &Listing, out: &mut Vec<FleetChange>) {
-        let Some(replica) = &change.replica else { return };
-        let known = self.records.get(&change.id);
-        let unchanged = known.is_some_and(|record| record.replica == *replica);
+    /// Applies a record, whatever revision is known.
+    fn apply_record(&mut self, revision: u64, replica: Replica, out: &mut Vec<FleetChange>) {
+        let id = replica.id.clone();
+        let known = self.records.get(&id);
+        let unchanged = known.is_some_and(|record| record.replica == replica);
         let last_change = match known {
             Some(record) if unchanged => record.last_change,
             _ => {
@@ -352,24 +365,23 @@
                 self.sequence
             }
         };
-        let known = self.records.get(&change.id);
-        let same_process = known.is_some_and(|record| record.replica.is_same_process(replica));
+        let known = self.records.get(&id);
+        let same_process = known.is_some_and(|record| record.replica.is_same_process(&replica));
         let was_leaving = known.is_some_and(|record| same_process && record.replica.leaving);
         if !same_process {
             if known.is_some() {
-                out.push(FleetChange::Removed(change.id.clone()));
+                out.push(FleetChange::Removed(id.clone()));
             }
             if !replica.leaving {
                 out.push(FleetChange::Up(replica.clone()));
             }
         } else if replica.leaving && !was_leaving {
-            out.push(FleetChange::Leaving(change.id.clone()));
+            out.push(FleetChange::Leaving(id.clone()));
         } else if was_leaving && !replica.leaving {
             out.push(FleetChange::Up(replica.clone()));
         }
-        let (revision, replica) = (change.revision, replica.clone());
         let record = Record { revision, last_change, replica, expires: None };
-        self.records.insert(change.id.clone(), record);
+        self.records.insert(id, record);
     }
 
     /// Handles a record that is missing as of a revision. During a store outage, and shortly after one
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -92,11 +92,11 @@
     pub fn is_older_than(&self, now: Time, other: Option<&RosterMark>) -> bool {
         let as_of = other.map(RosterMark::revision).unwrap_or_default();
         let unmarked = as_of.number == 0 || as_of.generation == 0 && self.as_of.generation > 0;
-        match unmarked {
-            _ if self.entries.is_empty() => true,
+        let later = match unmarked {
             true => self.age(now).is_none_or(|age| age > UNMARKED_LAG),
             false => as_of > self.as_of,
-        }
+        };
+        later || self.entries.is_empty()
     }
 
     /// Takes a list that the store or another entry told `age` ago, as of a revision. Returns whether the
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -302,12 +302,11 @@
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
     pub fn apply_catalog(&self, catalog: Catalog, from: UpdateSource) -> bool {
         let mut state = self.state.borrow_mut();
-        let newer = |old: &Rc<Catalog>| catalog.version > old.version;
         let (from, address) = match from {
             UpdateSource::Store => ("store", String::new()),
             UpdateSource::Entry(address) => ("entry", address.to_string()),
         };
-        if let Some(known) = state.catalog.as_ref().filter(|old| !newer(old)) {
+        if let Some(known) = state.catalog.as_ref().filter(|old| old.version >= catalog.version) {
             // A full read often returns the configuration that is in force.
             if (catalog.version, catalog.revision) != (known.version, known.revision) {
                 let fields = [
