Log and count what servers say in their answers, and tell calls apart in sent lines

Server-Leaving and the Retry-After of a 503 are parsed in platform/, checked and kept for each server process (core::standing); sent lines name a digest of the call. Nothing is decided by either yet. httpdate was in the lock file already, as a dependency of hyper.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -176,6 +176,11 @@
         self.records.get(id).map(|record| &record.replica)
     }
 
+    /// Whether the list names a process.
+    pub fn lists_process(&self, server: &Replica) -> bool {
+        self.get(&server.id).is_some_and(|listed| listed.is_same_process(server))
+    }
+
     /// The changes after sequence number `known`, or `None` if there are none.
     pub fn delta_since(&self, known: u64) -> Option<Delta> {
         if known >= self.sequence {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod roster;
 pub mod route;
 pub mod side;
+pub mod standing;
 pub mod time;
 pub mod tree;
 pub mod window;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -209,7 +209,7 @@
         };
         let head = node.wire.encode_request(&self.head, self.body.len(), &params);
         let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{part:x}")).collect();
-        let parts = parts.join(",");
+        let (parts, call) = (parts.join(","), format!("{:x}", self.call));
         let fields = [
             ("server", server.id.as_str().into()),
             ("left_ms", left.as_millis().into()),
@@ -217,6 +217,7 @@
             ("reused", u64::from(conn.uses()).into()),
             ("path", path.name().into()),
             ("parts", parts.as_str().into()),
+            ("call", call.as_str().into()),
         ];
         node.log.request(Kind::Sent, &self.info.id, &fields);
         self.maybe_ran.push(server.id.clone());
--- a/crates/direct/src/explain.rs
+++ b/crates/direct/src/explain.rs
@@ -16,6 +16,8 @@
     Kind::CatalogApplied,
     Kind::ServerLeaving,
     Kind::ServerGone,
+    Kind::ServerBackoff,
+    Kind::ServerBackoffEnded,
     Kind::ServerLimited,
     Kind::ServerUnlimited,
     Kind::LinesOmitted,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod request;
 mod snapshot;
 mod stages;
+mod standing;
 mod stream;
 
 pub mod explain;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -68,6 +68,10 @@
     PartQuarantined = "part_quarantined"
     /// Requests with a prompt part are no longer refused, because one was answered.
     PartCleared = "part_cleared"
+    /// A backend server asked for a time without requests.
+    ServerBackoff = "server_backoff"
+    /// A backend server that had asked for time answers requests again.
+    ServerBackoffEnded = "server_backoff_ended"
     /// A backend server named a limit for requests, or changed it.
     ServerLimited = "server_limited"
     /// A backend server no longer names a limit.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -35,6 +35,8 @@
     pub unused_results: Counter<u64>,
     /// Requests sent to backend servers that name a limit, by the path that sent them.
     pub limited_sends: Counter<u64>,
+    /// Announcements of backend servers: that they leave, that they ask for time, and invalid ones.
+    pub announcements: Counter<u64>,
     /// Crashes of backend servers with requests of this entry.
     pub server_crashes: Counter<u64>,
     /// Calls to the store by type and outcome.
@@ -44,6 +46,8 @@
     request_latency: Histogram<f64>,
     servers: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    leaving_servers: Gauge<u64>,
+    resting_servers: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
     queued_pieces: Gauge<u64>,
     entries: Gauge<u64>,
@@ -63,6 +67,10 @@
     pub servers: Vec<(&'a str, u64)>,
     /// Backend servers that name a limit, as far as this entry knows.
     pub limited_servers: u64,
+    /// Backend servers that said in an answer that they leave.
+    pub leaving_servers: u64,
+    /// Backend servers that asked for time and don't get any number of requests yet.
+    pub resting_servers: u64,
     /// Prompt parts that are quarantined.
     pub quarantined_parts: u64,
     /// Pieces queued at this entry, by pool.
@@ -108,6 +116,7 @@
             denied_retries: meter.u64_counter("direct_repeats_refused").build(),
             unused_results: meter.u64_counter("direct_results_unused").build(),
             limited_sends: meter.u64_counter("direct_limited_sends").build(),
+            announcements: meter.u64_counter("direct_server_announcements").build(),
             server_crashes: meter.u64_counter("direct_server_crashes").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
             stage_latency: seconds("direct_stage_call"),
@@ -115,6 +124,8 @@
             request_latency: seconds("direct_request"),
             servers: meter.u64_gauge("direct_servers").build(),
             limited_servers: meter.u64_gauge("direct_servers_limited").build(),
+            leaving_servers: meter.u64_gauge("direct_servers_leaving").build(),
+            resting_servers: meter.u64_gauge("direct_servers_backing_off").build(),
             quarantined_parts: meter.u64_gauge("direct_parts_quarantined").build(),
             queued_pieces: meter.u64_gauge("direct_pieces_waiting").build(),
             entries: meter.u64_gauge("direct_entries").build(),
@@ -159,6 +170,11 @@
         self.limited_sends.add(1, &[KeyValue::new("path", path.name())]);
     }
 
+    /// Records an announcement of a backend server.
+    pub(crate) fn announced(&self, what: &'static str) {
+        self.announcements.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Records a call to the store.
     pub fn store_call(&self, call: &'static str, outcome: &'static str) {
         let labels = [KeyValue::new("call", call), KeyValue::new("outcome", outcome)];
@@ -170,6 +186,8 @@
         let pool = |name: &str| [KeyValue::new("pool", name.to_owned())];
         values.servers.iter().for_each(|(name, n)| self.servers.record(*n, &pool(name)));
         self.limited_servers.record(values.limited_servers, &[]);
+        self.leaving_servers.record(values.leaving_servers, &[]);
+        self.resting_servers.record(values.resting_servers, &[]);
         self.quarantined_parts.record(values.quarantined_parts, &[]);
         values
             .queued_pieces
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -24,6 +24,7 @@
 use damaskweir_core::returns::ReturnDetector;
 use damaskweir_core::revision::Revision;
 use damaskweir_core::roster::{Roster, RosterMark, RosterStatement};
+use damaskweir_core::standing::Standings;
 use damaskweir_core::time::{Span, Time};
 use damaskweir_core::window::WindowBudget;
 use rand_core::Rng as _;
@@ -129,6 +130,8 @@
     pub(crate) last_piece: u64,
     /// What backend servers say about the requests that they accept.
     pub(crate) intake: Intake,
+    /// What backend servers say about further requests.
+    pub(crate) standings: Standings,
     /// The requests that backend servers were given and have not answered.
     pub(crate) exposures: Exposures,
     /// Prompt parts that crash servers.
@@ -218,6 +221,7 @@
             wakeups: BTreeMap::new(),
             last_piece: 0,
             intake: Intake::default(),
+            standings: Standings::default(),
             exposures: Exposures::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
@@ -387,7 +391,8 @@
                     state.add_server(replica, &self.config);
                 }
                 FleetChange::Leaving(id) => {
-                    self.log.process(Kind::ServerLeaving, &[("server", id.as_str().into())]);
+                    let fields = [("server", id.as_str().into()), ("from", "list".into())];
+                    self.log.process(Kind::ServerLeaving, &fields);
                     pools.extend(state.remove_server(&id));
                 }
                 FleetChange::Removed(id) => {
@@ -478,6 +483,7 @@
             state.entries_changed(&self.config, now);
         }
         state.intake.expire(now, |id| state.fleet.get(id).is_some());
+        state.standings.expire(now, |server| state.fleet.lists_process(server));
         state.exposures.expire(now);
         state.quarantine.expire(now);
     }
@@ -529,6 +535,8 @@
         self.metrics.record_gauges(&GaugeValues {
             servers: servers.map(|(pool, n)| (pool, n as u64)).collect(),
             limited_servers: state.intake.limited().count() as u64,
+            leaving_servers: state.standings.leaving().count() as u64,
+            resting_servers: state.standings.backing_off(self.now()).count() as u64,
             quarantined_parts: state.quarantine.len(self.now()) as u64,
             queued_pieces: queued.map(|(pool, n)| (pool, n as u64)).collect(),
             entries: state.roster.entries().len() as u64,
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -257,6 +257,7 @@
         // Another server has taken over the address.
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_notice(server, std::mem::take(&mut info.limit));
+            self.record_announcement(server, std::mem::take(&mut info.announcement));
         }
         info
     }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -99,6 +99,8 @@
     pub(crate) deadline: Time,
     /// Ids of the prompt parts that other requests may share. The last part is the request's own.
     pub(crate) shared_parts: Vec<u64>,
+    /// Digest of the call, which may be sent again as another request.
+    pub(crate) call: u64,
     /// Servers on which the request may have run.
     pub(crate) maybe_ran: Vec<ServerId>,
     /// Servers that were chosen for an attempt, including those that could not be reached.
@@ -139,6 +141,7 @@
         node.state.borrow_mut().active += 1;
         let (workspace, rank) = caller;
         let (maybe_ran, sent) = (Vec::new(), Vec::new());
+        let call = node.wire.digest_call(&head, &body);
         let shared = info.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_parts = shared.iter().map(|part| part.id).collect();
         Some(Self {
@@ -153,6 +156,7 @@
             arrived,
             deadline,
             shared_parts,
+            call,
             maybe_ran,
             sent,
             timing: StreamTiming::default(),
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -9,6 +9,7 @@
 use damaskweir_core::place::PromptPart;
 use damaskweir_core::quarantine::RulingStatement;
 use damaskweir_core::revision::Revision;
+use damaskweir_core::standing::Announcement;
 use damaskweir_core::time::Span;
 use http::StatusCode;
 use http::request::Parts;
@@ -101,6 +102,8 @@
     pub not_run: bool,
     /// What the answer says about the server's limit.
     pub limit: Notice,
+    /// What the answer says about further requests.
+    pub announcement: Announcement,
 }
 
 /// A piece of work in a call to a stage's server.
@@ -147,6 +150,8 @@
 pub trait Wire: 'static {
     /// Parses the head of a caller's request.
     fn parse_request(&self, head: &Parts) -> Result<RequestInfo, RequestError>;
+    /// Digest of what makes two requests the same call, whoever sends it and whenever.
+    fn digest_call(&self, head: &Parts, body: &[u8]) -> u64;
     /// Key under which the first stages find the request's data.
     fn piece_key(&self, head: &Parts) -> Option<String>;
     /// Encodes the head of a request to a backend server, for a body of `body` bytes.
