Send no new request to a server whose answer says that it leaves

Callers saw nothing; a server that had said Server-Leaving went on getting requests from the same entry until the store's list told of it, and without end while the store was away. Cause: an entry learned of a leaving from lists alone, and took the field for one like any other. Its server leaves the pool, its idle connections and its owner's queue at once; connection() asks again when the connection is there, so that a server reserved before stages, or a slow connection, can't pass it by. Releases at it are dropped: its results end with it. Owners are still computed from the list, so that two entries never differ in whose a server is. Other entries are not told: each hears it with its first answer.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -5,9 +5,9 @@
 use crate::log::{Kind, Value};
 use crate::node::{Node, State};
 use crate::permits::Permit;
-use crate::request::{ActiveRequest, RETRY_TIME_MIN};
+use crate::request::{ActiveRequest, RETRY_TIME_MIN, RequestError};
 use crate::stages::HeldResults;
-use crate::wire::{DispatchParams, ResponseInfo, Wire, implies_not_run};
+use crate::wire::{DispatchParams, ResponseInfo, SendPath, Wire, implies_not_run};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
@@ -152,13 +152,33 @@
 }
 
 impl<W: Wire> ActiveRequest<W> {
+    /// Sends the request to a server that accepts it, the reserved one if possible, and waits for a complete
+    /// response or the first event of a stream.
+    pub(crate) async fn send_to_any(
+        &mut self,
+        mut reserved: Option<Permit>,
+        held: Option<&HeldResults<W>>,
+        path: SendPath,
+    ) -> Result<Outcome<W>, RequestError> {
+        loop {
+            let permit = match reserved.take().filter(|permit| self.is_present(permit.server())) {
+                Some(permit) => permit,
+                None => self.reserve_server(held, path).await?,
+            };
+            if let Some(outcome) = self.send(permit, held, None).await {
+                return Ok(outcome);
+            }
+        }
+    }
+
     /// Sends the request to a server and waits for a complete response or the first event of a stream.
+    /// Returns `None` if the server accepts no request by then, and nothing was sent.
     pub(crate) async fn send(
         &mut self,
         permit: Permit,
         held: Option<&HeldResults<W>>,
         resume: Option<u64>,
-    ) -> Outcome<W> {
+    ) -> Option<Outcome<W>> {
         let node = self.node.clone();
         let (server, path) = (&permit.server().clone(), permit.path());
         let started = node.now();
@@ -183,20 +203,25 @@
         };
         let mut conn = match node.connection(permit).await {
             Ok(conn) => conn,
+            Err(HttpError::Declined) => {
+                guard.record_end(AttemptOutcome::Abandoned);
+                self.sent.pop();
+                return None;
+            }
             Err(error) => {
                 self.log_broken(server, &error);
                 guard.record_end(AttemptOutcome::Unresponsive);
                 if error.is_refusal() {
                     node.record_crash(server, "refused");
                 }
-                return Outcome::NotRun(AttemptOutcome::Unresponsive);
+                return Some(Outcome::NotRun(AttemptOutcome::Unresponsive));
             }
         };
         // It may have been ruled on while the request waited for the connection.
         if self.blocking_part().is_some() {
             guard.record_end(AttemptOutcome::Abandoned);
             node.keep_connection(&server.id, conn);
-            return Outcome::Quarantined;
+            return Some(Outcome::Quarantined);
         }
         let left = self.deadline.since(node.now());
         let params = DispatchParams {
@@ -247,7 +272,7 @@
         if matches!(outcome, Outcome::NotRun(_) | Outcome::InputsLost) {
             self.maybe_ran.pop();
         }
-        outcome
+        Some(outcome)
     }
 
     /// Returns when to give up waiting for a complete response or the first event.
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -186,6 +186,7 @@
                 (CallOutcome::Done { dropped_bytes }, ends)
             }
             Ok(Ok(ended)) => ended,
+            Ok(Err(HttpError::Declined)) => (CallOutcome::Full, Vec::new()),
             Ok(Err(error)) => {
                 let text = error.to_string();
                 let fields =
@@ -382,9 +383,10 @@
         let mut permits = BTreeMap::<ServerId, Option<(Permit, Vec<String>)>>::new();
         let mut forwarded = BTreeMap::<EntryInfo, Vec<ResultRelease>>::new();
         for release in releases {
-            // The results of a removed server no longer exist.
+            // The results of a removed server no longer exist, and those of one that leaves end with it.
             let replica = self.state.borrow().fleet.get(&release.server).cloned();
-            let Some(replica) = replica else { continue };
+            let staying = |server: &Replica| !self.state.borrow().standings.is_leaving(server);
+            let Some(replica) = replica.filter(staying) else { continue };
             if let Some(owner) = self.other_owner(&replica) {
                 forwarded.entry(owner).or_default().push(release);
                 continue;
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -219,7 +219,7 @@
         let (crashed, staying) = {
             let state = self.state.borrow();
             let crashed = state.exposures.has_crashed(&server.process(), attempt);
-            (crashed, state.fleet.get(&server.id).is_some_and(|replica| !replica.leaving))
+            (crashed, state.is_staying(&server.id))
         };
         crashed || staying && self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
     }
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -54,6 +54,9 @@
     /// The response is invalid or exceeds a limit.
     #[error("invalid HTTP/1.1 response: {0}")]
     Malformed(&'static str),
+    /// The server accepts no request now; nothing was sent.
+    #[error("the server accepts no request now")]
+    Declined,
     /// No response arrived in time.
     #[error("timed out waiting for a response")]
     TimedOut,
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -502,23 +502,31 @@
         detector.elapsed_since_first(wait)
     }
 
-    /// Returns an idle connection to the server of a permit, or opens a new one.
+    /// Returns an idle connection to the server of a permit, or opens a new one. Fails if the server accepts
+    /// no request by then.
     pub(crate) async fn connection(&self, permit: Permit) -> Result<Conn, HttpError> {
         let server = permit.into_server();
         let idle =
             self.state.borrow_mut().idle_connections.get_mut(&server.id).and_then(IdleConns::take);
-        if let Some(conn) = idle {
-            return Ok(conn);
+        let conn = match idle {
+            Some(conn) => conn,
+            None => {
+                self.metrics.connections.add(1, &[]);
+                Conn::connect(server.address, CONNECT_TIMEOUT).await?
+            }
+        };
+        // An answer may have arrived while the connection was opened, or since the permit was given.
+        if !self.state.borrow().standings.accepts(self.now(), &server) {
+            self.keep_connection(&server.id, conn);
+            return Err(HttpError::Declined);
         }
-        self.metrics.connections.add(1, &[]);
-        Conn::connect(server.address, CONNECT_TIMEOUT).await
+        Ok(conn)
     }
 
     /// Keeps a connection for later requests if it can be reused and the server is not leaving.
     pub(crate) fn keep_connection(&self, server: &ServerId, conn: Conn) {
         let mut state = self.state.borrow_mut();
-        let known = state.fleet.get(server).is_some_and(|replica| !replica.leaving);
-        if known {
+        if state.is_staying(server) {
             state
                 .idle_connections
                 .entry(server.clone())
@@ -579,16 +587,28 @@
             |name: &String| catalog.hosts.values().flatten().any(|route| route.name == *name);
         self.return_detectors.retain(|name, _| named(name));
         self.catalog = Some(Rc::new(catalog));
-        let known: Vec<_> = self.fleet.replicas().filter(|r| !r.leaving).cloned().collect();
+        let known: Vec<_> = self.fleet.replicas().cloned().collect();
         for replica in known {
             self.add_server(replica, config);
         }
         self.assign_owners(config, now);
     }
 
-    /// Adds a server to its pool unless it is already there. A server of an unknown pool is
+    /// Whether a server is listed and does not leave, by the list or by its own word.
+    pub(crate) fn is_staying(&self, id: &ServerId) -> bool {
+        self.fleet.get(id).is_some_and(|server| self.accepts_work(server))
+    }
+
+    fn accepts_work(&self, server: &Replica) -> bool {
+        !server.leaving && !self.standings.is_leaving(server)
+    }
+
+    /// Adds a server to its pool unless it is already there or leaves. A server of an unknown pool is
     /// ignored.
     fn add_server(&mut self, replica: Replica, config: &NodeConfig) {
+        if !self.accepts_work(&replica) {
+            return;
+        }
         let Some(catalog) = self.catalog.clone() else { return };
         let Some(pool) = catalog.pools.get(&replica.pool) else { return };
         let engine = matches!(pool.work, Work::Engine { .. });
@@ -604,7 +624,7 @@
     }
 
     /// Stops sending new work to a server and closes its idle connections. Returns its pool.
-    fn remove_server(&mut self, id: &ServerId) -> Option<PoolId> {
+    pub(crate) fn remove_server(&mut self, id: &ServerId) -> Option<PoolId> {
         self.idle_connections.remove(id);
         let (pool, placer) = self.placers.iter_mut().find(|(_, placer)| placer.contains(id))?;
         placer.remove(id);
@@ -626,7 +646,7 @@
     }
 
     /// Recomputes the server owners of one pool, if it is a stage pool.
-    fn assign_pool_owners(&mut self, id: &PoolId, config: &NodeConfig, now: Time) {
+    pub(crate) fn assign_pool_owners(&mut self, id: &PoolId, config: &NodeConfig, now: Time) {
         let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(id));
         let Some(Work::Pieces(spec)) = pool.map(|pool| &pool.work) else { return };
         let spec = *spec;
@@ -635,7 +655,9 @@
         let new_owners = || Owners::new(config.entry.clone(), spec);
         let owners = self.owners.entry(id.clone()).or_insert_with(new_owners);
         owners.set_spec(spec);
-        let owned = owners.assign(id, self.roster.entries(), &self.suspects, &servers);
+        let mut owned = owners.assign(id, self.roster.entries(), &self.suspects, &servers);
+        // Others may not know yet that such a server leaves, so it counts when owners are computed.
+        owned.retain(|server| !self.standings.is_leaving(server));
         let batcher = self.batchers.entry(id.clone()).or_insert_with(|| Batcher::new(spec));
         batcher.set_spec(spec);
         batcher.set_servers(now, &owned);
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -202,12 +202,7 @@
         let mut restarted = false;
         loop {
             let path = if self.sent.is_empty() { SendPath::First } else { SendPath::Retry };
-            let permit = match reserved.take().filter(|permit| self.is_present(permit.server())) {
-                Some(permit) => permit,
-                None => self.reserve_server(held.as_ref(), path).await?,
-            };
-            let outcome = self.send(permit, held.as_ref(), None).await;
-            match outcome {
+            match self.send_to_any(reserved.take(), held.as_ref(), path).await? {
                 Outcome::Response(response) => return Ok(response),
                 Outcome::InputsLost if !restarted => {
                     restarted = true;
@@ -379,7 +374,7 @@
     }
 
     /// Whether a server may still get requests.
-    fn is_present(&self, server: &Replica) -> bool {
+    pub(crate) fn is_present(&self, server: &Replica) -> bool {
         let state = self.node.state.borrow();
         state.placers.get(&self.pool).is_some_and(|placer| placer.contains(&server.id))
     }
--- a/crates/direct/src/standing.rs
+++ b/crates/direct/src/standing.rs
@@ -1,4 +1,4 @@
-//! Records what backend servers say in their answers about further requests.
+//! Acts on what backend servers say in their answers about further requests.
 
 use crate::log::{Kind, Value};
 use crate::node::Node;
@@ -12,7 +12,22 @@
     pub(crate) fn record_announcement(&self, server: &Replica, said: Announcement) {
         let now = self.now();
         let changes = self.state.borrow_mut().standings.record(now, server, said, Span::ZERO);
-        changes.into_iter().for_each(|change| self.log_announcement(server, &change));
+        for change in changes {
+            self.log_announcement(server, &change);
+            if change == Change::Leaving {
+                self.leave(server);
+            }
+        }
+    }
+
+    /// Gives no new work to a server that said that it leaves. What it works on goes on.
+    fn leave(&self, server: &Replica) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if state.fleet.lists_process(server) {
+            state.remove_server(&server.id);
+            state.assign_pool_owners(&server.pool, &self.config, now);
+        }
     }
 
     fn log_announcement(&self, server: &Replica, change: &Change) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -131,18 +131,23 @@
             return Err(StreamError(cause));
         }
         let held = request.run_stages().await.map_err(|_| StreamError("stages_after_break"))?;
-        let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
-        let permit = permit.map_err(|error| match error {
-            RequestError::Unknown { cause: PART_QUARANTINED } => StreamError(PART_QUARANTINED),
-            _ => StreamError("no_other_server"),
-        })?;
-        let fields = [
-            ("cause", cause.into()),
-            ("server", permit.server().id.as_str().into()),
-            ("after_event", last.into()),
-        ];
-        request.node.log.request(Kind::Resumed, &request.info.id, &fields);
-        match request.send(permit, held.as_ref(), Some(last)).await {
+        let outcome = loop {
+            let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
+            let permit = permit.map_err(|error| match error {
+                RequestError::Unknown { cause: PART_QUARANTINED } => StreamError(PART_QUARANTINED),
+                _ => StreamError("no_other_server"),
+            })?;
+            let fields = [
+                ("cause", cause.into()),
+                ("server", permit.server().id.as_str().into()),
+                ("after_event", last.into()),
+            ];
+            request.node.log.request(Kind::Resumed, &request.info.id, &fields);
+            if let Some(outcome) = request.send(permit, held.as_ref(), Some(last)).await {
+                break outcome;
+            }
+        };
+        match outcome {
             // A page of another type is an error, whatever its status.
             Outcome::Response(response)
                 if media_type(&response.head.headers) != self.media_type =>
