Send no request to a server in the time that its 503 with Retry-After asks for

Every choice of a server, the pace of a stage's calls, releases and the last look at a connection ask it. If all servers of a service are backing off, requests are refused at once (servers_backoff), before their stages, with a Retry-After of the earliest end and the callers told before. The pace figures of a server stay as they are.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -170,6 +170,11 @@
         self.servers.contains_key(id)
     }
 
+    /// Mean time between two requests if each server works on one at a time.
+    pub fn mean_interval(&self) -> Span {
+        Span((self.mean_latency / self.servers.len().max(1) as f64) as u64)
+    }
+
     /// Number of servers.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -8,10 +8,12 @@
 use crate::stages::{PieceFailure, StoredResult};
 use crate::wire::{PieceOutcome, PieceRequest, SendPath, Wire};
 use damaskweir_core::batch::{Batch, CallOutcome, Fullness, PieceId, QueuedPiece, ZoneKey};
+use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::room::ResultKey;
+use damaskweir_core::standing::Standing;
 use damaskweir_core::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -391,6 +393,9 @@
                 forwarded.entry(owner).or_default().push(release);
                 continue;
             }
+            if self.expires_before_release(&replica) {
+                continue;
+            }
             let permit = permits.entry(replica.id.clone()).or_insert_with(|| {
                 self.permit_locally(&replica, SendPath::Release).map(|permit| (permit, Vec::new()))
             });
@@ -411,6 +416,18 @@
         }
     }
 
+    /// Whether the results at a server expire before it accepts a call that releases them.
+    fn expires_before_release(&self, server: &Replica) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        let Standing::Backoff(until) = state.standings.standing(now, server) else { return false };
+        let pool = state.catalog.as_ref().and_then(|catalog| catalog.pools.get(&server.pool));
+        match pool.map(|pool| &pool.work) {
+            Some(Work::Pieces(spec)) => until.since(now) > spec.result_ttl,
+            _ => true,
+        }
+    }
+
     /// Returns the owner of a server if it is another entry.
     fn other_owner(&self, server: &Replica) -> Option<EntryInfo> {
         let state = self.state.borrow();
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -516,7 +516,7 @@
             }
         };
         // An answer may have arrived while the connection was opened, or since the permit was given.
-        if !self.state.borrow().standings.accepts(self.now(), &server) {
+        if self.state.borrow().standings.declines(self.now(), &server) {
             self.keep_connection(&server.id, conn);
             return Err(HttpError::Declined);
         }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -12,6 +12,7 @@
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::intake::{Change, Notice, Rate, Statement};
 use damaskweir_core::owner::{EntryInfo, grantor};
+use damaskweir_core::pace::Pace;
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
 use rand_core::Rng as _;
@@ -139,11 +140,14 @@
         None
     }
 
-    /// Returns a permit for a request to a server, if it names no limit or this entry is its grantor and
-    /// its limit allows the request.
+    /// Returns a permit for a request to a server that accepts any, if it names no limit or this entry is its
+    /// grantor and its limit allows the request.
     pub(crate) fn permit_locally(&self, server: &Replica, path: SendPath) -> Option<Permit> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        if !state.standings.accepts(now, server) {
+            return None;
+        }
         let share = state.grant_share(now, server, &self.config);
         let granted = match path {
             SendPath::Release => state.intake.try_grant_release(now, server, share),
@@ -174,9 +178,13 @@
     }
 
     fn issue(&self, server: &Replica, path: SendPath) -> Permit {
-        if self.state.borrow().intake.limit(server).is_some() {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.standings.record_send(now, server);
+        if state.intake.limit(server).is_some() {
             self.metrics.limited_send(path);
         }
+        drop(state);
         Permit { server: server.clone(), path }
     }
 
@@ -358,19 +366,38 @@
         self.intake.set_grants(now, &server.id, own, since);
     }
 
-    /// Sets the pace of the calls to the servers of a stage pool that this entry owns.
+    /// Sets the pace of the calls to the servers of a stage pool that this entry owns: that of their limits,
+    /// after the times without requests that they asked for.
     pub(crate) fn set_paces(&mut self, pool: &PoolId, now: Time, config: &NodeConfig) {
         let limited = self.intake.limited().filter(|server| server.pool == *pool);
         let pace = |server: &Replica| {
             let share = self.grant_share(now, server, config);
             Some((server.id.clone(), self.intake.pace(now, server, share)?))
         };
-        let paces: BTreeMap<_, _> = limited.filter_map(pace).collect();
+        let mut paces: BTreeMap<_, _> = limited.filter_map(pace).collect();
+        for (id, until) in self.backing_off(now, pool) {
+            let unpaced = Pace { interval: Span::ZERO, ready: until };
+            let pace = paces.entry(id).or_insert(unpaced);
+            pace.ready = pace.ready.max(until);
+        }
         if let Some(batcher) = self.batchers.get_mut(pool) {
             batcher.set_paces(|server| paces.get(&server.id).copied());
         }
     }
 
+    /// Returns the servers of a pool that get no request now because they asked for time, and until when.
+    fn backing_off(&self, now: Time, pool: &PoolId) -> Vec<(ServerId, Time)> {
+        let servers = self.standings.backing_off(now);
+        let listed =
+            servers.filter(|(server, _)| server.pool == *pool && self.fleet.lists_process(server));
+        listed.map(|(server, until)| (server.id.clone(), until)).collect()
+    }
+
+    /// Whether a server of a pool asked for time and gets no request now.
+    pub(crate) fn is_backing_off(&self, now: Time, pool: &PoolId) -> bool {
+        !self.backing_off(now, pool).is_empty()
+    }
+
     /// Returns the servers of a pool that get no request now, and until when.
     pub(crate) fn blocked(&self, now: Time, pool: &PoolId) -> Vec<(ServerId, Time)> {
         let asked = |server: &&Replica| {
@@ -380,17 +407,21 @@
         let asked = asked.map(|server| (server.id.clone(), now + Span::from(PERMIT_TIMEOUT)));
         let mut blocked = self.intake.blocked(now);
         blocked.extend(asked);
+        blocked.extend(self.backing_off(now, pool));
         blocked.retain(|(id, _)| self.placers.get(pool).is_some_and(|p| p.contains(id)));
         blocked
     }
 
-    /// Returns how long a caller should wait that is refused because of servers' limits. The earliest
+    /// Returns how long a caller should wait that is refused because servers accept no request. The earliest
     /// time is that at which one of them accepts a request again.
     pub(crate) fn book_return(&mut self, now: Time, pool: &PoolId, earliest: Span) -> Span {
         let limited = self.intake.limited().filter(|server| server.pool == *pool);
         let rates = limited.filter_map(|server| self.intake.limit(server)).map(Rate::per_second);
         let own_rate = rates.sum::<f64>() / self.roster.entries().len().max(1) as f64;
-        let interval = Span::from_secs(1).scale(1.0 / own_rate);
+        let interval = match self.placers.get(pool) {
+            Some(placer) if own_rate == 0.0 => placer.mean_interval(),
+            _ => Span::from_secs(1).scale(1.0 / own_rate),
+        };
         self.return_slots.entry(pool.clone()).or_default().book(now, earliest, interval)
     }
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -19,6 +19,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
 use rand_core::Rng as _;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::time::timeout_at;
@@ -364,13 +365,16 @@
         placer.map_or(Span::ZERO, |placer| placer.mean_latency(&self.route.name))
     }
 
-    /// Whether a server is reserved before the stages run: if all servers name a limit, the work of the
-    /// stages may be in vain.
+    /// Whether a server is reserved before the stages run: if all servers name a limit or accept no request,
+    /// the work of the stages may be in vain.
     fn needs_reservation(&self) -> bool {
+        let now = self.node.now();
         let state = self.node.state.borrow();
         let servers = state.placers.get(&self.pool).map_or(0, Placer::len);
         let limited = state.intake.limited().filter(|server| server.pool == self.pool);
-        !self.route.stages.is_empty() && limited.count() >= servers
+        let blocked = state.blocked(now, &self.pool).into_iter().map(|(id, _)| id);
+        let bounded: BTreeSet<_> = limited.map(|server| server.id.clone()).chain(blocked).collect();
+        !self.route.stages.is_empty() && bounded.len() >= servers
     }
 
     /// Whether a server may still get requests.
@@ -422,17 +426,18 @@
     /// Returns the error for a request that no server accepts now.
     fn no_server(&self, state: &mut State, now: Time) -> RequestError {
         let servers = state.placers.get(&self.pool).map_or(0, Placer::len);
-        let unsent = |(id, _): &(ServerId, Time)| !self.sent.contains(id);
-        let blocked: Vec<_> = state.blocked(now, &self.pool).into_iter().filter(unsent).collect();
+        let blocked = state.blocked(now, &self.pool);
         let earliest = blocked.iter().map(|(_, until)| *until).min();
         let (Some(earliest), true) = (earliest, self.maybe_ran.is_empty()) else {
             return self.failure("servers_full");
         };
         let retry = state.book_return(now, &self.pool, earliest.since(now));
         // Other servers are only full, which usually passes sooner.
-        let full = self.sent.len() + blocked.len() < servers;
+        let full = blocked.len() < servers;
         let retry = if full { retry.min(BUSY_RETRY) } else { retry };
-        RequestError::NotRun { cause: "servers_limited", retry }
+        let asked = state.is_backing_off(now, &self.pool);
+        let cause = if asked { "servers_backoff" } else { "servers_limited" };
+        RequestError::NotRun { cause, retry }
     }
 
     /// Decides whether to retry after a server did not run the request.
@@ -449,7 +454,12 @@
             self.node.log.request(Kind::Retried, &self.info.id, &fields);
             return Ok(());
         }
-        Err(self.failure(cause))
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        match state.is_backing_off(now, &self.pool) {
+            true => Err(self.no_server(&mut state, now)),
+            false => Err(self.failure(cause)),
+        }
     }
 
     /// Decides whether to retry after the request may have run.
--- a/crates/direct/src/standing.rs
+++ b/crates/direct/src/standing.rs
@@ -1,17 +1,28 @@
 //! Acts on what backend servers say in their answers about further requests.
 
 use crate::log::{Kind, Value};
-use crate::node::Node;
+use crate::node::{Node, State};
 use crate::wire::Wire;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::standing::{Announcement, Change};
 use damaskweir_core::time::Span;
+use rand_core::Rng as _;
+
+/// Time over which entries spread their return to a server, for each of them, and the longest.
+const RETURN_SPREAD: (Span, Span) = (Span::from_millis(20), Span::from_secs(1));
 
 impl<W: Wire> Node<W> {
     /// Records what an answer of a server says about further requests.
     pub(crate) fn record_announcement(&self, server: &Replica, said: Announcement) {
         let now = self.now();
-        let changes = self.state.borrow_mut().standings.record(now, server, said, Span::ZERO);
+        let changes = {
+            let state = &mut *self.state.borrow_mut();
+            let spread = match said.backoff {
+                Some(_) => state.return_delay(),
+                None => Span::ZERO,
+            };
+            state.standings.record(now, server, said, spread)
+        };
         for change in changes {
             self.log_announcement(server, &change);
             if change == Change::Leaving {
@@ -50,3 +61,11 @@
         self.metrics.announced(what);
     }
 }
+
+impl State {
+    /// Draws the delay of this entry's return to a server after the time that it asked for.
+    fn return_delay(&mut self) -> Span {
+        let spread = RETURN_SPREAD.0 * self.roster.entries().len() as u64;
+        Span(self.rng.next_u64() % spread.0.clamp(1, RETURN_SPREAD.1.0))
+    }
+}
