Refuse a call that crashes servers, also if its prompt has no part of its own

Cause: crashes were evidence against shared prompt parts only. Plain calls have none; a part that sound requests share is cleared by their answers. Three crashes since its last answer suffice. A call that was sent after a crash was not open there, so its crashes count however soon they follow. On equal evidence the call is refused, not the part; crashes that one call explains count once against a part, so a part is refused after three of its calls crashed servers. The cause is call_quarantined, without Retry-After.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,6 +1,7 @@
-//! Prompt parts that crash servers. Requests with such a part are refused.
+//! Calls and prompt parts that crash servers. Requests with them are refused.
 //!
-//! A crash is evidence against each shared part of the requests that the server had not answered. Which
+//! A call is a request apart from who sends it and when; the same call may be sent many times. A crash is
+//! evidence against each call that the server had not answered, and against each shared part of them. Which
 //! of them caused it shows only over several crashes: a complete answer to a request with a part clears
 //! it of all crashes before, and a crash that a quarantined part explains is no evidence against the
 //! others. Crashes are counted by server process, so it doesn't matter how many entries report them.
@@ -15,7 +16,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Crashes after which a part is quarantined that was never answered.
+/// Crashes after which a call is quarantined, or a part that was never answered.
 const CRASHES_UNANSWERED: usize = 3;
 /// Crashes after which a part is quarantined that was answered before, but not since.
 const CRASHES_ANSWERED: usize = 5;
@@ -37,6 +38,10 @@
 const MAX_CRASHES: usize = 128;
 /// Parts that are kept of each crash: first those that were never answered, then the rarest.
 const MAX_CRASH_PARTS: usize = 256;
+/// Calls that are kept of each crash.
+const MAX_CRASH_CALLS: usize = 128;
+/// Depth of a call: fewer sound requests share it than any part.
+const CALL_DEPTH: u32 = u32::MAX;
 /// Rulings that are kept.
 const MAX_RULINGS: usize = 512;
 /// Parts in each of the two generations of answered ones. The older generation is dropped when the
@@ -74,7 +79,7 @@
 
     /// What one entry tells another about a part. The latest ruling holds.
     pub struct RulingStatement {
-        /// Id of the part.
+        /// Id of the part, or digest of the call.
         pub part: u64,
         /// The ruling.
         pub ruling: Ruling,
@@ -90,6 +95,17 @@
         pub age: Span,
         /// Shared prompt parts of the requests that were open there.
         pub parts: Vec<OpenPart>,
+        /// The calls that were open there.
+        #[serde(default)]
+        pub calls: Vec<OpenCall>,
+    }
+
+    /// A call that was open at a server that crashed.
+    pub struct OpenCall {
+        /// What is told of it as of a prompt part. `part` is its digest.
+        pub row: OpenPart,
+        /// Time from its sending to the crash.
+        pub lead: Span,
     }
 
     /// A prompt part of requests that were open at a server that crashed.
@@ -114,12 +130,23 @@
     pub parts: Vec<u64>,
     /// Workspace of the caller.
     pub workspace: Option<WorkspaceId>,
+    /// The call, if it is known.
+    pub call: Option<SentCall>,
+}
+
+/// A call as it was sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentCall {
+    /// Digest of the call.
+    pub digest: u64,
+    /// When it was sent.
+    pub sent: Time,
 }
 
 /// A change of the ruling on a part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RulingChange {
-    /// Id of the part.
+    /// Id of the part, or digest of the call.
     pub part: u64,
     /// The new ruling.
     pub ruling: Ruling,
@@ -130,7 +157,34 @@
 #[derive(Clone, Debug)]
 struct Crash {
     at: SignedTime,
+    /// Rows of parts and calls.
     parts: BTreeMap<u64, OpenPart>,
+    /// When each call among them was sent.
+    calls: BTreeMap<u64, SignedTime>,
+}
+
+impl Crash {
+    fn add(&mut self, row: OpenPart, limit: usize) {
+        let full = self.parts.len() >= limit;
+        match self.parts.get_mut(&row.part) {
+            Some(known) => known.merge(row),
+            None if full => {}
+            None => {
+                self.parts.insert(row.part, row);
+            }
+        }
+    }
+}
+
+/// A crash as evidence against a part or a call.
+struct EvidenceRow<'a> {
+    at: SignedTime,
+    row: &'a OpenPart,
+    /// When it was sent, if it is a call.
+    sent: Option<SignedTime>,
+    /// A quarantined call that explains the crash. All crashes that one call explains count once against a
+    /// part, since its next call may crash servers as well.
+    cause: Option<u64>,
 }
 
 /// When requests with a part were last answered completely, for a bounded number of parts.
@@ -171,7 +225,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     crashes: BTreeMap<ServerProcess, Crash>,
+    /// Answers to requests with parts, by part.
     answers: Answers,
+    /// Answers by call.
+    call_answers: Answers,
     rulings: BTreeMap<u64, (SignedTime, Ruling)>,
     /// Parts whose ruling is known only from a record of the store. It may be older than any other, so it
     /// isn't passed on.
@@ -205,14 +262,20 @@
 
     /// Records a complete answer to a request with these shared parts. It ends their quarantines.
     pub fn record_answer(&mut self, now: Time, parts: &[u64]) -> Vec<RulingChange> {
-        let mut changes = Vec::new();
-        for part in parts {
-            self.answers.record(*part, SignedTime::before(now, Span::ZERO));
-            if matches!(self.rulings.get(part), Some((_, Ruling::Quarantined { .. }))) {
-                changes.push(self.rule(now, *part, Ruling::Cleared));
-            }
-        }
-        changes
+        let at = SignedTime::before(now, Span::ZERO);
+        parts.iter().for_each(|part| self.answers.record(*part, at));
+        parts.iter().filter_map(|part| self.clear(now, *part)).collect()
+    }
+
+    /// Records a complete answer to a call. It ends its quarantine.
+    pub fn record_call_answer(&mut self, now: Time, call: u64) -> Option<RulingChange> {
+        self.call_answers.record(call, SignedTime::before(now, Span::ZERO));
+        self.clear(now, call)
+    }
+
+    fn clear(&mut self, now: Time, part: u64) -> Option<RulingChange> {
+        let quarantined = matches!(self.rulings.get(&part), Some((_, Ruling::Quarantined { .. })));
+        quarantined.then(|| self.rule(now, part, Ruling::Cleared))
     }
 
     /// Describes a crash for other entries.
@@ -241,27 +304,56 @@
         let mut parts: Vec<_> = parts.into_values().collect();
         parts.sort_by_key(|row| (row.answered.is_some(), row.requests, Reverse(row.depth)));
         parts.truncate(MAX_CRASH_PARTS);
-        CrashReport { process, age: Span::ZERO, parts }
+        CrashReport { process, age: Span::ZERO, parts, calls: self.open_calls(now, requests) }
+    }
+
+    fn open_calls(&self, now: Time, requests: &[OpenRequest]) -> Vec<OpenCall> {
+        let mut calls: BTreeMap<u64, OpenCall> = BTreeMap::new();
+        for request in requests {
+            let Some(SentCall { digest, sent }) = request.call else { continue };
+            let (lead, workspace) = (now.since(sent), request.workspace.clone());
+            let answered = self.call_answers.get(digest).map(|at| at.age(now));
+            let new_row = || OpenPart {
+                part: digest,
+                depth: CALL_DEPTH,
+                requests: 0,
+                workspaces: BTreeSet::new(),
+                answered,
+            };
+            let call = calls.entry(digest).or_insert_with(|| OpenCall { row: new_row(), lead });
+            call.lead = call.lead.min(lead);
+            call.row.requests += 1;
+            call.row.add_workspace(workspace);
+        }
+        let mut calls: Vec<_> = calls.into_values().collect();
+        calls.sort_by_key(|call| (call.row.answered.is_some(), Reverse(call.row.requests)));
+        calls.truncate(MAX_CRASH_CALLS);
+        calls
     }
 
     /// Takes up a report. It may be repeated.
     pub fn merge_report(&mut self, now: Time, report: CrashReport) {
         let at = SignedTime::before(now, report.age);
-        let crash = self
-            .crashes
-            .entry(report.process)
-            .or_insert_with(|| Crash { at, parts: BTreeMap::new() });
+        let crash = self.crashes.entry(report.process).or_insert_with(|| Crash {
+            at,
+            parts: BTreeMap::new(),
+            calls: BTreeMap::new(),
+        });
         for row in report.parts {
             if let Some(age) = row.answered {
                 self.answers.record(row.part, at.earlier(age));
             }
-            let full = crash.parts.len() >= MAX_CRASH_PARTS;
-            match crash.parts.get_mut(&row.part) {
-                Some(known) => known.merge(row),
-                None if full => {}
-                None => {
-                    crash.parts.insert(row.part, row);
-                }
+            crash.add(row, MAX_CRASH_PARTS + crash.calls.len());
+        }
+        for call in report.calls {
+            let (digest, sent) = (call.row.part, at.earlier(call.lead));
+            if let Some(age) = call.row.answered {
+                self.call_answers.record(digest, at.earlier(age));
+            }
+            if crash.calls.len() < MAX_CRASH_CALLS || crash.calls.contains_key(&digest) {
+                let known = crash.calls.entry(digest).or_insert(sent);
+                *known = sent.max(*known);
+                crash.add(call.row, usize::MAX);
             }
         }
         if self.crashes.len() > MAX_CRASHES {
@@ -296,9 +388,11 @@
         match &told.ruling {
             Ruling::Cleared => self.answers.record(told.part, at),
             Ruling::Quarantined { crashes, span, .. } => {
-                let answered = self.answers.get(told.part);
+                let since = at.earlier(*span);
                 let unanswered = (*crashes as usize) < CRASHES_ANSWERED;
-                if answered.is_some_and(|time| unanswered || time > at.earlier(*span)) {
+                let answered = self.answers.get(told.part);
+                let call_answered = self.call_answers.get(told.part).is_some_and(|t| t > since);
+                if call_answered || answered.is_some_and(|time| unanswered || time > since) {
                     return Some(self.rule(now, told.part, Ruling::Cleared));
                 }
             }
@@ -371,17 +465,23 @@
 
     /// The crashes that are evidence against a part: those since its last answer, or since the end of its
     /// quarantine, that no other quarantined part explains. Sorted by time.
-    fn evidence(&self, part: u64) -> Vec<(SignedTime, &OpenPart)> {
+    fn evidence(&self, part: u64) -> Vec<EvidenceRow<'_>> {
         let since = match self.rulings.get(&part) {
             Some((at, Ruling::Quarantined { term, .. })) => Some(at.later(*term)),
-            _ => self.answers.get(part),
+            _ => self.answers.get(part).max(self.call_answers.get(part)),
         };
-        let explained = |crash: &Crash| crash.parts.keys().any(|p| *p != part && self.explains(*p));
-        let relevant = |crash: &&Crash| since.is_none_or(|at| crash.at > at) && !explained(crash);
-        let crashes = self.crashes.values().filter(relevant);
-        let mut rows: Vec<_> =
-            crashes.filter_map(|crash| Some((crash.at, crash.parts.get(&part)?))).collect();
-        rows.sort_by_key(|(at, _)| *at);
+        let crashes = self.crashes.values().filter(|crash| since.is_none_or(|at| crash.at > at));
+        let rows = crashes.filter_map(|crash| {
+            let (row, sent) = (crash.parts.get(&part)?, crash.calls.get(&part).copied());
+            let others = crash.parts.keys().filter(|p| **p != part && self.explains(**p));
+            let (calls, parts): (Vec<u64>, Vec<u64>) =
+                others.partition(|p| crash.calls.contains_key(p));
+            let explained = !parts.is_empty() || sent.is_some() && !calls.is_empty();
+            let cause = calls.first().copied();
+            (!explained).then_some(EvidenceRow { at: crash.at, row, sent, cause })
+        });
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_by_key(|row| row.at);
         rows
     }
 
@@ -390,8 +490,16 @@
         let rows = self.evidence(part);
         let mut last: Option<SignedTime> = None;
         let mut crashes = 0;
-        for (at, _) in &rows {
-            if last.is_none_or(|last| at.since(last) >= CRASH_INTERVAL) {
+        let mut causes = BTreeSet::new();
+        for EvidenceRow { at, sent, cause, .. } in &rows {
+            if cause.is_some_and(|cause| !causes.insert(cause)) {
+                continue;
+            }
+            // A call that was sent after a crash was not open there.
+            let apart = |last: SignedTime| {
+                at.since(last) >= CRASH_INTERVAL || sent.is_some_and(|sent| sent > last)
+            };
+            if last.is_none_or(apart) {
                 (crashes, last) = (crashes + 1, Some(*at));
             }
         }
@@ -405,8 +513,8 @@
         (crashes >= needed).then(|| Evidence {
             crashes,
             unanswered,
-            requests: Reverse(rows.iter().map(|(_, row)| row.requests).sum()),
-            depth: rows.iter().map(|(_, row)| row.depth).max().unwrap_or(0),
+            requests: Reverse(rows.iter().map(|evidence| evidence.row.requests).sum()),
+            depth: rows.iter().map(|evidence| evidence.row.depth).max().unwrap_or(0),
         })
     }
 
@@ -418,9 +526,9 @@
             }
             _ => (TERM_RANGE.0, 0),
         };
-        let since_first = rows.first().map_or(Span::ZERO, |(at, _)| at.age(now));
+        let since_first = rows.first().map_or(Span::ZERO, |first| first.at.age(now));
         Ruling::Quarantined {
-            scope: Scope::of(rows.iter().map(|(_, row)| *row)),
+            scope: Scope::of(rows.iter().map(|evidence| evidence.row)),
             crashes: before.saturating_add(u32::try_from(evidence.crashes).unwrap_or(u32::MAX)),
             span: since_first,
             term,
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use damaskweir_core::fleet::ServerProcess;
 use damaskweir_core::ids::{ServerId, WorkspaceId};
 use damaskweir_core::quarantine::{
-    OpenRequest, Quarantine, Ruling, RulingChange, RulingStatement, Scope,
+    OpenRequest, Quarantine, Ruling, RulingChange, RulingStatement, Scope, SentCall,
 };
 use damaskweir_core::time::{Span, Time};
 use rstest::rstest;
@@ -26,7 +26,8 @@
 }
 
 fn open(parts: &[u64], workspace: &str) -> OpenRequest {
-    OpenRequest { parts: parts.to_vec(), workspace: Some(WorkspaceId::from(workspace)) }
+    let workspace = Some(WorkspaceId::from(workspace));
+    OpenRequest { parts: parts.to_vec(), workspace, call: None }
 }
 
 /// Entry under test, with the number of crashes so far.
@@ -280,3 +281,60 @@
     assert_eq!(observer.quarantine.unrecorded(now + STEP, &[record]), [DEADLY]);
     assert_eq!(observer.quarantine.unrecorded(now + STEP, &[]), []);
 }
+
+/// A call with shared parts, and when it was sent.
+fn call(digest: u64, parts: &[u64], sent: Time) -> OpenRequest {
+    OpenRequest { call: Some(SentCall { digest, sent }), ..open(parts, "a") }
+}
+
+const CALL: u64 = 70;
+
+/// Guards against a call that is repeated so soon that its crashes count as one, and against a loss of power
+/// that counts several times against a call that was open at several servers.
+#[rstest]
+#[case::sent_after_each_crash(10, true)]
+#[case::sent_before_the_first_crash(90, false)]
+fn crashes_of_a_call_count_once_unless_it_was_sent_after_them(
+    #[case] lead: u64,
+    #[case] blocked: bool,
+) {
+    let mut observer = Observer::default();
+    for n in 0..3 {
+        let crashed = at(1_000 + 30 * n);
+        observer.crash(crashed, &[call(CALL, &[], crashed - Span::from_millis(lead))]);
+    }
+    assert_eq!(observer.blocks(at(1_100), CALL), blocked);
+}
+
+/// Guards against sound requests that are refused because of a part that they share with one deadly call, and
+/// against a part that is never refused as each of its calls explains its own crashes.
+#[test]
+fn part_is_refused_once_three_of_its_calls_crashed_servers() {
+    let mut observer = Observer::default();
+    let mut now = at(0);
+    for (digest, crashes, refused) in [(CALL, 3, false), (71, 1, false), (72, 1, true)] {
+        for _ in 0..crashes {
+            now = now + STEP;
+            observer.crash(now, &[call(digest, &[COMMON, DEADLY], now)]);
+        }
+        observer.quarantine.record_answer(now, &[COMMON]);
+        assert_eq!(observer.blocks(now, DEADLY), refused, "after call {digest}");
+        assert!(observer.blocks(now, CALL) && !observer.blocks(now, COMMON));
+    }
+}
+
+/// Guards against a call that stays refused after it was answered, and against an answer of before its crashes
+/// that ends its refusal at other entries.
+#[test]
+fn only_an_answer_since_its_crashes_ends_the_refusal_of_a_call() {
+    let (mut observer, mut other) = (Observer::default(), Observer::default());
+    other.quarantine.record_call_answer(at(10), CALL);
+    let now = observer.crash_times(at(60_000), 3, &[call(CALL, &[], at(60_000))]);
+    assert!(observer.blocks(now, CALL));
+    other.hear(now, &observer, Span::ZERO);
+    assert!(other.blocks(now, CALL), "it was answered before it crashed servers");
+    let later = now + STEP;
+    assert!(other.quarantine.record_call_answer(later, CALL).is_some());
+    observer.hear(later + STEP, &other, Span::ZERO);
+    assert!(!observer.blocks(later + STEP, CALL) && !other.blocks(later, CALL));
+}
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -13,7 +13,7 @@
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, WorkspaceId};
 use damaskweir_core::place::{AttemptOutcome, PromptPart};
-use damaskweir_core::quarantine::OpenRequest;
+use damaskweir_core::quarantine::{OpenRequest, SentCall};
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
 use std::cell::RefCell;
@@ -41,8 +41,8 @@
     NotRun(AttemptOutcome),
     /// The server no longer finds the stage results that the request needs, and did not run it.
     InputsLost,
-    /// A part of the prompt is quarantined, and nothing was sent.
-    Quarantined,
+    /// The call or a part of its prompt is quarantined, and nothing was sent. Holds the cause.
+    Quarantined(&'static str),
     /// The attempt failed and the request may have run. Holds the cause.
     MaybeRun(&'static str),
 }
@@ -188,8 +188,11 @@
             let placer = state.placers.get_mut(&self.pool);
             let uncached =
                 placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts));
-            let request =
-                OpenRequest { parts: self.shared_parts.clone(), workspace: self.workspace.clone() };
+            let request = OpenRequest {
+                parts: self.shared_parts.clone(),
+                workspace: self.workspace.clone(),
+                call: Some(SentCall { digest: self.call, sent: started }),
+            };
             (uncached, state.exposures.open(started, server, request))
         };
         let mut guard = OpenRequestGuard {
@@ -218,10 +221,10 @@
             }
         };
         // It may have been ruled on while the request waited for the connection.
-        if self.blocking_part().is_some() {
+        if let Some(cause) = self.quarantine_cause() {
             guard.record_end(AttemptOutcome::Abandoned);
             node.keep_connection(&server.id, conn);
-            return Some(Outcome::Quarantined);
+            return Some(Outcome::Quarantined(cause));
         }
         let left = self.deadline.since(node.now());
         let params = DispatchParams {
@@ -358,7 +361,7 @@
                 }),
                 None => {
                     guard.record_end(AttemptOutcome::Completed);
-                    self.node.record_answer_to(&self.shared_parts);
+                    self.node.record_answer_to(&self.shared_parts, self.call);
                     self.node.keep_connection(&guard.replica.id, conn);
                     None
                 }
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -30,7 +30,7 @@
 const CRASH_RETENTION: Span = Span::from_secs(60);
 /// Requests without an answer that are kept per server.
 const MAX_LOST: usize = 256;
-/// Prompt parts that are named in a log line.
+/// Prompt parts, and calls, that are named in a log line.
 const MAX_LOGGED_PARTS: usize = 12;
 
 /// What a new connection to a server shows.
@@ -263,16 +263,19 @@
         let text = |row: &OpenPart| format!("{:x}*{}", row.part, row.requests);
         let parts: Vec<_> = report.parts.iter().take(MAX_LOGGED_PARTS).map(text).collect();
         let parts = parts.join(",");
+        let calls = report.calls.iter().take(MAX_LOGGED_PARTS).map(|call| text(&call.row));
+        let calls = calls.collect::<Vec<_>>().join(",");
         let fields = [
             ("server", server.id.as_str().into()),
             ("how", how.into()),
             ("open", (requests.len() as u64).into()),
             ("workspaces", (workspaces.len() as u64).into()),
             ("parts", parts.as_str().into()),
+            ("calls", calls.as_str().into()),
         ];
         self.log.process(Kind::ServerCrashed, &fields);
         self.metrics.server_crashes.add(1, &[]);
-        if !report.parts.is_empty() {
+        if !report.parts.is_empty() || !report.calls.is_empty() {
             self.share_crash(report);
         }
     }
--- a/crates/direct/src/quarantine.rs
+++ b/crates/direct/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Shares crash reports and rulings on prompt parts with the other entries.
+//! Shares crash reports and rulings on calls and prompt parts with the other entries.
 //!
 //! Reports go to the entries that read the store. They count the crashes, and their rulings reach all
 //! others along the tree of entries. The store keeps the rulings for entries that start. An entry that
@@ -70,30 +70,20 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Returns the part because of which a request is refused, if any.
-    pub(crate) fn blocking_part(
-        &self,
-        parts: &[u64],
-        workspace: Option<&WorkspaceId>,
-    ) -> Option<u64> {
-        self.state.borrow().quarantine.blocking(self.now(), parts, workspace)
+    /// Whether requests with one of these parts, or calls with one of these digests, are refused.
+    pub(crate) fn blocks(&self, parts: &[u64], workspace: Option<&WorkspaceId>) -> bool {
+        self.state.borrow().quarantine.blocking(self.now(), parts, workspace).is_some()
     }
 
-    /// Waits until a request is to be refused because of one of its parts.
-    pub(crate) async fn wait_blocked(&self, parts: &[u64], workspace: Option<&WorkspaceId>) {
-        loop {
-            let changed = self.rulings_changed.notified();
-            if self.blocking_part(parts, workspace).is_some() {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    /// Records a complete answer to a request with these shared parts.
-    pub(crate) fn record_answer_to(self: &Rc<Self>, parts: &[u64]) {
+    /// Records a complete answer to a call with these shared parts.
+    pub(crate) fn record_answer_to(self: &Rc<Self>, parts: &[u64], call: u64) {
         let now = self.now();
-        let changes = self.state.borrow_mut().quarantine.record_answer(now, parts);
+        let changes = {
+            let quarantine = &mut self.state.borrow_mut().quarantine;
+            let mut changes = quarantine.record_answer(now, parts);
+            changes.extend(quarantine.record_call_answer(now, call));
+            changes
+        };
         self.apply_rulings(&changes);
     }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -42,6 +42,8 @@
 
 /// Cause of the refusal of a request with a part that crashes servers.
 pub(crate) const PART_QUARANTINED: &str = "part_quarantined";
+/// Cause of the refusal of a call that crashes servers.
+pub(crate) const CALL_QUARANTINED: &str = "call_quarantined";
 
 /// Final result of a request that is not a response of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -211,7 +213,7 @@
                     held = self.run_stages().await?;
                 }
                 Outcome::InputsLost => return Err(self.failure("inputs_gone")),
-                Outcome::Quarantined => return Err(self.quarantined()),
+                Outcome::Quarantined(cause) => return Err(self.quarantined(cause)),
                 Outcome::NotRun(outcome) => self.retry_not_run(outcome)?,
                 Outcome::MaybeRun(cause) => self.retry_maybe_run(cause)?,
             }
@@ -226,8 +228,8 @@
         if node.ends_too_soon(self.route.repeat.streams()) {
             return Err(RequestError::NotRun { cause: "draining", retry: DRAINING_RETRY });
         }
-        if self.blocking_part().is_some() {
-            return Err(self.quarantined());
+        if let Some(cause) = self.quarantine_cause() {
+            return Err(self.quarantined(cause));
         }
         let known = {
             let mut state = node.state.borrow_mut();
@@ -286,9 +288,7 @@
         };
         let done = tokio::select! {
             done = self.node.run_stages(&job) => done,
-            () = self.node.wait_blocked(&self.shared_parts, self.workspace.as_ref()) => {
-                return Err(self.quarantined());
-            }
+            cause = self.wait_quarantined() => return Err(self.quarantined(cause)),
         };
         done.map(Some).map_err(|fault: StageError| match fault {
             StageError::Failed(PieceFailure::Overload) if self.maybe_ran.is_empty() => {
@@ -336,15 +336,29 @@
         }
     }
 
-    /// Returns the part of the prompt because of which the request is refused, if any.
-    pub(crate) fn blocking_part(&self) -> Option<u64> {
-        self.node.blocking_part(&self.shared_parts, self.workspace.as_ref())
+    /// Returns the cause for which the request is refused, if its call or a part of its prompt is quarantined.
+    pub(crate) fn quarantine_cause(&self) -> Option<&'static str> {
+        let blocks = |parts: &[u64]| self.node.blocks(parts, self.workspace.as_ref());
+        if blocks(&[self.call]) {
+            return Some(CALL_QUARANTINED);
+        }
+        blocks(&self.shared_parts).then_some(PART_QUARANTINED)
+    }
+
+    /// Waits until the request is to be refused because of its call or a part of its prompt.
+    async fn wait_quarantined(&self) -> &'static str {
+        loop {
+            let changed = self.node.rulings_changed.notified();
+            if let Some(cause) = self.quarantine_cause() {
+                return cause;
+            }
+            changed.await;
+        }
     }
 
-    /// Returns the error for a request with a part that crashes servers. The caller is not told to
-    /// return: nothing is known of when the part will be sound.
-    fn quarantined(&self) -> RequestError {
-        let cause = PART_QUARANTINED;
+    /// Returns the error for a request that crashes servers. The caller is not told to return: nothing is
+    /// known of when it will be sound.
+    fn quarantined(&self, cause: &'static str) -> RequestError {
         match self.maybe_ran.is_empty() {
             true => RequestError::Rejected { cause },
             false => RequestError::Unknown { cause },
@@ -390,8 +404,8 @@
         path: SendPath,
     ) -> Result<Permit, RequestError> {
         loop {
-            if self.blocking_part().is_some() {
-                return Err(self.quarantined());
+            if let Some(cause) = self.quarantine_cause() {
+                return Err(self.quarantined(cause));
             }
             let server = self.choose_server(held)?;
             // Without a permit the server is blocked for a while, so that another one is chosen.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,7 +5,7 @@
 use crate::body::{Body, StreamError};
 use crate::event::Splitter;
 use crate::log::Kind;
-use crate::request::{ActiveRequest, PART_QUARANTINED, RequestError};
+use crate::request::{ActiveRequest, CALL_QUARANTINED, PART_QUARANTINED, RequestError};
 use crate::wire::{SendPath, Wire};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::place::AttemptOutcome;
@@ -112,7 +112,7 @@
     /// Ends the attempt after the server has sent the whole stream.
     fn finish(&mut self) {
         self.upstream.guard.record_end(AttemptOutcome::Completed);
-        self.request.node.record_answer_to(&self.request.shared_parts);
+        self.request.node.record_answer_to(&self.request.shared_parts, self.request.call);
         if let Some(conn) = self.upstream.conn.take() {
             self.request.node.keep_connection(&self.upstream.guard.replica.id, conn);
         }
@@ -134,7 +134,9 @@
         let outcome = loop {
             let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
             let permit = permit.map_err(|error| match error {
-                RequestError::Unknown { cause: PART_QUARANTINED } => StreamError(PART_QUARANTINED),
+                RequestError::Unknown { cause: cause @ (PART_QUARANTINED | CALL_QUARANTINED) } => {
+                    StreamError(cause)
+                }
                 _ => StreamError("no_other_server"),
             })?;
             let fields = [
