Refuse requests of a stopping entry whose deadline it may not reach

Here a plain request was taken until 2 s before the end of the grace, whatever its deadline; one whose server was slow got a 504 at the end, which a caller may not repeat. stopping_entry_takes_no_request_that_ may_outlast_it failed with a 200 at 4.6 s of 8 s for a deadline of 3 s. Change: once the platform has stopped sending callers, a plain request is taken only if its deadline comes before the last answers of the process; the others get a 503 with a short Retry-After at once, and nothing reaches a server.

--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -47,10 +47,6 @@
 pub const SHUTDOWN_RESERVE: Span = Span::from_millis(400);
 /// Time before the end of the drain at which requests in progress are answered.
 const ANSWER_RESERVE: Span = Span::from_millis(400);
-/// Least remaining grace time in which a new stream is admitted while draining.
-const MIN_STREAM_GRACE: Span = Span::from_secs(60);
-/// Least remaining grace time in which a new plain call is admitted while draining.
-const MIN_CALL_GRACE: Span = Span::from_secs(2);
 /// Time for which an entry that did not respond is assumed to own no servers.
 const SUSPECT_DURATION: Span = Span::from_secs(2);
 /// Time after a refusal in which the refused caller may return.
@@ -289,18 +285,21 @@
             began.await;
         }
         let since = self.state.borrow().draining.unwrap_or_else(|| self.now());
-        let end = since + self.config.grace.saturating_sub(SHUTDOWN_RESERVE + ANSWER_RESERVE);
-        sleep_until(self.instant(end)).await;
+        sleep_until(self.instant(self.last_answers(since))).await;
     }
 
-    /// Whether the process ends too soon to serve a request that arrives now. The platform has
-    /// stopped sending callers here by then; such requests arrive on connections that are kept
-    /// open.
-    pub(crate) fn ends_too_soon(&self, streams: bool) -> bool {
+    /// Whether the process may end before a request that arrives now: a stream, or one with a deadline after
+    /// the last answers. The platform has stopped sending callers here by then; such requests arrive on
+    /// connections that are kept open.
+    pub(crate) fn ends_too_soon(&self, streams: bool, deadline: Time) -> bool {
         let Some(since) = self.state.borrow().draining else { return false };
-        let passed = self.now().since(since);
-        let min_grace = if streams { MIN_STREAM_GRACE } else { MIN_CALL_GRACE };
-        passed > DEREGISTER_DELAY && passed + min_grace > self.config.grace
+        let late = self.now().since(since) > DEREGISTER_DELAY;
+        late && (streams || deadline > self.last_answers(since))
+    }
+
+    /// Returns when requests in progress must be answered if the process was told to stop at `since`.
+    fn last_answers(&self, since: Time) -> Time {
+        since + self.config.grace.saturating_sub(SHUTDOWN_RESERVE + ANSWER_RESERVE)
     }
 
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -225,7 +225,7 @@
     fn admit(&mut self) -> Result<(), RequestError> {
         let node = self.node.clone();
         let now = node.now();
-        if node.ends_too_soon(self.route.repeat.streams()) {
+        if node.ends_too_soon(self.route.repeat.streams(), self.deadline) {
             return Err(RequestError::NotRun { cause: "draining", retry: DRAINING_RETRY });
         }
         if let Some(cause) = self.quarantine_cause() {
