Count a request as open at a server only once it is sent there

Cause: a request counted as open from the choice of its server on. While it waited for its connection to a server that had crashed, another one's refused connection reported the crash with it. Change: it counts from the moment at which its connection is there and it is sent. call_that_reached_no_server_is_not_refused failed before.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -73,7 +73,7 @@
     parts: Vec<PromptPart>,
     /// Prompt tokens that the server still has to prefill; 0 once it has responded.
     uncached_tokens: u64,
-    /// Number of the attempt among the requests that servers have not answered.
+    /// Number of the attempt among the requests that servers have not answered; 0 until it is sent.
     pub(crate) attempt: u64,
     ended: bool,
 }
@@ -183,17 +183,10 @@
         let (server, path) = (&permit.server().clone(), permit.path());
         let started = node.now();
         self.sent.push(server.id.clone());
-        let (uncached_tokens, attempt) = {
+        let uncached_tokens = {
             let mut state = node.state.borrow_mut();
             let placer = state.placers.get_mut(&self.pool);
-            let uncached =
-                placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts));
-            let request = OpenRequest {
-                parts: self.shared_parts.clone(),
-                workspace: self.workspace.clone(),
-                call: Some(SentCall { digest: self.call, sent: started }),
-            };
-            (uncached, state.exposures.open(started, server, request))
+            placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts))
         };
         let mut guard = OpenRequestGuard {
             node: node.clone(),
@@ -201,7 +194,7 @@
             replica: server.clone(),
             parts: self.info.parts.clone(),
             uncached_tokens,
-            attempt,
+            attempt: 0,
             ended: false,
         };
         let mut conn = match node.connection(permit).await {
@@ -226,6 +219,7 @@
             node.keep_connection(&server.id, conn);
             return Some(Outcome::Quarantined(cause));
         }
+        guard.attempt = self.record_exposure(server);
         let left = self.deadline.since(node.now());
         let params = DispatchParams {
             server,
@@ -251,7 +245,7 @@
         self.maybe_ran.push(server.id.clone());
         let limit = node.instant(self.response_deadline(started));
         let body = self.body.clone();
-        let exchange = self.exchange((server, attempt), &mut conn, &head, &body);
+        let exchange = self.exchange((server, guard.attempt), &mut conn, &head, &body);
         let result = match timeout_at(limit, exchange).await {
             Ok(result) => result,
             Err(_) => Err(HttpError::TimedOut),
@@ -278,6 +272,17 @@
         Some(outcome)
     }
 
+    /// Records that the request is sent to a server. Returns the number of the attempt.
+    fn record_exposure(&self, server: &Replica) -> u64 {
+        let now = self.node.now();
+        let request = OpenRequest {
+            parts: self.shared_parts.clone(),
+            workspace: self.workspace.clone(),
+            call: Some(SentCall { digest: self.call, sent: now }),
+        };
+        self.node.state.borrow_mut().exposures.open(now, server, request)
+    }
+
     /// Returns when to give up waiting for a complete response or the first event.
     fn response_deadline(&self, started: Time) -> Time {
         if !self.can_retry() {
