--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -104,8 +104,11 @@
     pub struct OpenCall {
         /// What is told of it as of a prompt part. `part` is its digest.
         pub row: OpenPart,
-        /// Time from its sending to the crash.
-        pub lead: Span,
+        /// Time from its sending to the report of the crash.
+        pub sent: Span,
+        /// Time from when its answer broke off to the report of the crash.
+        #[serde(default)]
+        pub broke: Span,
     }
 
     /// A prompt part of requests that were open at a server that crashed.
@@ -141,6 +144,8 @@
     pub digest: u64,
     /// When it was sent.
     pub sent: Time,
+    /// When its answer broke off; `None` if it has not.
+    pub broke: Option<Time>,
 }
 
 /// A change of the ruling on a part.
@@ -159,8 +164,8 @@
     at: SignedTime,
     /// Rows of parts and calls.
     parts: BTreeMap<u64, OpenPart>,
-    /// When each call among them was sent.
-    calls: BTreeMap<u64, SignedTime>,
+    /// When each call among them was sent, and when its answer broke off.
+    calls: BTreeMap<u64, CallSpan>,
 }
 
 impl Crash {
@@ -176,12 +181,19 @@
     }
 }
 
+/// The time for which a call was open at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CallSpan {
+    sent: SignedTime,
+    broke: SignedTime,
+}
+
 /// A crash as evidence against a part or a call.
 struct EvidenceRow<'a> {
     at: SignedTime,
     row: &'a OpenPart,
-    /// When it was sent, if it is a call.
-    sent: Option<SignedTime>,
+    /// When it was open there, if it is a call.
+    span: Option<CallSpan>,
     /// A quarantined call that explains the crash. All crashes that one call explains count once against a
     /// part, since its next call may crash servers as well.
     cause: Option<u64>,
@@ -310,8 +322,10 @@
     fn open_calls(&self, now: Time, requests: &[OpenRequest]) -> Vec<OpenCall> {
         let mut calls: BTreeMap<u64, OpenCall> = BTreeMap::new();
         for request in requests {
-            let Some(SentCall { digest, sent }) = request.call else { continue };
-            let (lead, workspace) = (now.since(sent), request.workspace.clone());
+            let Some(call) = request.call else { continue };
+            let digest = call.digest;
+            let (sent, broke) = (now.since(call.sent), call.broke.map(|at| now.since(at)));
+            let broke = broke.unwrap_or_default();
             let answered = self.call_answers.get(digest).map(|at| at.age(now));
             let new_row = || OpenPart {
                 part: digest,
@@ -320,10 +334,13 @@
                 workspaces: BTreeSet::new(),
                 answered,
             };
-            let call = calls.entry(digest).or_insert_with(|| OpenCall { row: new_row(), lead });
-            call.lead = call.lead.min(lead);
+            let new_call = || OpenCall { row: new_row(), sent, broke };
+            let call = calls.entry(digest).or_insert_with(new_call);
+            if sent < call.sent {
+                (call.sent, call.broke) = (sent, broke);
+            }
             call.row.requests += 1;
-            call.row.add_workspace(workspace);
+            call.row.add_workspace(request.workspace.clone());
         }
         let mut calls: Vec<_> = calls.into_values().collect();
         calls.sort_by_key(|call| (call.row.answered.is_some(), Reverse(call.row.requests)));
@@ -346,13 +363,14 @@
             crash.add(row, MAX_CRASH_PARTS + crash.calls.len());
         }
         for call in report.calls {
-            let (digest, sent) = (call.row.part, at.earlier(call.lead));
+            let digest = call.row.part;
+            let span = CallSpan { sent: at.earlier(call.sent), broke: at.earlier(call.broke) };
             if let Some(age) = call.row.answered {
                 self.call_answers.record(digest, at.earlier(age));
             }
             if crash.calls.len() < MAX_CRASH_CALLS || crash.calls.contains_key(&digest) {
-                let known = crash.calls.entry(digest).or_insert(sent);
-                *known = sent.max(*known);
+                let known = crash.calls.entry(digest).or_insert(span);
+                *known = span.max(*known);
                 crash.add(call.row, usize::MAX);
             }
         }
@@ -472,13 +490,13 @@
         };
         let crashes = self.crashes.values().filter(|crash| since.is_none_or(|at| crash.at > at));
         let rows = crashes.filter_map(|crash| {
-            let (row, sent) = (crash.parts.get(&part)?, crash.calls.get(&part).copied());
+            let (row, span) = (crash.parts.get(&part)?, crash.calls.get(&part).copied());
             let others = crash.parts.keys().filter(|p| **p != part && self.explains(**p));
             let (calls, parts): (Vec<u64>, Vec<u64>) =
                 others.partition(|p| crash.calls.contains_key(p));
-            let explained = !parts.is_empty() || sent.is_some() && !calls.is_empty();
+            let explained = !parts.is_empty() || span.is_some() && !calls.is_empty();
             let cause = calls.first().copied();
-            (!explained).then_some(EvidenceRow { at: crash.at, row, sent, cause })
+            (!explained).then_some(EvidenceRow { at: crash.at, row, span, cause })
         });
         let mut rows: Vec<_> = rows.collect();
         rows.sort_by_key(|row| row.at);
@@ -488,19 +506,21 @@
     /// Weighs the evidence against a part. Returns `None` if it doesn't suffice.
     fn weigh(&self, now: Time, part: u64) -> Option<Evidence> {
         let rows = self.evidence(part);
-        let mut last: Option<SignedTime> = None;
+        let mut last: Option<(SignedTime, Option<CallSpan>)> = None;
         let mut crashes = 0;
         let mut causes = BTreeSet::new();
-        for EvidenceRow { at, sent, cause, .. } in &rows {
+        for EvidenceRow { at, span, cause, .. } in &rows {
             if cause.is_some_and(|cause| !causes.insert(cause)) {
                 continue;
             }
-            // A call that was sent after a crash was not open there.
-            let apart = |last: SignedTime| {
-                at.since(last) >= CRASH_INTERVAL || sent.is_some_and(|sent| sent > last)
+            // A call that was sent after it had broken off elsewhere is no victim of one loss of power.
+            let repeated = |last: Option<CallSpan>| {
+                last.zip(*span).is_some_and(|(last, span)| span.sent >= last.broke)
             };
+            let apart =
+                |(last_at, last_span)| at.since(last_at) >= CRASH_INTERVAL || repeated(last_span);
             if last.is_none_or(apart) {
-                (crashes, last) = (crashes + 1, Some(*at));
+                (crashes, last) = (crashes + 1, Some((*at, *span)));
             }
         }
         let unanswered = self.answers.get(part).is_none();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -284,7 +284,7 @@
 
 /// A call with shared parts, and when it was sent.
 fn call(digest: u64, parts: &[u64], sent: Time) -> OpenRequest {
-    OpenRequest { call: Some(SentCall { digest, sent }), ..open(parts, "a") }
+    OpenRequest { call: Some(SentCall { digest, sent, broke: None }), ..open(parts, "a") }
 }
 
 const CALL: u64 = 70;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -278,7 +278,7 @@
         let request = OpenRequest {
             parts: self.shared_parts.clone(),
             workspace: self.workspace.clone(),
-            call: Some(SentCall { digest: self.call, sent: now }),
+            call: Some(SentCall { digest: self.call, sent: now, broke: None }),
         };
         self.node.state.borrow_mut().exposures.open(now, server, request)
     }
--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -11,7 +11,7 @@
 use crate::wire::Wire;
 use damaskweir_core::fleet::{Replica, ServerProcess};
 use damaskweir_core::ids::ServerId;
-use damaskweir_core::quarantine::{OpenPart, OpenRequest};
+use damaskweir_core::quarantine::{OpenPart, OpenRequest, SentCall};
 use damaskweir_core::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -54,6 +54,13 @@
     lost: Option<Time>,
 }
 
+impl Exposed {
+    fn into_request(self) -> OpenRequest {
+        let call = self.request.call.map(|call| SentCall { broke: self.lost, ..call });
+        OpenRequest { call, ..self.request }
+    }
+}
+
 /// A server process, and the requests that it was given and has not answered, by attempt.
 #[derive(Debug)]
 struct ExposedServer {
@@ -122,7 +129,7 @@
         let Some(server) = self.servers.get_mut(process) else { return Vec::new() };
         let before = server.requests.extract_if(.., |_, request| request.sent <= at);
         let (attempts, requests): (Vec<_>, Vec<_>) =
-            before.map(|(attempt, exposed)| (attempt, exposed.request)).unzip();
+            before.map(|(attempt, exposed)| (attempt, exposed.into_request())).unzip();
         if server.requests.is_empty() {
             self.servers.remove(process);
         }
