Write answers whole before a stopping entry exits

Cause: a request counted as in progress until its answer was built. Change: it then closes each connection of a caller once its answer is written (hyper's graceful shutdown), idle ones at once, and exits when all are closed, at the latest at the end of the grace as before.

--- a/crates/damaskweir/src/platform.rs
+++ b/crates/damaskweir/src/platform.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Interval at which a drain checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -144,6 +144,8 @@
         }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
+    // An answer that is still being written no longer counts as a request in progress.
+    drop(timeout_at(end, node.close_callers()).await);
     let cut = node.state.borrow().active as u64;
     node.log.process(Kind::Stopped, &[("cut", cut.into())]);
 }
--- a/crates/damaskweir/tests/platform.rs
+++ b/crates/damaskweir/tests/platform.rs
@@ -11,8 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -22,6 +22,10 @@
 const HANGING_HOST: Ipv4Addr = Ipv4Addr::new(127, 91, 4, 2);
 /// Requests in progress at that entry when its grace time ends.
 const HANGING_CALLS: usize = 300;
+/// The same for the entry whose caller reads slowly.
+const SLOW_READER_HOST: Ipv4Addr = Ipv4Addr::new(127, 91, 4, 3);
+/// Size of a response that doesn't fit into the buffers of a connection.
+const LARGE_RESPONSE_BYTES: usize = 15_000_000;
 /// `bounds.grace_s` of the settings below.
 const GRACE_TIME: Duration = Duration::from_secs(3);
 
@@ -195,6 +199,46 @@
         .await;
 }
 
+/// Guards against an entry that exits while it still writes an answer to a caller who reads slowly.
+#[tokio::test]
+async fn stopping_entry_writes_answers_whole_to_slow_readers() {
+    LocalSet::new()
+        .run_until(async {
+            let store = StoreStandIn::start().await;
+            store.approve(&manifest(1));
+            let body = "x".repeat(LARGE_RESPONSE_BYTES);
+            let server = Server::start(move |r| Action::Send(signed_response(r, 200, &body))).await;
+            store.register("i-1", "orders", &server, "ready");
+            let settings = settings(SLOW_READER_HOST, store.server.address, Duration::from_secs(6));
+            let mut process = Process::start(&write_settings("slow-reader.conf", &settings));
+            drop(connect(settings.frontend()).await);
+            sleep(Duration::from_millis(1_500)).await;
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_recv_buffer_size(65_536).expect("a size");
+            let mut stream = socket.connect(settings.frontend()).await.expect("it listens");
+            let request = request_text("POST", "/order/", "id-1", "Content-Length: 0\r\n");
+            stream.write_all(request.as_bytes()).await.expect("the entry reads");
+            sleep(Duration::from_millis(500)).await;
+            process.signal("-TERM");
+            sleep(Duration::from_millis(3_500)).await;
+            let (mut read, mut buffer) = (0, vec![0; 65_536]);
+            let reading = async {
+                while read < LARGE_RESPONSE_BYTES {
+                    match stream.read(&mut buffer).await {
+                        Ok(0) | Err(_) => break,
+                        Ok(bytes) => read += bytes,
+                    }
+                }
+            };
+            timeout(Duration::from_secs(3), reading).await.expect("an answer in time");
+            assert!(read >= LARGE_RESPONSE_BYTES, "cut after {read} bytes");
+            while process.0.try_wait().expect("it was started here").is_none() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        })
+        .await;
+}
+
 /// Guards against starts, reloads and exits that are not logged.
 #[test]
 fn process_logs_start_reload_and_end() {
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -8,6 +8,7 @@
 use crate::peers::ResultRelease;
 use crate::permits::Permit;
 use crate::quarantine::Outbox;
+use crate::serve::Connections;
 use crate::stages::PieceFailure;
 use crate::wire::Wire;
 use damaskweir_core::Rng;
@@ -189,6 +190,7 @@
     pub(crate) returned: Notify,
     /// Notified when the process is told to stop.
     drain_began: Notify,
+    pub(crate) callers: Rc<Connections>,
     /// Random id of this process, which tells it apart from earlier processes of the same entry.
     pub(crate) incarnation: u64,
     start: Instant,
@@ -246,6 +248,7 @@
             rulings_changed: Notify::new(),
             returned: Notify::new(),
             drain_began: Notify::new(),
+            callers: Rc::default(),
             incarnation,
             start: Instant::now(),
         }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -19,15 +19,17 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -60,8 +62,64 @@
         let node = node.clone();
         move || ConnLimits::current(&node)
     };
+    let open = node.callers.clone();
     let handler = move |request| handle_caller(node.clone(), request);
-    accept(&listener, limits, handler).await;
+    accept(&listener, limits, &open, handler).await;
+}
+
+/// Connections of callers.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    open: Cell<usize>,
+    closing: Cell<bool>,
+    /// Notified when connections are to be closed.
+    close: Notify,
+    /// Notified when the last one was closed.
+    closed: Notify,
+}
+
+impl Connections {
+    /// Counts a connection as open until the guard is dropped.
+    fn open(self: &Rc<Self>) -> OpenConnection {
+        self.open.set(self.open.get() + 1);
+        OpenConnection(self.clone())
+    }
+
+    /// Waits until connections are to be closed.
+    async fn wait_closing(&self) {
+        let close = self.close.notified();
+        if !self.closing.get() {
+            close.await;
+        }
+    }
+
+    /// Closes each connection once its answer is written, and waits until all are closed.
+    pub(crate) async fn close(&self) {
+        self.closing.set(true);
+        self.close.notify_waiters();
+        while self.open.get() > 0 {
+            self.closed.notified().await;
+        }
+    }
+}
+
+/// An open connection.
+struct OpenConnection(Rc<Connections>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        if self.0.open.get() == 0 {
+            self.0.closed.notify_waiters();
+        }
+    }
+}
+
+impl<W: Wire> Node<W> {
+    /// Closes the connections of callers once their answers are written, and waits until they are closed.
+    pub async fn close_callers(&self) {
+        self.callers.close().await;
+    }
 }
 
 /// Serves readiness checks, which tell whether callers should be sent to this entry.
@@ -73,7 +131,7 @@
             bytes_response(status, Bytes::new())
         }
     };
-    accept(&listener, ConnLimits::default, handler).await;
+    accept(&listener, ConnLimits::default, &Rc::default(), handler).await;
 }
 
 /// Serves requests of other entries, and metrics.
@@ -82,7 +140,7 @@
         let node = node.clone();
         async move { handle_admin(&node, request).await }
     };
-    accept(&listener, ConnLimits::default, handler).await;
+    accept(&listener, ConnLimits::default, &Rc::default(), handler).await;
 }
 
 /// Limits of one connection.
@@ -111,26 +169,34 @@
     }
 }
 
-async fn accept<F, R>(listener: &TcpListener, limits: impl Fn() -> ConnLimits, handler: F)
-where
+async fn accept<F, R>(
+    listener: &TcpListener,
+    limits: impl Fn() -> ConnLimits,
+    open: &Rc<Connections>,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (limits, handler) = (limits(), handler.clone());
-                tokio::task::spawn_local(
-                    async move { serve_connection(stream, limits, handler).await },
-                );
+                let (limits, handler, open) = (limits(), handler.clone(), open.open());
+                tokio::task::spawn_local(async move {
+                    serve_connection(stream, limits, &open, handler).await
+                });
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve_connection<F, R>(stream: TcpStream, limits: ConnLimits, handler: F)
-where
+async fn serve_connection<F, R>(
+    stream: TcpStream,
+    limits: ConnLimits,
+    open: &OpenConnection,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
@@ -142,13 +208,20 @@
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timeout also closes connections that are idle between requests.
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(limits.header_bytes.max(HEAD_BUFFER_MIN))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = open.0.wait_closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     // An error means that the caller disconnected or sent invalid HTTP. Requests write their own log
     // lines.
     drop(served);
