Count crashes of a part apart if its request went from one server to the next

Change: a server that worked on a call after that call had broken off elsewhere was up after the other crash, so the two are no one loss of power. It holds for parts as for calls. All checks are the same. The core's new test failed before.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -192,13 +192,24 @@
 struct EvidenceRow<'a> {
     at: SignedTime,
     row: &'a OpenPart,
-    /// When it was open there, if it is a call.
-    span: Option<CallSpan>,
+    /// The calls that were open there.
+    calls: &'a BTreeMap<u64, CallSpan>,
     /// A quarantined call that explains the crash. All crashes that one call explains count once against a
     /// part, since its next call may crash servers as well.
     cause: Option<u64>,
 }
 
+impl EvidenceRow<'_> {
+    /// Whether a crash has another reason than an earlier one: it is no part of the same loss of power, as it
+    /// came later, or as its server worked on a call that had broken off in the other.
+    fn is_apart_from(&self, earlier: &Self) -> bool {
+        let repeated = |(call, span): (&u64, &CallSpan)| {
+            earlier.calls.get(call).is_some_and(|before| span.sent >= before.broke)
+        };
+        self.at.since(earlier.at) >= CRASH_INTERVAL || self.calls.iter().any(repeated)
+    }
+}
+
 /// When requests with a part were last answered completely, for a bounded number of parts.
 #[derive(Clone, Debug, Default)]
 struct Answers {
@@ -490,13 +501,14 @@
         };
         let crashes = self.crashes.values().filter(|crash| since.is_none_or(|at| crash.at > at));
         let rows = crashes.filter_map(|crash| {
-            let (row, span) = (crash.parts.get(&part)?, crash.calls.get(&part).copied());
+            let (row, is_call) = (crash.parts.get(&part)?, crash.calls.contains_key(&part));
             let others = crash.parts.keys().filter(|p| **p != part && self.explains(**p));
             let (calls, parts): (Vec<u64>, Vec<u64>) =
                 others.partition(|p| crash.calls.contains_key(p));
-            let explained = !parts.is_empty() || span.is_some() && !calls.is_empty();
+            let explained = !parts.is_empty() || is_call && !calls.is_empty();
             let cause = calls.first().copied();
-            (!explained).then_some(EvidenceRow { at: crash.at, row, span, cause })
+            let calls = &crash.calls;
+            (!explained).then_some(EvidenceRow { at: crash.at, row, calls, cause })
         });
         let mut rows: Vec<_> = rows.collect();
         rows.sort_by_key(|row| row.at);
@@ -506,22 +518,19 @@
     /// Weighs the evidence against a part. Returns `None` if it doesn't suffice.
     fn weigh(&self, now: Time, part: u64) -> Option<Evidence> {
         let rows = self.evidence(part);
-        let mut last: Option<(SignedTime, Option<CallSpan>)> = None;
+        // Crashes that may be one loss of power.
+        let mut group: Vec<&EvidenceRow<'_>> = Vec::new();
         let mut crashes = 0;
         let mut causes = BTreeSet::new();
-        for EvidenceRow { at, span, cause, .. } in &rows {
-            if cause.is_some_and(|cause| !causes.insert(cause)) {
+        for row in &rows {
+            if row.cause.is_some_and(|cause| !causes.insert(cause)) {
                 continue;
             }
-            // A call that was sent after it had broken off elsewhere is no victim of one loss of power.
-            let repeated = |last: Option<CallSpan>| {
-                last.zip(*span).is_some_and(|(last, span)| span.sent >= last.broke)
-            };
-            let apart =
-                |(last_at, last_span)| at.since(last_at) >= CRASH_INTERVAL || repeated(last_span);
-            if last.is_none_or(apart) {
-                (crashes, last) = (crashes + 1, Some((*at, *span)));
+            if group.is_empty() || group.iter().any(|earlier| row.is_apart_from(earlier)) {
+                crashes += 1;
+                group.clear();
             }
+            group.push(row);
         }
         let unanswered = self.answers.get(part).is_none();
         let needed = match self.rulings.get(&part) {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -338,3 +338,17 @@
     observer.hear(later + STEP, &other, Span::ZERO);
     assert!(!observer.blocks(later + STEP, CALL) && !other.blocks(later, CALL));
 }
+
+/// Guards against a part whose requests crash servers one after the other, by retries and resumed streams, and
+/// whose crashes count as one.
+#[test]
+fn crashes_of_a_part_count_apart_if_its_request_went_from_one_server_to_the_next() {
+    let mut observer = Observer::default();
+    for (n, digest) in [(0, CALL), (1, CALL), (2, 71), (3, 71)] {
+        assert!(!observer.blocks(at(1_000 + 30 * n), DEADLY), "after {n} crashes");
+        let crashed = at(1_000 + 30 * n);
+        let sent = crashed - Span::from_millis(20);
+        observer.crash(crashed, &[call(digest, &[DEADLY], sent)]);
+    }
+    assert!(observer.blocks(at(1_100), DEADLY));
+}
