--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -160,6 +160,7 @@
   --no-limits            servers name no limits, as in runs of seeds from before they did
   --no-crashes           no prompt part crashes servers and no answer lacks a length, likewise
   --no-returns           the store never returns from a copy, likewise
+  --no-announcements     servers say in no answer that they leave or want no requests, likewise
   --broken WAY           add a defect on purpose, so that a check must fail
   --folder DIR           directory for settings and logs (default: the system's temporary directory)
 
@@ -364,6 +365,7 @@
     let limits = !arguments.contains("--no-limits");
     let crashes = !arguments.contains("--no-crashes");
     let returns = !arguments.contains("--no-returns");
+    let announcements = !arguments.contains("--no-announcements");
     let folder = arguments.opt_value_from_str("--folder")?.unwrap_or(defaults.folder);
     reject_remaining(arguments)?;
     let within = (1..=32).contains(&jobs) && (1..=100).contains(&entries);
@@ -392,6 +394,7 @@
                     limits,
                     crashes,
                     returns,
+                    announcements,
                     defect: broken,
                     folder,
                 };
--- a/crates/damaskweir/tests/soak.rs
+++ b/crates/damaskweir/tests/soak.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 /// Options of seeds that failed before servers named limits and crashed.
-const NO_SERVER_FAULTS: &[&str] = &["--no-limits", "--no-crashes", "--no-returns"];
-/// Options of seeds that failed before the store returned from copies.
-const NO_RETURNS: &[&str] = &["--no-returns"];
+const NO_SERVER_FAULTS: &[&str] =
+    &["--no-limits", "--no-crashes", "--no-returns", "--no-announcements"];
+/// Options of seeds that failed before the store returned from copies, and servers announced anything.
+const NO_RETURNS: &[&str] = &["--no-returns", "--no-announcements"];
 
 fn soak(arguments: &[&str]) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
@@ -66,6 +67,8 @@
 #[case(Defect::LimitIgnored, "a server's limit is kept")]
 #[case(Defect::NoRecovery, "all is served again after the last fault")]
 #[case(Defect::LeavingIgnored, "a leaving server gets no new work")]
+#[case(Defect::LeavingUnheard, "what servers say in answers is kept")]
+#[case(Defect::BackoffIgnored, "what servers say in answers is kept")]
 #[case(Defect::ManifestRollback, "no manifest goes back")]
 #[case(Defect::ManifestNotApplied, "an approved manifest is in force in time")]
 #[case(Defect::ImmediateExit, "a process ends in order within its grace time")]
@@ -75,7 +78,8 @@
     // With seed 3 nothing disturbs the server that leaves. The others are detected in what the store doesn't
     // disturb.
     let options: &[&str] = match broken {
-        Defect::LeavingIgnored => &["--seed", "3"],
+        Defect::LeavingIgnored => &["--seed", "3", "--no-announcements"],
+        Defect::LeavingUnheard => &["--seed", "3"],
         _ => &["--seed", "1", "--no-returns"],
     };
     let (passed, output) =
