--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -16,9 +16,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Crashes after which a call is quarantined, or a part that was never answered.
+/// Crashes after which a call or part is quarantined that was never answered.
 const CRASHES_UNANSWERED: usize = 3;
-/// Crashes after which a part is quarantined that was answered before, but not since.
+/// Crashes after which one is quarantined that was answered before, but not since. A frequent call is open at
+/// many servers that another one crashes.
 const CRASHES_ANSWERED: usize = 5;
 /// Crashes within this time count once. A loss of power takes down several servers, whatever they run.
 const CRASH_INTERVAL: Span = Span::from_millis(100);
@@ -532,7 +533,7 @@
             }
             group.push(row);
         }
-        let unanswered = self.answers.get(part).is_none();
+        let unanswered = self.answers.get(part).or(self.call_answers.get(part)).is_none();
         let needed = match self.rulings.get(&part) {
             // Its term is over.
             Some((at, Ruling::Quarantined { term, .. })) if at.age(now) >= *term => 1,
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -352,3 +352,15 @@
     }
     assert!(observer.blocks(at(1_100), DEADLY));
 }
+
+/// Guards against a frequent sound call that is refused because it was open at servers that others crashed.
+#[test]
+fn call_that_was_answered_before_takes_five_crashes() {
+    let mut observer = Observer::default();
+    observer.quarantine.record_call_answer(at(10), CALL);
+    for crash in 1..=5 {
+        let now = at(1_000 * crash);
+        observer.crash(now, &[call(CALL, &[], now)]);
+        assert_eq!(observer.blocks(now, CALL), crash == 5, "after {crash} crashes");
+    }
+}
