--- a/crates/damaskweir/tests/soak.rs
+++ b/crates/damaskweir/tests/soak.rs
@@ -14,6 +14,9 @@
 /// Options of seeds that failed before the store returned from copies, and servers announced anything.
 const NO_RETURNS: &[&str] = &["--no-returns", "--no-announcements"];
 
+/// Options of seeds that failed before servers announced anything.
+const NO_ANNOUNCEMENTS: &[&str] = &["--no-announcements"];
+
 fn soak(arguments: &[&str]) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
         .args(["soak", "--folder", env!("CARGO_TARGET_TMPDIR")])
@@ -44,6 +47,7 @@
 #[case::list_of_entries_replaced_by_an_older_one(7270049, NO_SERVER_FAULTS)]
 #[case::list_of_entries_replaced_23_ms_after_it_was_read(88360038, NO_RETURNS)]
 #[case::stream_ended_by_a_crash_behind_a_stalled_link(99120026, NO_RETURNS)]
+#[case::deadly_part_that_crashed_two_servers_at_once(38100043, NO_ANNOUNCEMENTS)]
 fn regression_seeds_keep_all_promises(#[case] seed: u64, #[case] options: &[&str]) {
     let seed = seed.to_string();
     let (passed, output) = soak(&[&["--seed", &seed], options].concat());
