--- a/crates/core/src/standing.rs
+++ b/crates/core/src/standing.rs
@@ -69,18 +69,12 @@
 struct Backoff {
     since: Time,
     until: Time,
-    /// No further request before, as one was just sent after the end.
+    /// When the next request may be sent: at the end, or some time after the request before.
     next: Time,
     /// Answers that arrived after the end.
     answers: u32,
 }
 
-impl Backoff {
-    fn ready(&self) -> Time {
-        self.until.max(self.next)
-    }
-}
-
 /// What a server process said.
 #[derive(Clone, Debug)]
 struct Record {
@@ -97,7 +91,7 @@
     fn standing(&self, now: Time) -> Standing {
         match self.backoff {
             _ if self.leaving => Standing::Leaving,
-            Some(backoff) if now < backoff.ready() => Standing::Backoff(backoff.ready()),
+            Some(backoff) if now < backoff.next => Standing::Backoff(backoff.next),
             _ => Standing::Open,
         }
     }
@@ -147,14 +141,10 @@
         said: Announcement,
         spread: Span,
     ) -> Vec<Change> {
-        if said.is_empty() && self.servers.is_empty() {
-            return Vec::new();
-        }
-        let key = key(server);
-        if said.is_empty() && !self.servers.contains_key(&key) {
+        if said.is_empty() && self.get(server).is_none() {
             return Vec::new();
         }
-        let record = self.servers.entry(key).or_insert_with(|| Record {
+        let record = self.servers.entry(key(server)).or_insert_with(|| Record {
             server: server.clone(),
             heard: now,
             leaving: false,
@@ -181,10 +171,7 @@
 
     /// Whether a server accepts requests.
     pub fn standing(&self, now: Time, server: &Replica) -> Standing {
-        if self.servers.is_empty() {
-            return Standing::Open;
-        }
-        self.servers.get(&key(server)).map_or(Standing::Open, |record| record.standing(now))
+        self.get(server).map_or(Standing::Open, |record| record.standing(now))
     }
 
     /// Whether a request may be sent to a server now.
@@ -194,13 +181,13 @@
 
     /// Whether a server said that it wants no requests now, so that one with a permit isn't sent either.
     pub fn declines(&self, now: Time, server: &Replica) -> bool {
-        let record = if self.servers.is_empty() { None } else { self.servers.get(&key(server)) };
-        record.is_some_and(|r| r.leaving || r.backoff.is_some_and(|backoff| now < backoff.until))
+        let waits = |record: &Record| record.backoff.is_some_and(|backoff| now < backoff.until);
+        self.get(server).is_some_and(|record| record.leaving || waits(record))
     }
 
     /// Whether a server said that it leaves.
     pub fn is_leaving(&self, server: &Replica) -> bool {
-        self.standing(Time::default(), server) == Standing::Leaving
+        self.get(server).is_some_and(|record| record.leaving)
     }
 
     /// Records that a request is sent to a server. After a backoff the next one waits for a while.
@@ -240,4 +227,9 @@
             leaves || backoff || invalid
         });
     }
+
+    fn get(&self, server: &Replica) -> Option<&Record> {
+        // Mostly no server has said anything, and a key takes a copy of the id.
+        if self.servers.is_empty() { None } else { self.servers.get(&key(server)) }
+    }
 }
