Build the rows of parts and calls, and find their last answer, in one place each

A row was built twice, both kinds of answers were asked in two ways, and the limit of a crash's parts was passed as a number that calls had to defeat. No change of behaviour.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -170,11 +170,9 @@
 }
 
 impl Crash {
-    fn add(&mut self, row: OpenPart, limit: usize) {
-        let full = self.parts.len() >= limit;
+    fn add(&mut self, row: OpenPart) {
         match self.parts.get_mut(&row.part) {
             Some(known) => known.merge(row),
-            None if full => {}
             None => {
                 self.parts.insert(row.part, row);
             }
@@ -313,13 +311,8 @@
         for request in requests {
             for (depth, part) in (0..).zip(&request.parts) {
                 let answered = self.answers.get(*part).map(|at| at.age(now));
-                let row = parts.entry(*part).or_insert_with(|| OpenPart {
-                    part: *part,
-                    depth,
-                    requests: 0,
-                    workspaces: BTreeSet::new(),
-                    answered,
-                });
+                let row =
+                    parts.entry(*part).or_insert_with(|| OpenPart::new(*part, depth, answered));
                 row.depth = row.depth.max(depth);
                 row.requests += 1;
                 row.add_workspace(request.workspace.clone());
@@ -339,14 +332,8 @@
             let (sent, broke) = (now.since(call.sent), call.broke.map(|at| now.since(at)));
             let broke = broke.unwrap_or_default();
             let answered = self.call_answers.get(digest).map(|at| at.age(now));
-            let new_row = || OpenPart {
-                part: digest,
-                depth: CALL_DEPTH,
-                requests: 0,
-                workspaces: BTreeSet::new(),
-                answered,
-            };
-            let new_call = || OpenCall { row: new_row(), sent, broke };
+            let row = || OpenPart::new(digest, CALL_DEPTH, answered);
+            let new_call = || OpenCall { row: row(), sent, broke };
             let call = calls.entry(digest).or_insert_with(new_call);
             if sent < call.sent {
                 (call.sent, call.broke) = (sent, broke);
@@ -372,7 +359,10 @@
             if let Some(age) = row.answered {
                 self.answers.record(row.part, at.earlier(age));
             }
-            crash.add(row, MAX_CRASH_PARTS + crash.calls.len());
+            let full = crash.parts.len() >= MAX_CRASH_PARTS + crash.calls.len();
+            if !full || crash.parts.contains_key(&row.part) {
+                crash.add(row);
+            }
         }
         for call in report.calls {
             let digest = call.row.part;
@@ -383,7 +373,7 @@
             if crash.calls.len() < MAX_CRASH_CALLS || crash.calls.contains_key(&digest) {
                 let known = crash.calls.entry(digest).or_insert(span);
                 *known = span.max(*known);
-                crash.add(call.row, usize::MAX);
+                crash.add(call.row);
             }
         }
         if self.crashes.len() > MAX_CRASHES {
@@ -498,7 +488,7 @@
     fn evidence(&self, part: u64) -> Vec<EvidenceRow<'_>> {
         let since = match self.rulings.get(&part) {
             Some((at, Ruling::Quarantined { term, .. })) => Some(at.later(*term)),
-            _ => self.answers.get(part).max(self.call_answers.get(part)),
+            _ => self.last_answer(part),
         };
         let crashes = self.crashes.values().filter(|crash| since.is_none_or(|at| crash.at > at));
         let rows = crashes.filter_map(|crash| {
@@ -516,6 +506,11 @@
         rows
     }
 
+    /// When a request with a part, or a call, was last answered.
+    fn last_answer(&self, part: u64) -> Option<SignedTime> {
+        self.answers.get(part).max(self.call_answers.get(part))
+    }
+
     /// Weighs the evidence against a part. Returns `None` if it doesn't suffice.
     fn weigh(&self, now: Time, part: u64) -> Option<Evidence> {
         let rows = self.evidence(part);
@@ -533,7 +528,7 @@
             }
             group.push(row);
         }
-        let unanswered = self.answers.get(part).or(self.call_answers.get(part)).is_none();
+        let unanswered = self.last_answer(part).is_none();
         let needed = match self.rulings.get(&part) {
             // Its term is over.
             Some((at, Ruling::Quarantined { term, .. })) if at.age(now) >= *term => 1,
@@ -669,6 +664,10 @@
 }
 
 impl OpenPart {
+    fn new(part: u64, depth: u32, answered: Option<Span>) -> Self {
+        Self { part, depth, requests: 0, workspaces: BTreeSet::new(), answered }
+    }
+
     /// Adds a workspace. Two tell that there are several.
     fn add_workspace(&mut self, workspace: Option<WorkspaceId>) {
         if self.workspaces.len() < 2 {
