Compute no blocked servers for routes without stages

needs_reservation built the set of servers that accept no request, for each request, before it asked whether the route has stages. The result is the same.

--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -382,13 +382,16 @@
     /// Whether a server is reserved before the stages run: if all servers name a limit or accept no request,
     /// the work of the stages may be in vain.
     fn needs_reservation(&self) -> bool {
+        if self.route.stages.is_empty() {
+            return false;
+        }
         let now = self.node.now();
         let state = self.node.state.borrow();
         let servers = state.placers.get(&self.pool).map_or(0, Placer::len);
         let limited = state.intake.limited().filter(|server| server.pool == self.pool);
         let blocked = state.blocked(now, &self.pool).into_iter().map(|(id, _)| id);
         let bounded: BTreeSet<_> = limited.map(|server| server.id.clone()).chain(blocked).collect();
-        !self.route.stages.is_empty() && bounded.len() >= servers
+        bounded.len() >= servers
     }
 
     /// Whether a server may still get requests.
