--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -47,7 +47,7 @@
     servers: Gauge<u64>,
     limited_servers: Gauge<u64>,
     leaving_servers: Gauge<u64>,
-    resting_servers: Gauge<u64>,
+    backoff_servers: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
     queued_pieces: Gauge<u64>,
     entries: Gauge<u64>,
@@ -69,8 +69,8 @@
     pub limited_servers: u64,
     /// Backend servers that said in an answer that they leave.
     pub leaving_servers: u64,
-    /// Backend servers that asked for time and don't get any number of requests yet.
-    pub resting_servers: u64,
+    /// Backend servers that get no request now because they asked for time.
+    pub backoff_servers: u64,
     /// Prompt parts that are quarantined.
     pub quarantined_parts: u64,
     /// Pieces queued at this entry, by pool.
@@ -125,7 +125,7 @@
             servers: meter.u64_gauge("direct_servers").build(),
             limited_servers: meter.u64_gauge("direct_servers_limited").build(),
             leaving_servers: meter.u64_gauge("direct_servers_leaving").build(),
-            resting_servers: meter.u64_gauge("direct_servers_backing_off").build(),
+            backoff_servers: meter.u64_gauge("direct_servers_backing_off").build(),
             quarantined_parts: meter.u64_gauge("direct_parts_quarantined").build(),
             queued_pieces: meter.u64_gauge("direct_pieces_waiting").build(),
             entries: meter.u64_gauge("direct_entries").build(),
@@ -187,7 +187,7 @@
         values.servers.iter().for_each(|(name, n)| self.servers.record(*n, &pool(name)));
         self.limited_servers.record(values.limited_servers, &[]);
         self.leaving_servers.record(values.leaving_servers, &[]);
-        self.resting_servers.record(values.resting_servers, &[]);
+        self.backoff_servers.record(values.backoff_servers, &[]);
         self.quarantined_parts.record(values.quarantined_parts, &[]);
         values
             .queued_pieces
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -190,6 +190,7 @@
     pub(crate) returned: Notify,
     /// Notified when the process is told to stop.
     drain_began: Notify,
+    /// Open connections of callers.
     pub(crate) callers: Rc<Connections>,
     /// Random id of this process, which tells it apart from earlier processes of the same entry.
     pub(crate) incarnation: u64,
@@ -546,7 +547,7 @@
             servers: servers.map(|(pool, n)| (pool, n as u64)).collect(),
             limited_servers: state.intake.limited().count() as u64,
             leaving_servers: state.standings.leaving().count() as u64,
-            resting_servers: state.standings.backing_off(self.now()).count() as u64,
+            backoff_servers: state.standings.backing_off(self.now()).count() as u64,
             quarantined_parts: state.quarantine.len(self.now()) as u64,
             queued_pieces: queued.map(|(pool, n)| (pool, n as u64)).collect(),
             entries: state.roster.entries().len() as u64,
