--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -45,7 +45,8 @@
         let call = request.json();
         let mut made = Vec::new();
         for item in call.list("items") {
-            let (id, stage) = (item.text("id").unwrap_or_default(), item.number("stage").unwrap_or(0));
+            let (id, stage) =
+                (item.text("id").unwrap_or_default(), item.number("stage").unwrap_or(0));
             let inputs = item.list("inputs").len();
             record.line(&format!(
                 "{service}: request {id} stage {stage} piece {}: {inputs} inputs, key {:?}",
@@ -54,7 +55,9 @@
             ));
             if stage > 0 && inputs == 0 {
                 world.without_inputs.fetch_add(1, Ordering::Relaxed);
-                record.line(&format!("MIXED: stage {stage} has `after`, and request {id} gives it none"));
+                record.line(&format!(
+                    "MIXED: stage {stage} has `after`, and request {id} gives it none"
+                ));
             }
             let number = world.next_result.fetch_add(1, Ordering::Relaxed);
             let handle = format!("{own}/{:012x}", (number + 1) * 0x9e37_79b9);
@@ -87,7 +90,9 @@
             handles.filter_map(|handle| results.get(handle).map(|(_, stage)| *stage)).collect()
         };
         let missing: Vec<_> = last_stages(pieces).difference(&given).copied().collect();
-        record.line(&format!("engine: request {id}, pieces {pieces}: results of the stages {given:?}"));
+        record.line(&format!(
+            "engine: request {id}, pieces {pieces}: results of the stages {given:?}"
+        ));
         if given.is_empty() {
             world.without_results.fetch_add(1, Ordering::Relaxed);
             record.line(&format!(
@@ -119,9 +124,11 @@
         ))
         .collect();
     services.push(
-        r#"{"name":"pool","max_conns":620,"engine":{"capacity":128,"kv_tokens":649902}}"#.to_owned(),
+        r#"{"name":"pool","max_conns":620,"engine":{"capacity":128,"kv_tokens":649902}}"#
+            .to_owned(),
     );
-    store.put("op/config", &manifest(1, &[route("layout", "streaming", "pool", stages)], &services));
+    store
+        .put("op/config", &manifest(1, &[route("layout", "streaming", "pool", stages)], &services));
     let mut registrations = Vec::new();
     for service in SERVICES {
         for n in 0..2 {
@@ -134,7 +141,13 @@
     for n in 0..2 {
         let (world, record) = (world.clone(), record.clone());
         let address = listen(move |wire| serve_engine(&world, &record, wire));
-        registrations.push(Registration::start(&store, &format!("i-pool-{n}"), "pool", address, 128));
+        registrations.push(Registration::start(
+            &store,
+            &format!("i-pool-{n}"),
+            "pool",
+            address,
+            128,
+        ));
     }
     let entries = [1, 2].map(|n| Entry::start(&scratch, n, store.address, &[1, 2]));
     entries.iter().for_each(Entry::wait_ready);
@@ -169,5 +182,11 @@
     drop(entries);
     drop(scratch);
     let unusable_run = count(&world.ran) == 0;
-    std::process::exit(if pieces + requests > 0 { 1 } else if unusable_run { EXIT_UNUSABLE } else { 0 });
+    std::process::exit(if pieces + requests > 0 {
+        1
+    } else if unusable_run {
+        EXIT_UNUSABLE
+    } else {
+        0
+    });
 }
--- a/review/standins/standins.rs
+++ b/review/standins/standins.rs
@@ -619,7 +619,8 @@
                 Some(item) => item_json(key, item),
                 None => format!(r#"{{"key":"{key}","revision":{revision},"removed":true}}"#),
             };
-            let wanted = data.history.iter().filter(|(r, key, _)| *r > after && key.starts_with(&prefix));
+            let wanted =
+                data.history.iter().filter(|(r, key, _)| *r > after && key.starts_with(&prefix));
             let events: Vec<_> = wanted.map(row).collect();
             let left = limit.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -669,7 +670,13 @@
     /// Interval of the status reports (`heartbeat_ms`).
     const BEAT_MS: u64 = 1_200;
 
-    pub fn start(store: &Arc<Store>, id: &str, service: &str, address: SocketAddr, capacity: u32) -> Arc<Self> {
+    pub fn start(
+        store: &Arc<Store>,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        capacity: u32,
+    ) -> Arc<Self> {
         let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let registration = Arc::new(Self {
             id: id.to_owned(),
@@ -785,7 +792,8 @@
         if let Err(error) = std::fs::write(&settings, text) {
             unusable(&format!("settings: {error}"));
         }
-        let parse = |port: u16| format!("{ip}:{port}").parse().unwrap_or_else(|_| unusable("address"));
+        let parse =
+            |port: u16| format!("{ip}:{port}").parse().unwrap_or_else(|_| unusable("address"));
         let (frontend, readiness) = (parse(8_625), parse(8_621));
         let child = Mutex::new(Self::spawn(&settings));
         Self { name, ip, frontend, readiness, settings, child }
@@ -882,7 +890,14 @@
 }
 
 /// The text of a request on a route.
-pub fn request_text(method: &str, path: &str, id: &str, deadline_ms: u64, more: &str, body: &str) -> String {
+pub fn request_text(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    more: &str,
+    body: &str,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: board.example\r\nAttempt-Id: {id}\r\n\
          Deadline-Ms: {deadline_ms}\r\nX-Api-Key: secret-key\r\n{more}Content-Length: {}\r\n\r\n{body}",
