Log how many results pieces and requests are given

The lines "sent" and "stage_done" did not tell whether a request or a piece got results of stages, so that the log could not show whether results were not planned, released too early or not sent.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -238,6 +238,7 @@
             ("unread_tokens", guard.uncached_tokens.into()),
             ("reused", u64::from(conn.uses()).into()),
             ("path", path.name().into()),
+            ("inputs", held.map_or(0, |held| held.outputs.len() as u64).into()),
             ("parts", parts.as_str().into()),
             ("call", call.as_str().into()),
         ];
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -485,6 +485,7 @@
         let (began, pool) = (self.now(), call.pool.clone());
         let own = owner.name == self.config.entry.name;
         let id = call.items.first().map(|item| item.id.clone()).unwrap_or_default();
+        let inputs = call.items.first().map_or(0, |item| item.source.result_count());
         let answer = if own {
             Ok(self.serve_group(call).await)
         } else {
@@ -531,6 +532,7 @@
             ("pool", pool.as_str().into()),
             ("stage", (group[0].stage as u64).into()),
             ("pieces", (group.len() as u64).into()),
+            ("inputs", (inputs as u64).into()),
             ("failed", (failed as u64).into()),
             ("owner", owner.name.as_str().into()),
             (
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -131,6 +131,16 @@
     Results(Vec<String>),
 }
 
+impl PieceInput {
+    /// Returns the number of results that the piece is given.
+    pub fn result_count(&self) -> usize {
+        match self {
+            Self::Key(_) => 0,
+            Self::Results(handles) => handles.len(),
+        }
+    }
+}
+
 /// Outcome of one piece of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PieceOutcome {
