Plan the stages of a request without those that it omits

Cause: the graph of a request was that of its route, whose `after` eight places read for themselves. A stage without pieces counted as done, so that the stages after it began, and as a dependent, so that the results before it were released and were no outputs.

Evidence: in the record of the case all handles are there with 2,3,2, and with 2,0,2 the first call has an empty list; no server tells of a lost input. So they were never planned, rather than released early or lost on the way.

Change: core::graph::StagePlan works out the shape once, on arrival. Results before omitted last stages are outputs. A stage whose dependencies are all omitted makes the request unservable: 503 stage_omitted at once, without Retry-After, before any work. The results of the stage before an omitted one aren't passed on: a stage takes those of the stages that it names. Inputs, release, the time for which inputs last, placing, forecast, slack and restart follow the plan. A stage named twice gives its results once, and `after` that names no earlier stage is refused before the forecast indexes by it.

core/tests/graph.rs asserted that a stage begins although the only stage before it is omitted, which is the fault. The test now asserts the same of a stage that needs one more, with its inputs, and a second one that the former case is refused.

--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -3,7 +3,7 @@
 //! Under overload, a request that cannot finish in time is refused before any of its work is done,
 //! and the caller gets a retry hint.
 
-use crate::catalog::StageSpec;
+use crate::graph::StagePlan;
 use crate::time::Span;
 
 /// Fraction of the time until the objective that the predicted time of a new request may take. A
@@ -28,25 +28,25 @@
 
 impl Forecast {
     /// Computes the forecast from the predicted time of each stage, `None` for a stage without
-    /// pieces. Stages must come after all stages that they depend on.
-    pub fn new(stages: &[StageSpec], times: &[Option<Span>]) -> Self {
+    /// pieces.
+    pub fn new(plan: &StagePlan, times: &[Option<Span>]) -> Self {
         let time = |i: usize| times.get(i).copied().flatten().unwrap_or(Span::ZERO);
-        let mut tails = vec![Span::ZERO; stages.len()];
-        let mut through = vec![Span::ZERO; stages.len()];
-        for (i, stage) in stages.iter().enumerate().rev() {
+        let mut tails = vec![Span::ZERO; plan.len()];
+        let mut through = vec![Span::ZERO; plan.len()];
+        for i in (0..plan.len()).rev() {
             through[i] = time(i) + tails[i];
-            for before in &stage.after {
+            for before in plan.dependencies(i) {
                 tails[*before] = tails[*before].max(through[i]);
             }
         }
         let whole = through.iter().copied().max().unwrap_or(Span::ZERO);
-        let mut ahead = vec![Span::ZERO; stages.len()];
-        for (i, stage) in stages.iter().enumerate() {
-            let before = stage.after.iter().map(|b| ahead[*b] + time(*b));
+        let mut ahead = vec![Span::ZERO; plan.len()];
+        for i in 0..plan.len() {
+            let before = plan.dependencies(i).iter().map(|b| ahead[*b] + time(*b));
             ahead[i] = before.max().unwrap_or(Span::ZERO);
         }
         let slack = |i: usize| whole.saturating_sub(ahead[i] + through[i]);
-        Self { critical_path: whole, slacks: (0..stages.len()).map(slack).collect(), tails }
+        Self { critical_path: whole, slacks: (0..plan.len()).map(slack).collect(), tails }
     }
 }
 
--- a/crates/core/src/graph.rs
+++ b/crates/core/src/graph.rs
@@ -1,5 +1,5 @@
-//! Dependency graph of the stages of one request: tracks which pieces are ready to run and which
-//! results are available.
+//! Dependency graph of the stages of one request: which pieces each stage has and needs, which are ready
+//! to run, and which results are available.
 
 use crate::catalog::StageSpec;
 use crate::value;
@@ -15,9 +15,97 @@
     }
 }
 
+/// Why a request can't run the stages of its route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// The request does not give a piece count for each stage.
+    #[error("the number of piece counts differs from the number of stages")]
+    Counts,
+    /// A stage depends on itself, a later stage or one that does not exist.
+    #[error("stage {0} depends on a stage that does not precede it")]
+    Order(usize),
+    /// All stages whose results a stage needs are omitted.
+    #[error("all stages that stage {0} depends on are omitted")]
+    InputsOmitted(usize),
+}
+
 #[derive(Clone, Debug)]
-struct StageState<R> {
+struct PlannedStage {
+    count: usize,
+    /// Indexes of the stages whose results it needs, in the order of the route: distinct, smaller than its
+    /// own, and none of them omitted. Empty only if the route names none, or if it is omitted itself.
     dependencies: Vec<usize>,
+    has_dependents: bool,
+}
+
+/// The stages of one request: the route's stages, less those that the request omits.
+///
+/// A stage without pieces is omitted: it has no results, and no other stage precedes it. It is not
+/// replaced by the stages before it, because a stage takes results only of the stages that it names.
+#[derive(Clone, Debug, Default)]
+pub struct StagePlan {
+    stages: Vec<PlannedStage>,
+}
+
+impl StagePlan {
+    /// Plans `counts` pieces per stage.
+    pub fn new(stages: &[StageSpec], counts: &[usize]) -> Result<Self, PlanError> {
+        if stages.len() != counts.len() {
+            return Err(PlanError::Counts);
+        }
+        let mut plan = Self { stages: Vec::with_capacity(stages.len()) };
+        for (i, (stage, count)) in stages.iter().zip(counts).enumerate() {
+            if stage.after.iter().any(|before| *before >= i) {
+                return Err(PlanError::Order(i));
+            }
+            let mut dependencies = Vec::new();
+            for before in stage.after.iter().filter(|before| *count > 0 && counts[**before] > 0) {
+                if !dependencies.contains(before) {
+                    dependencies.push(*before);
+                }
+            }
+            if *count > 0 && dependencies.is_empty() && !stage.after.is_empty() {
+                return Err(PlanError::InputsOmitted(i));
+            }
+            dependencies.iter().for_each(|before| plan.stages[*before].has_dependents = true);
+            plan.stages.push(PlannedStage { count: *count, dependencies, has_dependents: false });
+        }
+        Ok(plan)
+    }
+
+    /// Returns the number of stages of the route, including omitted ones.
+    pub fn len(&self) -> usize {
+        self.stages.len()
+    }
+
+    /// Whether the route has no stages.
+    pub fn is_empty(&self) -> bool {
+        self.stages.is_empty()
+    }
+
+    /// Returns the number of pieces of each stage.
+    pub fn counts(&self) -> impl Iterator<Item = usize> + '_ {
+        self.stages.iter().map(|stage| stage.count)
+    }
+
+    /// Returns the number of pieces of a stage.
+    pub fn count(&self, stage: usize) -> usize {
+        self.stages.get(stage).map_or(0, |stage| stage.count)
+    }
+
+    /// Returns the stages whose results a stage needs.
+    pub fn dependencies(&self, stage: usize) -> &[usize] {
+        self.stages.get(stage).map_or(&[], |stage| &stage.dependencies)
+    }
+
+    /// Whether the results of a stage are those of the request, because no other stage needs them.
+    pub fn is_output(&self, stage: usize) -> bool {
+        self.stages.get(stage).is_some_and(|stage| !stage.has_dependents)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct StageState<R> {
     /// One per piece; `None` until the piece is done.
     results: Vec<Option<R>>,
     /// Its pieces were returned by `take_ready`.
@@ -26,28 +114,25 @@
     released: bool,
 }
 
-/// Progress of one request through its stages. A stage without pieces is done as soon as its
-/// dependencies are.
+impl<R> StageState<R> {
+    fn is_done(&self) -> bool {
+        self.results.iter().all(Option::is_some)
+    }
+}
+
+/// Progress of one request through its stages.
 #[derive(Clone, Debug)]
-pub struct StageGraph<R> {
+pub struct StageGraph<'a, R> {
+    plan: &'a StagePlan,
     stages: Vec<StageState<R>>,
 }
 
-impl<R: Clone> StageGraph<R> {
-    /// Creates a graph with `counts` pieces per stage. Returns `None` if there is not one count for each
-    /// stage, or if a stage depends on itself or on a later one.
-    pub fn new(stages: &[StageSpec], counts: &[usize]) -> Option<Self> {
-        if stages.len() != counts.len() {
-            return None;
-        }
-        let ordered = stages.iter().enumerate().all(|(i, s)| s.after.iter().all(|a| *a < i));
-        let state = |(stage, count): (&StageSpec, &usize)| StageState {
-            dependencies: stage.after.clone(),
-            results: vec![None; *count],
-            started: false,
-            released: false,
-        };
-        ordered.then(|| Self { stages: stages.iter().zip(counts).map(state).collect() })
+impl<'a, R: Clone> StageGraph<'a, R> {
+    /// Creates a graph without results.
+    pub fn new(plan: &'a StagePlan) -> Self {
+        let state =
+            |count| StageState { results: vec![None; count], started: false, released: false };
+        Self { plan, stages: plan.counts().map(state).collect() }
     }
 
     /// Returns the pieces that became ready since the last call.
@@ -55,7 +140,7 @@
         let mut out = Vec::new();
         for i in 0..self.stages.len() {
             let ready = !self.stages[i].started
-                && self.stages[i].dependencies.iter().all(|a| self.is_done(*a));
+                && self.plan.dependencies(i).iter().all(|before| self.stages[*before].is_done());
             if ready {
                 self.stages[i].started = true;
                 let count = self.stages[i].results.len();
@@ -77,19 +162,14 @@
         }
     }
 
-    /// Returns the results of the direct dependencies of a stage, in the order of its dependencies and
-    /// their pieces. A dependency without pieces adds nothing.
+    /// Returns the results that a stage needs, in the order of its dependencies and their pieces.
     pub fn inputs(&self, stage: usize) -> Vec<&R> {
-        let dependencies = self.stages.get(stage).map_or(&[][..], |state| &state.dependencies);
-        self.collect(dependencies)
+        self.collect(self.plan.dependencies(stage).iter().copied())
     }
 
-    /// Returns the results of the stages on which no other stage depends.
+    /// Returns the results that no other stage needs, in the order of their stages and pieces.
     pub fn outputs(&self) -> Vec<&R> {
-        let has_dependents =
-            |i: usize| self.stages.iter().any(|state| state.dependencies.contains(&i));
-        let last: Vec<_> = (0..self.stages.len()).filter(|i| !has_dependents(*i)).collect();
-        self.collect(&last)
+        self.collect((0..self.stages.len()).filter(|i| self.plan.is_output(*i)))
     }
 
     /// Returns the results that no piece needs any more, each one once. Outputs of the graph are never
@@ -98,9 +178,11 @@
         let mut out = Vec::new();
         for i in 0..self.stages.len() {
             let mut dependents =
-                (0..self.stages.len()).filter(|d| self.stages[*d].dependencies.contains(&i));
-            let has_dependents = dependents.clone().next().is_some();
-            if has_dependents && !self.stages[i].released && dependents.all(|d| self.is_done(d)) {
+                (0..self.stages.len()).filter(|d| self.plan.dependencies(*d).contains(&i));
+            let unneeded = !self.plan.is_output(i)
+                && !self.stages[i].released
+                && dependents.all(|d| self.stages[d].is_done());
+            if unneeded {
                 self.stages[i].released = true;
                 out.extend(self.stages[i].results.iter().flatten().cloned());
             }
@@ -110,31 +192,20 @@
 
     /// Whether all pieces have results.
     pub fn is_complete(&self) -> bool {
-        (0..self.stages.len()).all(|i| self.is_done(i))
+        self.stages.iter().all(StageState::is_done)
     }
 
     /// Returns the largest number of unfinished stages on any path through the graph.
     pub fn remaining_depth(&self) -> usize {
         let mut depths: Vec<usize> = Vec::with_capacity(self.stages.len());
         for (i, state) in self.stages.iter().enumerate() {
-            let before = state.dependencies.iter().map(|a| depths[*a]).max().unwrap_or(0);
-            depths.push(before + usize::from(!self.is_done(i)));
+            let before = self.plan.dependencies(i).iter().map(|a| depths[*a]).max().unwrap_or(0);
+            depths.push(before + usize::from(!state.is_done()));
         }
         depths.into_iter().max().unwrap_or(0)
     }
 
-    fn is_done(&self, stage: usize) -> bool {
-        let state = &self.stages[stage];
-        state.results.iter().all(Option::is_some)
-            && state.dependencies.iter().all(|a| self.is_done(*a))
-    }
-
-    fn collect(&self, stages: &[usize]) -> Vec<&R> {
-        let mut out = Vec::new();
-        for i in stages {
-            let state = &self.stages[*i];
-            out.extend(state.results.iter().flatten());
-        }
-        out
+    fn collect(&self, stages: impl Iterator<Item = usize>) -> Vec<&R> {
+        stages.flat_map(|i| self.stages[i].results.iter().flatten()).collect()
     }
 }
--- a/crates/core/tests/graph.rs
+++ b/crates/core/tests/graph.rs
@@ -1,8 +1,9 @@
 //! Tests of the stage graph of one request and of the forecasts made from its stages.
+#![allow(clippy::expect_used, reason = "the lint only exempts test functions")]
 
 use damaskweir_core::catalog::StageSpec;
 use damaskweir_core::forecast::{ArrivalEstimate, Decision, Forecast, decide_admission};
-use damaskweir_core::graph::{PieceIndex, StageGraph};
+use damaskweir_core::graph::{PieceIndex, PlanError, StageGraph, StagePlan};
 use damaskweir_core::ids::PoolId;
 use damaskweir_core::time::Span;
 use rstest::rstest;
@@ -11,6 +12,10 @@
     StageSpec { pool: PoolId::from("pool"), after: after.to_vec(), bytes: 1_000 }
 }
 
+fn plan(stages: &[StageSpec], counts: &[usize]) -> StagePlan {
+    StagePlan::new(stages, counts).expect("the counts fit")
+}
+
 fn at(stage: usize, piece: usize) -> PieceIndex {
     PieceIndex { stage, piece }
 }
@@ -19,7 +24,8 @@
 #[test]
 fn a_stage_waits_for_all_pieces_before_it() {
     let stages = [stage(&[]), stage(&[0])];
-    let mut graph = StageGraph::new(&stages, &[2, 1]).expect("counts fit");
+    let plan = plan(&stages, &[2, 1]);
+    let mut graph = StageGraph::new(&plan);
     assert_eq!(graph.take_ready(), [at(0, 0), at(0, 1)]);
     assert!(graph.finish(at(0, 0), "x"));
     assert_eq!(graph.take_ready(), []);
@@ -31,7 +37,8 @@
 /// Guards against accepting a second result for a piece, or a result for a piece that does not exist.
 #[test]
 fn each_piece_takes_one_result() {
-    let mut graph = StageGraph::new(&[stage(&[])], &[1]).expect("counts fit");
+    let plan = plan(&[stage(&[])], &[1]);
+    let mut graph = StageGraph::new(&plan);
     graph.take_ready();
     assert!(graph.finish(at(0, 0), 1));
     assert!(!graph.finish(at(0, 0), 2));
@@ -43,7 +50,8 @@
 #[test]
 fn results_are_released_when_all_dependents_are_done() {
     let stages = [stage(&[]), stage(&[0]), stage(&[0])];
-    let mut graph = StageGraph::new(&stages, &[1, 1, 1]).expect("counts fit");
+    let plan = plan(&stages, &[1, 1, 1]);
+    let mut graph = StageGraph::new(&plan);
     graph.take_ready();
     graph.finish(at(0, 0), "a");
     graph.take_ready();
@@ -57,11 +65,69 @@
 
 /// Guards against a request that never starts because one of its stages has no pieces.
 #[test]
-fn a_stage_without_pieces_is_done() {
-    let stages = [stage(&[]), stage(&[0])];
-    let mut graph = StageGraph::<()>::new(&stages, &[0, 1]).expect("counts fit");
+fn a_stage_waits_only_for_stages_with_pieces() {
+    let stages = [stage(&[]), stage(&[]), stage(&[0, 1])];
+    let plan = plan(&stages, &[0, 1, 1]);
+    let mut graph = StageGraph::new(&plan);
     assert_eq!(graph.take_ready(), [at(1, 0)]);
-    assert!(StageGraph::<()>::new(&stages, &[1]).is_none(), "one count per stage is required");
+    graph.finish(at(1, 0), "a");
+    assert_eq!(graph.take_ready(), [at(2, 0)]);
+    assert_eq!(graph.inputs(2), [&"a"]);
+    let fault = StagePlan::new(&stages, &[1]).expect_err("one count per stage is required");
+    assert_eq!(fault, PlanError::Counts);
+}
+
+/// Guards against pieces that run without the results that their stage needs (MIXED in review/5).
+#[test]
+fn a_stage_whose_dependencies_are_all_omitted_is_refused() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[0, 1])];
+    let fault = |counts: &[usize]| StagePlan::new(&stages, counts).err();
+    assert_eq!(fault(&[0, 1, 0]), Some(PlanError::InputsOmitted(1)));
+    assert_eq!(fault(&[0, 0, 1]), Some(PlanError::InputsOmitted(2)));
+    assert_eq!(fault(&[0, 1, 1]), Some(PlanError::InputsOmitted(1)));
+}
+
+/// Guards against results that are released before the request is sent, because the stage that would take
+/// them is omitted (MIXED in review/5).
+#[test]
+fn results_before_an_omitted_stage_are_outputs() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[0]), stage(&[1, 2])];
+    let plan = plan(&stages, &[1, 1, 1, 0]);
+    let mut graph = StageGraph::new(&plan);
+    graph.take_ready();
+    graph.finish(at(0, 0), "a");
+    graph.take_ready();
+    graph.finish(at(1, 0), "b");
+    graph.finish(at(2, 0), "c");
+    assert!(graph.is_complete());
+    assert_eq!(graph.take_unneeded(), ["a"]);
+    assert_eq!(graph.outputs(), [&"b", &"c"]);
+}
+
+/// Guards against a result that is given twice to a piece (MIXED) because a configuration names its stage
+/// twice, and against an entry that ends because a configuration names a stage that does not exist.
+#[test]
+fn dependencies_are_distinct_and_exist() {
+    let stages = [stage(&[]), stage(&[0, 0])];
+    let repeated = plan(&stages, &[1, 1]);
+    let mut graph = StageGraph::new(&repeated);
+    graph.finish(at(0, 0), "a");
+    assert_eq!(graph.inputs(1), [&"a"]);
+    for after in [1, 7] {
+        let fault = StagePlan::new(&[stage(&[]), stage(&[after])], &[1, 1]);
+        assert_eq!(fault.expect_err("no such stage before it"), PlanError::Order(1));
+    }
+}
+
+/// Guards against a request that is predicted to wait for stages that it omits.
+#[test]
+fn the_forecast_skips_omitted_stages() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[]), stage(&[1, 2])];
+    let times = [Some(400), None, Some(300), Some(200)].map(|n| n.map(Span::from_millis));
+    let forecast = Forecast::new(&plan(&stages, &[1, 0, 1, 1]), &times);
+    assert_eq!(forecast.critical_path, Span::from_millis(500));
+    assert_eq!(forecast.tails, [0, 0, 200, 0].map(Span::from_millis));
+    assert_eq!(forecast.slacks[0], Span::from_millis(100));
 }
 
 /// Guards against forecasts that add up stages which run in parallel.
@@ -69,7 +135,7 @@
 fn the_forecast_follows_the_longest_chain() {
     let stages = [stage(&[]), stage(&[]), stage(&[0, 1])];
     let times = [300, 500, 200].map(|n| Some(Span::from_millis(n)));
-    let forecast = Forecast::new(&stages, &times);
+    let forecast = Forecast::new(&plan(&stages, &[1, 1, 1]), &times);
     assert_eq!(forecast.critical_path, Span::from_millis(700));
     assert_eq!(forecast.tails[0], Span::from_millis(200));
 }
@@ -104,6 +170,6 @@
 fn a_stage_beside_a_longer_chain_has_slack() {
     let stages = [stage(&[]), stage(&[]), stage(&[1])];
     let times = [300, 500, 200].map(|n| Some(Span::from_millis(n)));
-    let forecast = Forecast::new(&stages, &times);
+    let forecast = Forecast::new(&plan(&stages, &[1, 1, 1]), &times);
     assert_eq!(forecast.slacks, [400, 0, 0].map(Span::from_millis));
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -13,6 +13,7 @@
 use damaskweir_core::catalog::{Repeat, Route};
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::forecast::{ArrivalEstimate, Decision, decide_admission};
+use damaskweir_core::graph::{PlanError, StagePlan};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId, WorkspaceId};
 use damaskweir_core::place::{AttemptOutcome, Placer, Requirements};
 use damaskweir_core::time::{Span, Time};
@@ -108,6 +109,8 @@
     pub(crate) maybe_ran: Vec<ServerId>,
     /// Servers that were chosen for an attempt, including those that could not be reached.
     pub(crate) sent: Vec<ServerId>,
+    /// Stages of the route that the request runs. Empty until the request is admitted.
+    plan: StagePlan,
     timing: StreamTiming,
     /// Predicted duration of the stages and the wait for the response or the first event.
     predicted_time: Span,
@@ -162,6 +165,7 @@
             call,
             maybe_ran,
             sent,
+            plan: StagePlan::default(),
             timing: StreamTiming::default(),
             predicted_time: Span::ZERO,
             elapsed: Span::ZERO,
@@ -220,14 +224,15 @@
         }
     }
 
-    /// Refuses the request if the entry is draining, the pool has no server, or it can't be served in
-    /// time.
+    /// Refuses the request if the entry is draining, its stages can't run, the pool has no server, or it
+    /// can't be served in time.
     fn admit(&mut self) -> Result<(), RequestError> {
         let node = self.node.clone();
         let now = node.now();
         if node.ends_too_soon(self.route.repeat.streams(), self.deadline) {
             return Err(RequestError::NotRun { cause: "draining", retry: DRAINING_RETRY });
         }
+        self.plan = self.plan_stages()?;
         if let Some(cause) = self.quarantine_cause() {
             return Err(self.quarantined(cause));
         }
@@ -268,6 +273,20 @@
         }
     }
 
+    /// Plans the stages of the route.
+    fn plan_stages(&self) -> Result<StagePlan, RequestError> {
+        if self.route.stages.is_empty() {
+            return Ok(StagePlan::default());
+        }
+        StagePlan::new(&self.route.stages, &self.info.pieces).map_err(|error| match error {
+            // Another configuration, which may already be on its way, may have other stages.
+            PlanError::Counts | PlanError::Order(_) => {
+                RequestError::NotRun { cause: "stage_counts", retry: BUSY_RETRY }
+            }
+            PlanError::InputsOmitted(_) => RequestError::Rejected { cause: "stage_omitted" },
+        })
+    }
+
     /// Runs the stages of the route. Returns `None` if it has none.
     pub(crate) async fn run_stages(&self) -> Result<Option<HeldResults<W>>, RequestError> {
         if self.route.stages.is_empty() {
@@ -279,7 +298,7 @@
         let job = StageJob {
             route: &self.route,
             id: &self.info.id,
-            counts: &self.info.pieces,
+            plan: &self.plan,
             key: &key,
             due: if self.admitted_late { self.arrived } else { due },
             deadline: self.deadline - latency,
@@ -300,8 +319,7 @@
 
     /// Predicts the latency of the request if it were admitted now.
     fn estimate_arrival(&self, left: Span) -> ArrivalEstimate {
-        let forecast =
-            |lane| self.node.forecast(&self.route, &self.info.pieces, lane).critical_path;
+        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane).critical_path;
         let (latency, behind) = (self.mean_latency(), self.ranks_behind());
         ArrivalEstimate {
             timely: forecast(Lane::Timely(behind)) + latency,
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -8,7 +8,7 @@
 use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::catalog::{Route, Work};
 use damaskweir_core::forecast::Forecast;
-use damaskweir_core::graph::{PieceIndex, StageGraph};
+use damaskweir_core::graph::{PieceIndex, StageGraph, StagePlan};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::{EntryInfo, PieceGroup};
 use damaskweir_core::time::{Span, Time};
@@ -77,8 +77,6 @@
     Late,
     /// A piece failed and may not be retried.
     Failed(PieceFailure),
-    /// The request does not give a piece count for each stage of its route.
-    PieceCounts,
     /// A stage has no available server.
     NoServer,
 }
@@ -94,7 +92,6 @@
             Self::Failed(PieceFailure::Full) => "stage_server_full",
             Self::Failed(PieceFailure::Moved) => "stage_moved",
             Self::Failed(PieceFailure::Overload) => "stage_overload",
-            Self::PieceCounts => "stage_counts",
             Self::NoServer => "stage_away",
         }
     }
@@ -142,7 +139,7 @@
 pub(crate) struct StageJob<'a> {
     pub(crate) route: &'a Route,
     pub(crate) id: &'a str,
-    pub(crate) counts: &'a [usize],
+    pub(crate) plan: &'a StagePlan,
     pub(crate) key: &'a str,
     /// When the stages must be done to meet the latency objective.
     pub(crate) due: Time,
@@ -158,7 +155,7 @@
     node: &'a Rc<Node<W>>,
     job: &'a StageJob<'a>,
     forecast: Forecast,
-    graph: StageGraph<StoredResult>,
+    graph: StageGraph<'a, StoredResult>,
     held: HeldResults<W>,
     pending: PendingGroups,
     /// Groups with slack, and when to dispatch them. Dispatched earlier, their results would only
@@ -172,20 +169,20 @@
 
 impl<W: Wire> Node<W> {
     /// Predicts the stage times of a request that arrives now.
-    pub(crate) fn forecast(&self, route: &Route, counts: &[usize], lane: Lane) -> Forecast {
+    pub(crate) fn forecast(&self, route: &Route, plan: &StagePlan, lane: Lane) -> Forecast {
         let now = self.now();
         let state = self.state.borrow();
-        let time = |(i, count): (usize, &usize)| {
+        let time = |(i, pieces): (usize, usize)| {
             let pool = &route.stages.get(i)?.pool;
             let owners = state.owners.get(pool)?;
             let own = state.batchers.get(pool).map(|batcher| batcher.fullness(now));
-            let group = PieceGroup { pieces: *count, lane };
-            (*count > 0)
+            let group = PieceGroup { pieces, lane };
+            (pieces > 0)
                 .then(|| owners.predict_time(now, group, &own.unwrap_or_default()))
                 .flatten()
         };
-        let times: Vec<_> = counts.iter().enumerate().map(time).collect();
-        Forecast::new(&route.stages, &times)
+        let times: Vec<_> = plan.counts().enumerate().map(time).collect();
+        Forecast::new(plan, &times)
     }
 
     /// Runs all stages of a request and returns their results.
@@ -197,8 +194,8 @@
         let mut progress = StageRun {
             node: self,
             job,
-            forecast: self.forecast(job.route, job.counts, job.lane),
-            graph: StageGraph::new(&job.route.stages, job.counts).ok_or(StageError::PieceCounts)?,
+            forecast: self.forecast(job.route, job.plan, job.lane),
+            graph: StageGraph::new(job.plan),
             held: HeldResults {
                 node: self.clone(),
                 results: Vec::new(),
@@ -252,7 +249,7 @@
                 Err(PieceFailure::Overload) => {
                     return Err(StageError::Failed(PieceFailure::Overload));
                 }
-                Err(PieceFailure::Gone) if !self.restarted => self.restart()?,
+                Err(PieceFailure::Gone) if !self.restarted => self.restart(),
                 Err(failure) => self.retry_piece(at, failure).await?,
             }
         }
@@ -280,15 +277,13 @@
 
     /// Starts over after a stored result was lost. Replaces the channel too, so that results of the
     /// old graph are not received.
-    fn restart(&mut self) -> Result<(), StageError> {
+    fn restart(&mut self) {
         self.restarted = true;
         self.held.release_all();
         self.pending = PendingGroups::default();
         self.deferred.clear();
         (self.sender, self.receiver) = unbounded_channel();
-        let graph = StageGraph::new(&self.job.route.stages, self.job.counts);
-        self.graph = graph.ok_or(StageError::PieceCounts)?;
-        Ok(())
+        self.graph = StageGraph::new(self.job.plan);
     }
 
     async fn retry_piece(
@@ -336,7 +331,7 @@
         let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
         let due = (self.job.due - tail).since(now);
         let left = Span((self.job.deadline - tail).since(now).0.min(input_ttl.0));
-        let untouched = first && stage.after.is_empty() && !self.restarted;
+        let untouched = first && self.needs_no_results(group[0].stage) && !self.restarted;
         let call = GroupRequest {
             pool: stage.pool.clone(),
             items: group.iter().map(|at| self.piece_request(*at, now)).collect(),
@@ -359,7 +354,7 @@
     }
 
     fn piece_request(&self, at: PieceIndex, now: Time) -> PieceRequest {
-        let source = if self.job.route.stages[at.stage].after.is_empty() {
+        let source = if self.needs_no_results(at.stage) {
             PieceInput::Key(self.job.key.to_owned())
         } else {
             let inputs = self.graph.inputs(at.stage);
@@ -369,6 +364,11 @@
         PieceRequest { id: self.job.id.to_owned(), stage: at.stage, piece: at.piece, left, source }
     }
 
+    /// Whether the pieces of a stage get the request's own data.
+    fn needs_no_results(&self, stage: usize) -> bool {
+        self.job.plan.dependencies(stage).is_empty()
+    }
+
     /// Time for which the inputs of a stage are sure to stay stored. A piece that waits longer
     /// would be processed in vain.
     fn input_ttl(&self, stage: usize) -> Span {
@@ -381,8 +381,8 @@
                 _ => None,
             }
         };
-        let after = &self.job.route.stages[stage].after;
-        after.iter().filter_map(keep).min().unwrap_or(Span(u64::MAX))
+        let dependencies = self.job.plan.dependencies(stage).iter();
+        dependencies.filter_map(keep).min().unwrap_or(Span(u64::MAX))
     }
 
     /// Whether the inputs of a stage take a large share of the result storage of their servers.
@@ -392,12 +392,14 @@
         let stages = &self.job.route.stages;
         let part = |before: &usize| match pools.and_then(|p| p.get(&stages[*before].pool))?.work {
             Work::Pieces(spec) => {
-                let bytes = stages[*before].bytes * self.job.counts[*before] as u64;
+                let bytes =
+                    stages[*before].bytes.saturating_mul(self.job.plan.count(*before) as u64);
                 Some(bytes as f64 / spec.result_bytes.max(1) as f64)
             }
             _ => None,
         };
-        stages[stage].after.iter().filter_map(part).any(|part| part >= LARGE_INPUT_SHARE)
+        let mut parts = self.job.plan.dependencies(stage).iter().filter_map(part);
+        parts.any(|part| part >= LARGE_INPUT_SHARE)
     }
 
     /// Bytes that each piece of a stage fetches or passes on, by availability zone.
@@ -405,10 +407,9 @@
         let inputs = self.graph.inputs(stage);
         let mut transfers: Vec<_> =
             inputs.iter().map(|result| (result.zone.clone(), result.bytes)).collect();
-        let stages = &self.job.route.stages;
-        if !stages.iter().any(|later| later.after.contains(&stage)) {
-            transfers
-                .extend(self.job.preferred_zone.clone().map(|zone| (zone, stages[stage].bytes)));
+        if self.job.plan.is_output(stage) {
+            let bytes = self.job.route.stages[stage].bytes;
+            transfers.extend(self.job.preferred_zone.clone().map(|zone| (zone, bytes)));
         }
         transfers
     }
