Refuse a request with more pieces than its memory allows

Cause: the counts are numbers of the caller that size the results of the graph. Nothing bounds them but the prediction, which is zero without servers. Besides, each piece of a group had its own copy of all handles that its stage needs.

Change: a plan has at most 1,000 pieces, checked before anything is sized by a count; more are refused at once as too_many_pieces, without Retry-After. The pieces of a group share their handles, so that 500 pieces after 500 hold 500 handles and not 250,000.

--- a/crates/core/src/graph.rs
+++ b/crates/core/src/graph.rs
@@ -15,6 +15,10 @@
     }
 }
 
+/// Maximum number of pieces of one request. Each piece names all results that its stage needs, so the memory
+/// of a request grows with the square of its pieces.
+pub const PIECES_MAX: usize = 1_000;
+
 /// Why a request can't run the stages of its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PlanError {
@@ -27,6 +31,9 @@
     /// All stages whose results a stage needs are omitted.
     #[error("all stages that stage {0} depends on are omitted")]
     InputsOmitted(usize),
+    /// The request has more than [`PIECES_MAX`] pieces.
+    #[error("more than {PIECES_MAX} pieces")]
+    TooManyPieces,
 }
 
 #[derive(Clone, Debug)]
@@ -53,6 +60,10 @@
         if stages.len() != counts.len() {
             return Err(PlanError::Counts);
         }
+        let total = counts.iter().fold(0_usize, |sum, count| sum.saturating_add(*count));
+        if total > PIECES_MAX {
+            return Err(PlanError::TooManyPieces);
+        }
         let mut plan = Self { stages: Vec::with_capacity(stages.len()) };
         for (i, (stage, count)) in stages.iter().zip(counts).enumerate() {
             if stage.after.iter().any(|before| *before >= i) {
--- a/crates/core/tests/graph.rs
+++ b/crates/core/tests/graph.rs
@@ -173,3 +173,13 @@
     let forecast = Forecast::new(&plan(&stages, &[1, 1, 1]), &times);
     assert_eq!(forecast.slacks, [400, 0, 0].map(Span::from_millis));
 }
+
+/// Guards against an entry that ends because a request names more pieces than fit into memory.
+#[rstest]
+#[case::most(&[999, 1], true)]
+#[case::one_more(&[1_000, 1], false)]
+#[case::overflow(&[usize::MAX, usize::MAX], false)]
+fn the_pieces_of_a_request_are_bounded(#[case] counts: &[usize], #[case] planned: bool) {
+    let fault = StagePlan::new(&[stage(&[]), stage(&[0])], counts).err();
+    assert_eq!(fault, (!planned).then_some(PlanError::TooManyPieces));
+}
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -284,6 +284,7 @@
                 RequestError::NotRun { cause: "stage_counts", retry: BUSY_RETRY }
             }
             PlanError::InputsOmitted(_) => RequestError::Rejected { cause: "stage_omitted" },
+            PlanError::TooManyPieces => RequestError::Rejected { cause: "too_many_pieces" },
         })
     }
 
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -334,7 +334,7 @@
         let untouched = first && self.needs_no_results(group[0].stage) && !self.restarted;
         let call = GroupRequest {
             pool: stage.pool.clone(),
-            items: group.iter().map(|at| self.piece_request(*at, now)).collect(),
+            items: self.piece_requests(group, now),
             due,
             left,
             bytes: stage.bytes,
@@ -353,15 +353,24 @@
         Ok(())
     }
 
-    fn piece_request(&self, at: PieceIndex, now: Time) -> PieceRequest {
-        let source = if self.needs_no_results(at.stage) {
+    /// Returns the calls for pieces of one stage.
+    fn piece_requests(&self, group: &[PieceIndex], now: Time) -> Vec<PieceRequest> {
+        let stage = group[0].stage;
+        let source = if self.needs_no_results(stage) {
             PieceInput::Key(self.job.key.to_owned())
         } else {
-            let inputs = self.graph.inputs(at.stage);
+            let inputs = self.graph.inputs(stage);
             PieceInput::Results(inputs.iter().map(|result| result.handle.clone()).collect())
         };
         let left = self.job.deadline.since(now);
-        PieceRequest { id: self.job.id.to_owned(), stage: at.stage, piece: at.piece, left, source }
+        let request = |at: &PieceIndex| PieceRequest {
+            id: self.job.id.to_owned(),
+            stage,
+            piece: at.piece,
+            left,
+            source: source.clone(),
+        };
+        group.iter().map(request).collect()
     }
 
     /// Whether the pieces of a stage get the request's own data.
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::future::Future;
+use std::sync::Arc;
 
 /// Fields parsed from the head of a caller's request, other than the method and path.
 #[derive(Clone, Debug, Default)]
@@ -127,8 +128,8 @@
 pub enum PieceInput {
     /// The request's own data, stored under this key.
     Key(String),
-    /// Handles of results of earlier stages.
-    Results(Vec<String>),
+    /// Handles of results of earlier stages, which all pieces of a stage share.
+    Results(Arc<[String]>),
 }
 
 impl PieceInput {
