Count what all connections buffer against the memory of the process

What could be seen: servers whose answers don't end, or callers who don't read, took an entry beyond the memory of its machine, and all requests in progress would end with it (reported by other operators; `limits.memory_mb` was not read).

Cause: each buffer had a limit, and only bodies that were being read had one together (32 MB). Not counted were bodies that callers had not read yet, events, and the answers to calls with pieces and to releases, 16 MB each; their buffers doubled as they grew.

Change: direct::memory. Half of limits.memory_mb (160 if it is not there) is a budget for all buffers above 16 KiB. Reservations are given back by their drop, and go with the bytes to the caller's connection. Bodies are kept and sent in blocks of 64 KiB. Answers of stage servers may have 1 MiB. The store's answers and polls between entries have budgets of their own, so that lists stay current. direct_buffered_bytes tells what is in use.

--- /dev/null
+++ b/crates/damaskweir/tests/memory.rs
@@ -0,0 +1,159 @@
+//! Tests of the memory that an entry needs while its servers and callers misbehave.
+#![allow(clippy::expect_used, reason = "the lint knows only test functions")]
+
+mod child;
+
+use child::{Process, connect, settings, write_settings};
+use damaskweir_platform_standins::{
+    Action, ReceivedRequest, Server, StoreStandIn, chunk, event, manifest, request_text,
+    response_text, send, signed_response, stream_head,
+};
+use rstest::rstest;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+/// Value of `limits.memory_mb`.
+const MEMORY_MB: u64 = 100;
+/// Time for which callers send requests.
+const LOAD_TIME: Duration = Duration::from_secs(4);
+/// Size of a part that is sent again and again.
+const PART_BYTES: usize = 4_096;
+
+/// A deployment whose servers of one service are faulty.
+struct Fault {
+    service: &'static str,
+    /// Method, path and header fields of the requests.
+    request: (&'static str, &'static str, &'static str),
+    callers: usize,
+    /// Whether the callers read the answers.
+    reading: bool,
+    act: fn(&ReceivedRequest) -> Action,
+}
+
+const PIECES: &str = "Pieces: 1,1\r\nPiece-Key: k\r\n";
+
+fn part() -> String {
+    "x".repeat(PART_BYTES)
+}
+
+/// Head of a signed answer without a length.
+fn head(received: &ReceivedRequest) -> String {
+    let id = received.field("attempt-id").unwrap_or_default();
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: proof\r\n")
+}
+
+fn answer(received: &ReceivedRequest) -> Action {
+    Action::Send(signed_response(received, 200, "done"))
+}
+
+fn stream(received: &ReceivedRequest) -> Action {
+    Action::Send(stream_head(received) + &chunk(&event(0)) + "0\r\n\r\n")
+}
+
+fn run_pieces(received: &ReceivedRequest) -> Action {
+    let items = received.body.matches("\"piece\"").count();
+    let items = vec![r#"{"handle":"h"}"#; items].join(",");
+    Action::Send(response_text(200, "", &format!(r#"{{"items":[{items}]}}"#)))
+}
+
+/// Highest resident memory of a process so far, in MB of 2^20 bytes.
+fn peak_memory_mb(process: &Process) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id()));
+    let status = status.expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("Linux");
+    let kb: u64 = line.trim_end_matches("kB").trim().parse().expect("a number");
+    kb / 1_024
+}
+
+async fn call(address: SocketAddr, request: String, reading: bool) {
+    let mut stream = connect(address).await;
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return;
+    }
+    if !reading {
+        sleep(LOAD_TIME).await;
+        return;
+    }
+    let mut buffer = vec![0; 65_536];
+    while matches!(stream.read(&mut buffer).await, Ok(1..)) {}
+}
+
+/// Guards against an entry that ends because servers send bytes without end, and against requests to other
+/// servers that fail meanwhile (reported by other operators).
+#[rstest]
+#[case::event(1, Fault { service: "engines", request: ("POST", "/draft/", ""), callers: 120, reading: true,
+    act: |r| Action::SendParts(vec![(0, stream_head(r) + &chunk(&"x".repeat(1_000_000))), (3_000, String::new())]) })]
+#[case::body(2, Fault { service: "orders", request: ("GET", "/lookup/", ""), callers: 60, reading: true,
+    act: |r| Action::SendEndlessly(head(r) + "\r\n", part()) })]
+#[case::head(3, Fault { service: "engines", request: ("POST", "/draft/", ""), callers: 60, reading: true,
+    act: |_| Action::SendEndlessly("HTTP/1.1 200 OK\r\nX: ".to_owned(), part()) })]
+#[case::events_unread(4, Fault { service: "engines", request: ("POST", "/draft/", ""), callers: 300, reading: false,
+    act: |r| Action::SendEndlessly(stream_head(r), chunk(&event(1).replace("part", &part()))) })]
+#[case::body_unread(5, Fault { service: "orders", request: ("GET", "/lookup/", ""), callers: 60, reading: false,
+    act: |r| Action::Send(signed_response(r, 200, &"x".repeat(4_000_000))) })]
+#[case::stage(6, Fault { service: "catalog", request: ("POST", "/layout/", PIECES), callers: 60, reading: true,
+    act: |_| Action::SendEndlessly("HTTP/1.1 200 OK\r\n\r\n{\"items\":[".to_owned(), "{},".repeat(1_000)) })]
+#[case::release(7, Fault { service: "catalog", request: ("POST", "/layout/", PIECES), callers: 60, reading: true,
+    act: |r| match r.request_line().contains("stage-free") {
+        true => Action::SendEndlessly("HTTP/1.1 200 OK\r\n\r\n".to_owned(), part()),
+        false => run_pieces(r),
+    } })]
+#[tokio::test]
+async fn endless_answers_leave_the_entry_within_its_memory(
+    #[case] number: u8,
+    #[case] fault: Fault,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let store = StoreStandIn::start().await;
+            store.approve(&manifest(1));
+            let mut servers = Vec::new();
+            for n in 0..8 {
+                for service in ["orders", "engines", "catalog", "registry"] {
+                    let server = match (service == fault.service, service) {
+                        (true, _) => Server::start(fault.act).await,
+                        (false, "engines") => Server::start(stream).await,
+                        (false, "orders") => Server::start(answer).await,
+                        (false, _) => Server::start(run_pieces).await,
+                    };
+                    store.register(&format!("i-{service}-{n}"), service, &server, "ready");
+                    servers.push(server);
+                }
+            }
+            let host = Ipv4Addr::new(127, 91, 5, number);
+            let settings = settings(host, store.server.address, Duration::from_secs(3));
+            let text = format!("{settings}limits.memory_mb={MEMORY_MB}\n");
+            let process = Process::start(&write_settings(&format!("memory-{number}.conf"), &text));
+            drop(connect(settings.frontend()).await);
+            sleep(Duration::from_millis(1_500)).await;
+            let before = peak_memory_mb(&process);
+            let (method, path, fields) = fault.request;
+            for n in 0..fault.callers {
+                let (address, reading) = (settings.frontend(), fault.reading);
+                spawn_local(async move {
+                    for turn in 0.. {
+                        let id = format!("id-{n}-{turn}");
+                        let fields = format!("{fields}Content-Length: 0\r\n");
+                        call(address, request_text(method, path, &id, &fields), reading).await;
+                    }
+                });
+            }
+            let mut served = 0;
+            for n in 0..LOAD_TIME.as_millis() / 100 {
+                sleep(Duration::from_millis(100)).await;
+                let path = if fault.service == "orders" { "/fill/" } else { "/order/" };
+                let request =
+                    request_text("POST", path, &format!("own-{n}"), "Content-Length: 0\r\n");
+                let got = send(settings.frontend(), &request).await;
+                served += usize::from(got.status == 200);
+            }
+            let peak = peak_memory_mb(&process);
+            println!("from {before} to {peak} MB; {served} other requests served");
+            assert!(peak <= MEMORY_MB, "{peak} MB");
+            assert_eq!(served, 40, "other requests");
+        })
+        .await;
+}
--- a/crates/damaskweir/tests/platform.rs
+++ b/crates/damaskweir/tests/platform.rs
@@ -1,15 +1,18 @@
 //! Tests of the platform entry as a separate process.
 #![allow(clippy::expect_used, reason = "the lint knows only test functions")]
 
+mod child;
+
+use child::{Process, connect, settings, write_settings};
 use damaskweir_direct::log::Kind;
 use damaskweir_platform_standins::{
-    Action, EntrySettings, REQUEST_DEADLINE, Server, StoreStandIn, manifest, read_response,
-    request_text, signed_response,
+    Action, REQUEST_DEADLINE, Server, StoreStandIn, manifest, read_response, request_text,
+    signed_response,
 };
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::process::Command;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -29,38 +32,6 @@
 /// `bounds.grace_s` of the settings below.
 const GRACE_TIME: Duration = Duration::from_secs(3);
 
-/// A child process that is killed when the test ends.
-struct Process(Child);
-
-impl Process {
-    /// Starts an entry whose standard output and standard error are pipes.
-    fn start(settings: &Path) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
-            .args(["platform", "entry", "--config"])
-            .arg(settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        Self(child)
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        let status = Command::new("kill").args([name, &pid]).status().expect("kill is there");
-        assert!(status.success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // The process may have exited already.
-        self.0.kill().unwrap_or_default();
-        self.0.wait().expect("it was started here");
-    }
-}
-
 /// Guards against sample settings that `--check` rejects.
 #[test]
 fn sample_settings_pass_the_check() {
@@ -73,36 +44,6 @@
     assert!(status.success());
 }
 
-fn settings(host: Ipv4Addr, store: SocketAddr, grace: Duration) -> EntrySettings<'static> {
-    EntrySettings {
-        name: "e-1",
-        host,
-        seeds: &[],
-        store,
-        grace,
-        config_apply: Duration::from_secs(2),
-        budget_ratio: 0.2,
-        budget_slack: 50.0,
-        budget_window: Duration::from_secs(10),
-    }
-}
-
-fn write_settings(name: &str, settings: &EntrySettings<'_>) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, settings.to_string()).expect("the folder is there");
-    path
-}
-
-/// Connects to an entry that may not listen yet.
-async fn connect(address: SocketAddr) -> TcpStream {
-    loop {
-        match TcpStream::connect(address).await {
-            Ok(stream) => return stream,
-            Err(_) => sleep(Duration::from_millis(20)).await,
-        }
-    }
-}
-
 async fn send_request(stream: &mut TcpStream, id: usize) -> Duration {
     let began = Instant::now();
     let request = request_text("POST", "/order/", &format!("id-{id}"), "Content-Length: 0\r\n");
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,14 +1,14 @@
 //! A single attempt to have a request served by one backend server.
 
-use crate::event::Splitter;
 use crate::http::{Conn, HttpError, ResponseHead};
 use crate::log::{Kind, Value};
-use crate::node::{Node, State};
+use crate::memory::{BodyBuffer, EventBuffer};
+use crate::node::Node;
 use crate::permits::Permit;
 use crate::request::{ActiveRequest, RETRY_TIME_MIN, RequestError};
 use crate::stages::HeldResults;
 use crate::wire::{DispatchParams, ResponseInfo, SendPath, Wire, implies_not_run};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, WorkspaceId};
@@ -16,7 +16,6 @@
 use damaskweir_core::quarantine::{OpenRequest, SentCall};
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
-use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::timeout_at;
 
@@ -30,8 +29,6 @@
 /// Maximum size in bytes of a response that is buffered before it is forwarded. A faulty server may send
 /// an endless body, and entries have little memory.
 const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
-/// Maximum total size in bytes of all responses that are being buffered.
-const BUFFERED_BYTES_MAX: usize = 32 * 1024 * 1024;
 
 /// Result of one attempt.
 pub(crate) enum Outcome<W: Wire> {
@@ -50,7 +47,8 @@
 /// Response of a backend server.
 pub(crate) struct ServerResponse<W: Wire> {
     pub(crate) head: ResponseHead,
-    pub(crate) body: Bytes,
+    /// Its body in parts.
+    pub(crate) body: Vec<Bytes>,
     /// Source of the events if the response is a stream. `body` is then empty.
     pub(crate) stream: Option<OpenStream<W>>,
 }
@@ -59,7 +57,7 @@
 pub(crate) struct OpenStream<W: Wire> {
     /// `None` once the server has sent the whole stream, or after the connection was given up.
     pub(crate) conn: Option<Conn>,
-    pub(crate) splitter: Splitter,
+    pub(crate) events: EventBuffer,
     pub(crate) guard: OpenRequestGuard<W>,
     /// Id of the last event that was sent to the caller.
     pub(crate) last_event: Option<u64>,
@@ -129,28 +127,6 @@
     }
 }
 
-/// Accounts for the buffered bytes of one response, and subtracts them from the total when dropped.
-struct BufferedBytes<'a> {
-    state: &'a RefCell<State>,
-    bytes: usize,
-}
-
-impl BufferedBytes<'_> {
-    /// Adds bytes and returns whether the total is within `BUFFERED_BYTES_MAX`.
-    fn add(&mut self, bytes: usize) -> bool {
-        let mut state = self.state.borrow_mut();
-        self.bytes += bytes;
-        state.buffered_bytes += bytes;
-        state.buffered_bytes <= BUFFERED_BYTES_MAX
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.state.borrow_mut().buffered_bytes -= self.bytes;
-    }
-}
-
 impl<W: Wire> ActiveRequest<W> {
     /// Sends the request to a server that accepts it, the reserved one if possible, and waits for a complete
     /// response or the first event of a stream.
@@ -262,9 +238,9 @@
                 });
                 Outcome::MaybeRun(if timed_out { "server_silent" } else { "connection_broke" })
             }
-            Ok((head, info, bytes, splitter)) => {
+            Ok((head, info, body, events)) => {
                 let took = node.now().since(started);
-                self.classify_response(guard, (head, info, bytes), (conn, splitter), took)
+                self.classify_response(guard, (head, info, body), (conn, events), took)
             }
         };
         if matches!(outcome, Outcome::NotRun(_) | Outcome::InputsLost) {
@@ -309,7 +285,7 @@
         conn: &mut Conn,
         head: &[u8],
         body: &[u8],
-    ) -> Result<(ResponseHead, ResponseInfo, Bytes, Option<Splitter>), HttpError> {
+    ) -> Result<(ResponseHead, ResponseInfo, Vec<Bytes>, Option<EventBuffer>), HttpError> {
         conn.send(head, body).await?;
         let wire = &self.node.wire;
         let is_own = |head: &ResponseHead| {
@@ -318,50 +294,42 @@
         let head = conn.read_head(is_own).await?;
         let info = self.node.record_answer(server, &head);
         if self.route.repeat.streams() && head.status.is_success() {
-            let mut splitter = Splitter::default();
-            while !splitter.has_event() {
+            let mut events = EventBuffer::new(&self.node.memory);
+            while !events.has_event() {
                 match conn.read_chunk().await? {
-                    Some(bytes) if splitter.push(&bytes) => {}
-                    Some(_) => return Err(HttpError::Malformed("event too long")),
+                    Some(bytes) => events.push(&bytes)?,
                     // A stream that ends with its connection has at least one event.
-                    None if splitter.has_partial() || conn.is_unframed() => {
+                    None if events.has_partial() || conn.is_unframed() => {
                         return Err(HttpError::UnexpectedEof);
                     }
-                    None => return Ok((head, info, Bytes::new(), None)),
+                    None => return Ok((head, info, Vec::new(), None)),
                 }
             }
-            return Ok((head, info, Bytes::new(), Some(splitter)));
-        }
-        let mut all = BytesMut::new();
-        let mut buffered = BufferedBytes { state: &self.node.state, bytes: 0 };
-        while let Some(bytes) = conn.read_chunk().await? {
-            all.extend_from_slice(&bytes);
-            if all.len() > RESPONSE_BYTES_MAX || !buffered.add(bytes.len()) {
-                return Err(HttpError::Malformed("body too large"));
-            }
+            return Ok((head, info, Vec::new(), Some(events)));
         }
+        let body = conn.read_body(BodyBuffer::new(RESPONSE_BYTES_MAX, &self.node.memory)).await?;
         if self.node.broke_unframed(server, attempt, conn).await {
             return Err(HttpError::UnexpectedEof);
         }
-        Ok((head, info, all.freeze(), None))
+        Ok((head, info, body.into_parts(), None))
     }
 
     /// Determines the result of the attempt from a response, and updates the statistics of the server.
     fn classify_response(
         &self,
         mut guard: OpenRequestGuard<W>,
-        (head, info, bytes): (ResponseHead, ResponseInfo, Bytes),
-        (conn, splitter): (Conn, Option<Splitter>),
+        (head, info, body): (ResponseHead, ResponseInfo, Vec<Bytes>),
+        (conn, events): (Conn, Option<EventBuffer>),
         took: Span,
     ) -> Outcome<W> {
         let status = head.status;
         if status.is_success() && info.signed {
             self.node.metrics.first_part(self.request_kind(), took);
             guard.record_response(took, &self.route.name);
-            let stream = match splitter {
-                Some(splitter) => Some(OpenStream {
+            let stream = match events {
+                Some(events) => Some(OpenStream {
                     conn: Some(conn),
-                    splitter,
+                    events,
                     guard,
                     last_event: self.info.last_event,
                 }),
@@ -372,7 +340,7 @@
                     None
                 }
             };
-            return Outcome::Response(Box::new(ServerResponse { head, body: bytes, stream }));
+            return Outcome::Response(Box::new(ServerResponse { head, body, stream }));
         }
         self.node.keep_connection(&guard.replica.id, conn);
         if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
@@ -392,7 +360,7 @@
         // would promise that the request has not run.
         let final_answer = info.signed && !implies_not_run(status) && !status.is_success();
         if final_answer && !self.can_retry() {
-            return Outcome::Response(Box::new(ServerResponse { head, body: bytes, stream: None }));
+            return Outcome::Response(Box::new(ServerResponse { head, body, stream: None }));
         }
         Outcome::MaybeRun("server_failed")
     }
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use http_body::Frame;
+use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -16,8 +17,8 @@
 
 /// Body of a response, either complete or streamed.
 pub enum Body {
-    /// The complete body. `None` if it is empty or was already sent.
-    Full(Option<Bytes>),
+    /// What is left to send of a complete body. No part is empty.
+    Full(VecDeque<Bytes>),
     /// A stream of chunks. An error aborts the connection, so that the response does not look complete.
     Stream(Chunks),
 }
@@ -25,12 +26,17 @@
 impl Body {
     /// Returns an empty body.
     pub fn empty() -> Self {
-        Self::Full(None)
+        Self::Full(VecDeque::new())
     }
 
     /// Returns a body of known length.
     pub fn full(bytes: Bytes) -> Self {
-        Self::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        Self::parts(vec![bytes])
+    }
+
+    /// Returns a body of known length from its parts.
+    pub fn parts(parts: Vec<Bytes>) -> Self {
+        Self::Full(parts.into_iter().filter(|part| !part.is_empty()).collect())
     }
 
     /// Returns a body that sends the chunks of a stream as they arrive.
@@ -42,7 +48,7 @@
 impl fmt::Debug for Body {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Full(bytes) => f.debug_tuple("Full").field(bytes).finish(),
+            Self::Full(parts) => f.debug_tuple("Full").field(parts).finish(),
             Self::Stream(_) => f.write_str("Stream"),
         }
     }
@@ -57,7 +63,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         match self.get_mut() {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Full(parts) => Poll::Ready(parts.pop_front().map(|part| Ok(Frame::data(part)))),
             Self::Stream(chunks) => {
                 chunks.as_mut().poll_next(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -65,13 +71,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        matches!(self, Self::Full(parts) if parts.is_empty())
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
-            Self::Full(bytes) => {
-                http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            Self::Full(parts) => {
+                http_body::SizeHint::with_exact(parts.iter().map(|part| part.len() as u64).sum())
             }
             Self::Stream(_) => http_body::SizeHint::default(),
         }
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::http::HttpError;
 use crate::log::{Kind, Value};
+use crate::memory::BodyBuffer;
 use crate::node::Node;
 use crate::peers::{GroupRequest, GroupResponse, ResultRelease};
 use crate::permits::Permit;
@@ -24,6 +25,8 @@
 /// Interval at which queued releases are sent. It is short because the servers need the space again
 /// soon.
 const RELEASE_DELAY: Duration = Duration::from_millis(12);
+/// Maximum size in bytes of a server's answer to a call with pieces or to a release.
+const RESULTS_BYTES_MAX: usize = 1024 * 1024;
 /// Timeout of a release call to a server.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -289,7 +292,7 @@
         conn.send(&self.wire.encode_stage_call(server, items), &[]).await?;
         let head = conn.read_head(|_| true).await?;
         let info = self.record_answer(server, &head);
-        let body = conn.read_body().await?;
+        let body = conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?.finish();
         self.keep_connection(&server.id, conn);
         if head.status.is_success() {
             let ends =
@@ -445,7 +448,7 @@
         conn.send(&self.wire.encode_release(server, handles), &[]).await?;
         let head = conn.read_head(|_| true).await?;
         self.record_answer(server, &head);
-        conn.read_body().await?;
+        conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?;
         self.keep_connection(&server.id, conn);
         Ok(())
     }
--- a/crates/direct/src/event.rs
+++ b/crates/direct/src/event.rs
@@ -48,6 +48,16 @@
         !self.buf.is_empty()
     }
 
+    /// Returns the number of bytes that the buffer can hold.
+    pub fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
+    /// Gives back the memory of events that were removed.
+    pub fn shrink(&mut self) {
+        self.buf = BytesMut::from(&self.buf[..]);
+    }
+
     fn event_end(&mut self) -> Option<usize> {
         let mut from = self.scanned;
         while let Some(at) = memchr::memchr(b'\n', &self.buf[from..]) {
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -5,6 +5,7 @@
 //! is expected. Only the id in a response tells which request it belongs to, so responses to other
 //! requests must be skipped.
 
+use crate::memory::{BodyBuffer, BufferError};
 use bytes::{Buf, Bytes, BytesMut};
 use damaskweir_core::time::Span;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -20,8 +21,6 @@
 const HEADERS_MAX: usize = 64;
 /// Maximum size in bytes of a response head, of a line in a chunked body, and of the trailers.
 const HEAD_BYTES_MAX: usize = 32 * 1024;
-/// Maximum size in bytes of a body that is read completely by `Conn::read_body`.
-const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 /// Buffer space in bytes that is reserved before each read.
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum number of interim responses and responses to other requests that are skipped before a
@@ -54,6 +53,9 @@
     /// The response is invalid or exceeds a limit.
     #[error("invalid HTTP/1.1 response: {0}")]
     Malformed(&'static str),
+    /// The response can't be buffered.
+    #[error("response can't be buffered: {0}")]
+    Buffer(#[from] BufferError),
     /// The server accepts no request now; nothing was sent.
     #[error("the server accepts no request now")]
     Declined,
@@ -266,16 +268,12 @@
         }
     }
 
-    /// Reads the whole body.
-    pub async fn read_body(&mut self) -> Result<Bytes, HttpError> {
-        let mut all = BytesMut::new();
+    /// Reads the whole body into a buffer.
+    pub async fn read_body(&mut self, mut buffer: BodyBuffer) -> Result<BodyBuffer, HttpError> {
         while let Some(bytes) = self.read_chunk().await? {
-            if all.len() + bytes.len() > BODY_BYTES_MAX {
-                return Err(HttpError::Malformed("body too large"));
-            }
-            all.extend_from_slice(&bytes);
+            buffer.push(&bytes)?;
         }
-        Ok(all.freeze())
+        Ok(buffer)
     }
 
     async fn next_head(&mut self) -> Result<ResponseHead, HttpError> {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod explain;
 pub mod http;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod serve;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -58,6 +58,7 @@
     config_age: Gauge<f64>,
     store_generation: Gauge<u64>,
     active_requests: Gauge<u64>,
+    buffered_bytes: Gauge<u64>,
 }
 
 /// Current values of the gauges.
@@ -91,6 +92,8 @@
     pub store_generation: u64,
     /// Requests in progress.
     pub active_requests: u64,
+    /// Bytes of callers and servers that are buffered.
+    pub buffered_bytes: u64,
 }
 
 impl Metrics {
@@ -136,6 +139,7 @@
             config_age: meter.f64_gauge("direct_config_age").with_unit("s").build(),
             store_generation: meter.u64_gauge("direct_store_generation").build(),
             active_requests: meter.u64_gauge("direct_requests_active").build(),
+            buffered_bytes: meter.u64_gauge("direct_buffered_bytes").build(),
             registry,
             _provider: provider,
         })
@@ -201,6 +205,7 @@
         values.config_age.into_iter().for_each(|age| self.config_age.record(age, &[]));
         self.store_generation.record(values.store_generation, &[]);
         self.active_requests.record(values.active_requests, &[]);
+        self.buffered_bytes.record(values.buffered_bytes, &[]);
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -4,6 +4,7 @@
 use crate::exposure::Exposures;
 use crate::http::{Conn, HttpError, IdleConns};
 use crate::log::{Kind, Log};
+use crate::memory::MemoryBudget;
 use crate::metrics::{GaugeValues, Metrics, MetricsError};
 use crate::peers::ResultRelease;
 use crate::permits::Permit;
@@ -61,6 +62,10 @@
 /// Initial estimate of the time to the first part of a response, for generation.
 const INITIAL_ENGINE_LATENCY: Span = Span::from_millis(120);
 
+/// The part of the memory of the process that may hold what callers and servers send. The rest is for its
+/// lists, its connections and the memory allocator.
+const BUFFERED_PART: usize = 2;
+
 /// Configuration of an entry that is fixed while the process runs.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -77,6 +82,8 @@
     /// Time limit for an approved configuration to take effect and for a leaving server to get no
     /// more new work.
     pub apply_limit: Span,
+    /// Memory in bytes that the process may use.
+    pub memory: usize,
 }
 
 /// The origin of an update.
@@ -162,8 +169,6 @@
     pub draining: Option<Time>,
     /// Requests in progress.
     pub active: usize,
-    /// Bytes of the responses that are being buffered.
-    pub(crate) buffered_bytes: usize,
     /// Random number generator for all random choices.
     pub rng: Rng,
 }
@@ -173,6 +178,8 @@
 pub struct Node<W> {
     /// The protocol of callers and backend servers.
     pub wire: W,
+    /// Memory for what callers and servers send.
+    pub memory: MemoryBudget,
     /// Configuration that is fixed while the process runs.
     pub config: NodeConfig,
     /// The event log.
@@ -236,11 +243,11 @@
             servable: false,
             draining: None,
             active: 0,
-            buffered_bytes: 0,
             rng,
         };
         Self {
             wire,
+            memory: MemoryBudget::new(config.memory / BUFFERED_PART),
             config,
             log,
             metrics,
@@ -558,6 +565,7 @@
             store_generation: state.generation,
             config_age: state.freshness.age(self.now()).map(Span::as_secs_f64),
             active_requests: state.active as u64,
+            buffered_bytes: self.memory.used() as u64,
         });
         self.metrics.encode()
     }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -133,7 +133,12 @@
                 Err(HttpError::Connect(_) | HttpError::TimedOut) => self.silence(&grantor.name),
                 // An entry of an earlier version does not grant requests.
                 Err(HttpError::Malformed(_)) => return self.permit_equal_share(server, path),
-                Err(HttpError::Io(_) | HttpError::UnexpectedEof | HttpError::Declined) => {}
+                Err(
+                    HttpError::Io(_)
+                    | HttpError::UnexpectedEof
+                    | HttpError::Buffer(_)
+                    | HttpError::Declined,
+                ) => {}
             }
         }
         self.block(server, UNKNOWN_WAIT);
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -551,7 +551,7 @@
                     if status.is_success() { "whole" } else { "server_failure" },
                     "",
                 );
-                *response.body_mut() = Body::full(server_response.body);
+                *response.body_mut() = Body::parts(server_response.body);
             }
         }
         response
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! Polls between entries: what the polling entry has, and what it lacks.
 
 use crate::http::{Conn, HttpError};
+use crate::memory::{BodyBuffer, MemoryBudget};
 use crate::node::Node;
 use crate::quarantine;
 use crate::wire::Wire;
@@ -20,6 +21,8 @@
 
 /// Longest time for which a poll by another entry is held until there are changes.
 pub(crate) const MAX_POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size in bytes of the answer to a poll.
+const SNAPSHOT_BYTES_MAX: usize = 16 * 1024 * 1024;
 /// How much fresher the local data must be than that of the polling entry for an immediate
 /// response.
 const MIN_AGE_GAIN: Span = Span::from_millis(300);
@@ -183,7 +186,9 @@
     );
     conn.send(head.as_bytes(), &body).await?;
     conn.read_head(|_| true).await?;
-    let body = conn.read_body().await?;
+    // Few are read at once, and what they tell must arrive also while requests take all memory.
+    let memory = MemoryBudget::new(SNAPSHOT_BYTES_MAX);
+    let body = conn.read_body(BodyBuffer::new(SNAPSHOT_BYTES_MAX, &memory)).await?.finish();
     let snapshot = serde_json::from_slice(&body);
     Ok((snapshot.map_err(|_| HttpError::Malformed("invalid snapshot"))?, conn))
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -3,11 +3,11 @@
 
 use crate::attempt::{OpenStream, Outcome};
 use crate::body::{Body, StreamError};
-use crate::event::Splitter;
 use crate::log::Kind;
+use crate::memory::{BufferError, EventBuffer};
 use crate::request::{ActiveRequest, CALL_QUARANTINED, PART_QUARANTINED, RequestError};
 use crate::wire::{SendPath, Wire};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use damaskweir_core::place::AttemptOutcome;
 use damaskweir_core::time::Span;
 use http::{HeaderMap, header};
@@ -63,20 +63,20 @@
             Span(STALL_TIMEOUT_MIN.0.max((self.request.route.event_gap * STALL_GAP_FACTOR).0));
         let mut last_progress = self.request.node.now();
         loop {
-            let mut out = BytesMut::new();
-            while let Some(event) = self.upstream.splitter.next_event() {
+            let last_event = &mut self.upstream.last_event;
+            let out = self.upstream.events.take_events(|event| {
                 let delivered = matches!(
-                    (event.id, self.upstream.last_event),
+                    (event.id, *last_event),
                     (Some(id), Some(last)) if id <= last
                 );
                 if !delivered {
-                    self.upstream.last_event = event.id.or(self.upstream.last_event);
-                    out.extend_from_slice(&event.bytes);
+                    *last_event = event.id.or(*last_event);
                 }
-            }
+                !delivered
+            });
             if !out.is_empty() {
                 self.request.record_events();
-                return Ok(Some(out.freeze()));
+                return Ok(Some(out));
             }
             let (server, attempt) = (&self.upstream.guard.replica, self.upstream.guard.attempt);
             let Some(conn) = &mut self.upstream.conn else { return Ok(None) };
@@ -84,9 +84,12 @@
             let limit =
                 if self.request.can_retry() { stall_deadline.min(deadline) } else { deadline };
             let cause = match timeout_at(limit, conn.read_chunk()).await {
-                Ok(Ok(Some(bytes))) if self.upstream.splitter.push(&bytes) => continue,
-                Ok(Ok(Some(_))) => "event_too_long",
-                Ok(Ok(None)) if self.upstream.splitter.has_partial() => "partial_event",
+                Ok(Ok(Some(bytes))) => match self.upstream.events.push(&bytes) {
+                    Ok(()) => continue,
+                    Err(BufferError::TooLarge) => "event_too_long",
+                    Err(BufferError::NoMemory) => "no_memory",
+                },
+                Ok(Ok(None)) if self.upstream.events.has_partial() => "partial_event",
                 Ok(Ok(None)) if self.request.node.broke_unframed(server, attempt, conn).await => {
                     "server_broke"
                 }
@@ -162,7 +165,7 @@
                     Ok(())
                 }
                 None if response.head.status.is_success() => {
-                    self.upstream.splitter = Splitter::default();
+                    self.upstream.events = EventBuffer::new(&self.request.node.memory);
                     Ok(())
                 }
                 None => Err(StreamError("failed_after_break")),
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -3,11 +3,19 @@
 
 use damaskweir_direct::Splitter;
 use damaskweir_direct::http::{Conn, HttpError};
+use damaskweir_direct::memory::{BodyBuffer, BufferError, EventBuffer, MemoryBudget};
 use rstest::rstest;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+/// Maximum size in bytes of a body that a test reads.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+fn buffer() -> BodyBuffer {
+    BodyBuffer::new(BODY_BYTES_MAX, &MemoryBudget::new(usize::MAX))
+}
+
 /// Connects to a server that reads the head of a request and sends `response`.
 async fn connect(response: &'static [u8], close: bool) -> Conn {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -34,7 +42,7 @@
     let read = async {
         conn.send(b"GET / HTTP/1.1\r\n\r\n", &[]).await?;
         let head = conn.read_head(|head| !head.headers.contains_key("other")).await?;
-        Ok((head.status.as_u16(), conn.read_body().await?.to_vec()))
+        Ok((head.status.as_u16(), conn.read_body(buffer()).await?.finish().to_vec()))
     };
     let response = tokio::time::timeout(Duration::from_secs(5), read).await.expect("no hang");
     (conn, response)
@@ -109,7 +117,7 @@
     };
     let head = tokio::time::timeout(Duration::from_secs(5), read).await.expect("no hang");
     assert_eq!(head.expect("a response").status.as_u16(), 413);
-    conn.read_body().await.expect("empty");
+    conn.read_body(buffer()).await.expect("empty");
     assert!(!conn.is_reusable(), "the rest of the body is not sent");
 }
 
@@ -176,7 +184,7 @@
     let (mut conn, sending) = connect_endless(head, part).await;
     let read = async {
         conn.read_head(|head| !head.headers.contains_key("other")).await?;
-        conn.read_body().await
+        conn.read_body(buffer()).await
     };
     let read =
         tokio::time::timeout(Duration::from_secs(20), read).await.expect("the client gives up");
@@ -186,3 +194,43 @@
     let sent = sending.await.expect("the server ends");
     assert!(sent < 32 * 1024 * 1024, "{sent} bytes");
 }
+
+/// Guards against buffers that need more memory together than the entry has, although each is within its
+/// limit.
+#[test]
+fn buffers_share_their_memory() {
+    let memory = MemoryBudget::new(100_000);
+    let mut first = BodyBuffer::new(BODY_BYTES_MAX, &memory);
+    first.push(&[0; 60_000]).expect("the memory suffices");
+    let mut second = EventBuffer::new(&memory);
+    assert_eq!(second.push(&[b'x'; 60_000]), Err(BufferError::NoMemory));
+    let mut small = EventBuffer::new(&memory);
+    small.push(&[b'x'; 10_000]).expect("small buffers are not counted");
+    let body = first.finish();
+    let copy = body.slice(..10);
+    drop(body);
+    assert!(memory.used() >= 60_000, "a part of the body is still in use");
+    drop(copy);
+    assert_eq!(memory.used(), 0);
+}
+
+/// Guards against memory of a stream that is counted twice, or no longer, while its caller reads slowly.
+#[test]
+fn events_keep_their_memory_until_they_are_read() {
+    let memory = MemoryBudget::new(1_000_000);
+    let mut events = EventBuffer::new(&memory);
+    let event = format!("data: {}\n\n", "x".repeat(50_000));
+    events.push(event.as_bytes()).expect("the memory suffices");
+    events.push(b"data: y").expect("the memory suffices");
+    let out = events.take_events(|_| true);
+    assert_eq!(out.len(), event.len());
+    assert!(memory.used() >= event.len() && memory.used() < 2 * event.len(), "{}", memory.used());
+    drop(events);
+    assert_eq!(memory.used(), event.len());
+    drop(out);
+    assert_eq!(memory.used(), 0);
+    let mut skipped = EventBuffer::new(&memory);
+    skipped.push(event.as_bytes()).expect("the memory suffices");
+    assert!(skipped.take_events(|_| false).is_empty());
+    assert_eq!(memory.used(), 0);
+}
