Bound the answers of other entries

What could be seen: an address in the list of entries that answers without end takes an entry to gigabytes within seconds. It can be the address of an entry that is gone and that a replica has now, or a faulty entry.

Cause: Node::call_entry collected the answer without a limit. The reader of polls has one.

Change: an answer has 1 MiB at most and draws on the budget of the process.

--- a/crates/damaskweir/tests/memory.rs
+++ b/crates/damaskweir/tests/memory.rs
@@ -101,6 +101,8 @@
         true => Action::SendEndlessly("HTTP/1.1 200 OK\r\n\r\n".to_owned(), part()),
         false => run_pieces(r),
     } })]
+#[case::entry(8, Fault { service: "entries", request: ("POST", "/layout/", PIECES), callers: 60, reading: true,
+    act: |_| Action::SendEndlessly("HTTP/1.1 200 OK\r\n\r\n".to_owned(), " ".repeat(PART_BYTES)) })]
 #[tokio::test]
 async fn endless_answers_leave_the_entry_within_its_memory(
     #[case] number: u8,
@@ -123,6 +125,13 @@
                     servers.push(server);
                 }
             }
+            if fault.service == "entries" {
+                let other = Server::start(fault.act).await;
+                let record =
+                    format!(r#"{{"name":"e-0","zone":"a","address":"{}"}}"#, other.address);
+                store.put("damaskweir/entries/e-0", &record);
+                servers.push(other);
+            }
             let host = Ipv4Addr::new(127, 91, 5, number);
             let settings = settings(host, store.server.address, Duration::from_secs(3));
             let text = format!("{settings}limits.memory_mb={MEMORY_MB}\n");
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -2,10 +2,10 @@
 //! release.
 
 use crate::http::{Conn, HttpError, IdleConns};
+use crate::memory::BodyBuffer;
 use crate::node::Node;
 use crate::stages::{PieceFailure, StoredResult};
 use crate::wire::{PieceRequest, Wire};
-use bytes::BytesMut;
 use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
@@ -26,6 +26,8 @@
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a call that releases results through another entry.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum size in bytes of an answer of another entry.
+const RESPONSE_BYTES_MAX: usize = 1024 * 1024;
 /// Idle connections kept per entry.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -122,12 +124,13 @@
             conn.read_head(|_| true).await
         });
         let head = begun.await.map_err(|_| HttpError::TimedOut)??;
-        let mut answer = BytesMut::new();
+        let mut answer = BodyBuffer::new(RESPONSE_BYTES_MAX, &self.memory);
         while let Some(part) =
             timeout(OWNER_TIMEOUT, conn.read_chunk()).await.map_err(|_| HttpError::TimedOut)??
         {
-            answer.extend_from_slice(&part);
+            answer.push(&part)?;
         }
+        let answer = answer.finish();
         self.keep_entry_connection(entry, conn);
         if !head.status.is_success() {
             return Err(HttpError::Malformed("entry returned an error status"));
