Count requests and their bodies against the memory of the process

Cause: a body is kept until the last event of its answer, for a second attempt, and nothing bounds all bodies or all requests.

Change: the body of a request draws on the budget of the buffers, with a declared length before the first byte is read, and a request in progress takes 64 KiB of a second budget; each is a third of limits.memory_mb. What doesn't fit is refused at once: 503 no_memory with Retry-After. The rest of a refused body is read and thrown away, since closing with unread bytes would reset the connection and the refusal with it. A stream that can't be sent again drops its body. A caller who takes no byte for 30 s loses the connection (TCP_USER_TIMEOUT); otherwise it would keep its place for ever.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -205,7 +205,8 @@
             inputs: held.map(|held| held.outputs.iter().map(String::as_str).collect()),
             rank: self.rank,
         };
-        let head = node.wire.encode_request(&self.head, self.body.len(), &params);
+        let size = self.body.iter().map(Bytes::len).sum();
+        let head = node.wire.encode_request(&self.head, size, &params);
         let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{part:x}")).collect();
         let (parts, call) = (parts.join(","), format!("{:x}", self.call));
         let fields = [
@@ -284,7 +285,7 @@
         (server, attempt): (&Replica, u64),
         conn: &mut Conn,
         head: &[u8],
-        body: &[u8],
+        body: &[Bytes],
     ) -> Result<(ResponseHead, ResponseInfo, Vec<Bytes>, Option<EventBuffer>), HttpError> {
         conn.send(head, body).await?;
         let wire = &self.node.wire;
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
+use std::iter;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -162,14 +163,22 @@
 
     /// Sends a request. If the server responds before it has read all of it, the rest is not sent and
     /// the connection is not reused.
-    pub async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), HttpError> {
+    pub async fn send(&mut self, head: &[u8], body: &[Bytes]) -> Result<(), HttpError> {
         self.uses += 1;
-        let mut bytes = Bytes::copy_from_slice(head).chain(body);
-        while bytes.has_remaining() {
+        let mut parts = iter::once(head).chain(body.iter().map(|part| &part[..]));
+        let mut left: &[u8] = &[];
+        loop {
+            if left.is_empty() {
+                match parts.next() {
+                    Some(part) => left = part,
+                    None => break,
+                }
+                continue;
+            }
             let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
             if ready.is_writable() {
-                match self.stream.try_write(bytes.chunk()) {
-                    Ok(n) => bytes.advance(n),
+                match self.stream.try_write(left) {
+                    Ok(n) => left = &left[n..],
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(e) => return Err(e.into()),
                 }
--- a/crates/direct/src/memory.rs
+++ b/crates/direct/src/memory.rs
@@ -117,7 +117,8 @@
 pub struct BodyBuffer {
     /// All but the last one are full.
     blocks: Vec<Block>,
-    memory: MemoryBudget,
+    /// For bytes that are still to come.
+    ahead: Reservation,
     size: usize,
     limit: usize,
 }
@@ -131,7 +132,16 @@
 impl BodyBuffer {
     /// Creates an empty buffer for a body of at most `limit` bytes.
     pub fn new(limit: usize, memory: &MemoryBudget) -> Self {
-        Self { blocks: Vec::new(), memory: memory.clone(), size: 0, limit }
+        Self { blocks: Vec::new(), ahead: memory.reservation(), size: 0, limit }
+    }
+
+    /// Reserves the memory for a body of `size` bytes, so that it isn't refused after a part of it was read.
+    pub fn reserve(&mut self, size: usize) -> Result<(), BufferError> {
+        let needed = if size > SMALL_BUFFER_BYTES { size.next_multiple_of(BLOCK_BYTES) } else { 0 };
+        match self.ahead.resize(needed) {
+            true => Ok(()),
+            false => Err(BufferError::NoMemory),
+        }
     }
 
     /// Adds bytes.
@@ -143,7 +153,7 @@
         while !bytes.is_empty() {
             let block = match self.blocks.pop_if(|block| block.bytes.len() < BLOCK_BYTES) {
                 Some(block) => block,
-                None => Block { bytes: BytesMut::new(), reserved: self.memory.reservation() },
+                None => Block::new(self.ahead.split_off(BLOCK_BYTES)),
             };
             let (now, later) = bytes.split_at(bytes.len().min(BLOCK_BYTES - block.bytes.len()));
             self.blocks.push(block.with(now)?);
@@ -168,6 +178,10 @@
 }
 
 impl Block {
+    fn new(reserved: Reservation) -> Self {
+        Self { bytes: BytesMut::with_capacity(reserved.bytes), reserved }
+    }
+
     fn with(mut self, bytes: &[u8]) -> Result<Self, BufferError> {
         self.bytes.extend_from_slice(bytes);
         match self.reserved.fit(self.bytes.capacity()) {
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -62,9 +62,9 @@
 /// Initial estimate of the time to the first part of a response, for generation.
 const INITIAL_ENGINE_LATENCY: Span = Span::from_millis(120);
 
-/// The part of the memory of the process that may hold what callers and servers send. The rest is for its
-/// lists, its connections and the memory allocator.
-const BUFFERED_PART: usize = 2;
+/// The part of the memory of the process that may hold what callers and servers send, and the part that
+/// requests may need besides. The rest is for its lists and the memory allocator.
+const MEMORY_PART: usize = 3;
 
 /// Configuration of an entry that is fixed while the process runs.
 #[derive(Clone, Debug)]
@@ -180,6 +180,9 @@
     pub wire: W,
     /// Memory for what callers and servers send.
     pub memory: MemoryBudget,
+    /// Memory of requests in progress, apart from large buffers: those of one must not use up the memory of
+    /// the others.
+    pub requests: MemoryBudget,
     /// Configuration that is fixed while the process runs.
     pub config: NodeConfig,
     /// The event log.
@@ -247,7 +250,8 @@
         };
         Self {
             wire,
-            memory: MemoryBudget::new(config.memory / BUFFERED_PART),
+            memory: MemoryBudget::new(config.memory / MEMORY_PART),
+            requests: MemoryBudget::new(config.memory / MEMORY_PART),
             config,
             log,
             metrics,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -120,7 +120,7 @@
             body.len()
         );
         let begun = timeout(OWNER_TIMEOUT, async {
-            conn.send(head.as_bytes(), &body).await?;
+            conn.send(head.as_bytes(), &[body.into()]).await?;
             conn.read_head(|_| true).await
         });
         let head = begun.await.map_err(|_| HttpError::TimedOut)??;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{Outcome, ServerResponse};
 use crate::body::Body;
 use crate::log::{Kind, Value};
+use crate::memory::Reservation;
 use crate::node::{Node, State};
 use crate::permits::Permit;
 use crate::stages::{HeldResults, PieceFailure, StageError, StageJob};
@@ -35,7 +36,7 @@
 /// once.
 const DRAINING_RETRY: Span = Span::from_millis(50);
 /// `Retry-After` if all servers are full, and for other requests that did not run.
-const BUSY_RETRY: Span = Span::from_millis(250);
+pub(crate) const BUSY_RETRY: Span = Span::from_millis(250);
 
 /// Fraction of the objective within which the response or first event is planned. The rest is a reserve,
 /// because the server call after the stages sometimes takes longer than its mean latency.
@@ -94,7 +95,8 @@
     pub(crate) node: Rc<Node<W>>,
     pub(crate) info: RequestInfo,
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    /// The body in parts.
+    pub(crate) body: Vec<Bytes>,
     pub(crate) route: Arc<Route>,
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) rank: u8,
@@ -121,6 +123,7 @@
     /// Retry delay that was sent to the caller.
     retry_after: Span,
     ended: bool,
+    _slot: Reservation,
 }
 
 /// Event times of a stream, for the final log line.
@@ -135,10 +138,10 @@
 impl<W: Wire> ActiveRequest<W> {
     pub(crate) fn new(
         node: Rc<Node<W>>,
-        (info, head, body): (RequestInfo, Parts, Bytes),
+        (info, head, body): (RequestInfo, Parts, Vec<Bytes>),
         route: Arc<Route>,
         caller: (Option<WorkspaceId>, u8),
-        arrived: Time,
+        (arrived, slot): (Time, Reservation),
     ) -> Option<Self> {
         let draw = node.state.borrow_mut().rng.next_u64();
         let pool = route.target(draw)?.clone();
@@ -172,6 +175,7 @@
             admitted_late: false,
             retry_after: Span::ZERO,
             ended: false,
+            _slot: slot,
         })
     }
 
@@ -540,6 +544,9 @@
         }
         match server_response.stream {
             Some(stream) => {
+                if !self.can_retry() {
+                    self.body.clear();
+                }
                 let media_type = media_type(response.headers());
                 let relay = StreamRelay { request: self, upstream: stream, media_type };
                 *response.body_mut() = relay.into_body();
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,9 +1,10 @@
 //! The listeners of the entry: for callers, for readiness checks, and for other entries and metrics.
 
 use crate::body::{Body, StreamError};
+use crate::memory::{BodyBuffer, BufferError};
 use crate::node::Node;
 use crate::peers::{GroupRequest, GroupResponse, KEEPALIVE_INTERVAL};
-use crate::request::{ActiveRequest, error_response};
+use crate::request::{ActiveRequest, BUSY_RETRY, error_response};
 use crate::snapshot::Snapshot;
 use crate::wire::Wire;
 use bytes::Bytes;
@@ -12,13 +13,14 @@
 use damaskweir_core::time::{Span, Time};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -45,6 +47,13 @@
 const STARTING_RETRY: Span = Span::from_millis(500);
 /// Maximum size in bytes of the body of a request from another entry.
 const PEER_REQUEST_BYTES_MAX: usize = 1024 * 1024;
+/// Status and cause of the refusal of a request that there is no memory for.
+const NO_MEMORY: (StatusCode, &str) = (StatusCode::SERVICE_UNAVAILABLE, "no_memory");
+/// Memory in bytes that a request and its connections need besides large buffers.
+const REQUEST_BYTES: usize = 64 * 1024;
+/// Time after which the connection of a caller who reads nothing is closed (`TCP_USER_TIMEOUT`). It is longer
+/// than requests last.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after a failed accept, which is mostly caused by a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -200,7 +209,8 @@
     F: Fn(Request<Incoming>) -> R + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
-    if stream.set_nodelay(true).is_err() {
+    let unread = SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
+    if unread.is_err() || stream.set_nodelay(true).is_err() {
         // The peer has already disconnected.
         return;
     }
@@ -254,7 +264,8 @@
             ];
             node.log.request(crate::log::Kind::Refused, &id, &fields);
             node.metrics.request_ended("unknown", "rejected", cause, node.now().since(arrived));
-            error_response(status, cause, None)
+            let retry = (status == StatusCode::SERVICE_UNAVAILABLE).then_some(BUSY_RETRY);
+            error_response(status, cause, retry)
         }
     }
 }
@@ -278,20 +289,40 @@
     if length.is_some_and(|length| length > limits.body_bytes) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    let read = tokio::time::timeout(limits.body_timeout.into(), reading).await;
+    let slot = node.requests.reserve(REQUEST_BYTES);
+    let mut buffer = BodyBuffer::new(limits.body_bytes, &node.memory);
+    let fits = slot.is_some() && buffer.reserve(length.unwrap_or_default()).is_ok();
+    let buffer = fits.then_some(buffer);
+    let read = tokio::time::timeout(limits.body_timeout.into(), read_body(body, buffer)).await;
     let body = match read {
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body_late")),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-        }
-        Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "body_broken")),
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(body) => body?,
     };
-    ActiveRequest::new(node.clone(), (info, head.clone(), body), route, caller, arrived)
+    let slot = slot.ok_or(NO_MEMORY)?;
+    ActiveRequest::new(node.clone(), (info, head.clone(), body), route, caller, (arrived, slot))
         .ok_or((StatusCode::NOT_FOUND, "no_target"))
 }
 
+/// Reads a body into a buffer. Without one, or once the memory is used up, the rest is read and thrown away:
+/// closing a connection with unread bytes resets it, and the caller would not get the refusal.
+async fn read_body(
+    mut body: Incoming,
+    mut buffer: Option<BodyBuffer>,
+) -> Result<Vec<Bytes>, (StatusCode, &'static str)> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "body_broken"))?;
+        let (Some(bytes), Some(open)) = (frame.data_ref(), &mut buffer) else { continue };
+        match open.push(bytes) {
+            Ok(()) => {}
+            Err(BufferError::TooLarge) => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+            }
+            Err(BufferError::NoMemory) => buffer = None,
+        }
+    }
+    buffer.map(BodyBuffer::into_parts).ok_or(NO_MEMORY)
+}
+
 fn find_route(catalog: &Catalog, head: &Parts) -> Option<Arc<Route>> {
     let host = match head.headers.get(header::HOST) {
         Some(host) => host.to_str().ok()?,
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -184,7 +184,7 @@
         "POST /snapshot HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
-    conn.send(head.as_bytes(), &body).await?;
+    conn.send(head.as_bytes(), &[body.into()]).await?;
     conn.read_head(|_| true).await?;
     // Few are read at once, and what they tell must arrive also while requests take all memory.
     let memory = MemoryBudget::new(SNAPSHOT_BYTES_MAX);
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -2,6 +2,7 @@
 //! the source of the configuration and the server list.
 
 use crate::http::ResponseHead;
+use bytes::Bytes;
 use damaskweir_core::catalog::Catalog;
 use damaskweir_core::fleet::{Listing, Replica};
 use damaskweir_core::intake::Notice;
@@ -162,7 +163,7 @@
     /// Parses the head of a caller's request.
     fn parse_request(&self, head: &Parts) -> Result<RequestInfo, RequestError>;
     /// Digest of what makes two requests the same call, whoever sends it and whenever.
-    fn digest_call(&self, head: &Parts, body: &[u8]) -> u64;
+    fn digest_call(&self, head: &Parts, body: &[Bytes]) -> u64;
     /// Key under which the first stages find the request's data.
     fn piece_key(&self, head: &Parts) -> Option<String>;
     /// Encodes the head of a request to a backend server, for a body of `body` bytes.
