Read answers of engines and services beside a side within limits

What could be seen: an engine or service that sends a report, an error, an order's answer or an event without end takes the process beside it beyond its memory, and the calls of all callers there end with it.

Cause: reqwest's json and text, and the parser of events, keep all that arrives. Only the bodies of service calls had a limit.

The clients of the store, of the list of instances and of weights are unchanged.

--- a/crates/engines/src/cache.rs
+++ b/crates/engines/src/cache.rs
@@ -1,10 +1,10 @@
 //! Subscription to an engine's prefix cache events.
 
+use crate::body::read_events;
 use crate::client::Engine;
 use crate::error::{EngineError, check_status};
-use eventsource_stream::Eventsource;
+use futures::StreamExt;
 use futures::stream::BoxStream;
-use futures::{StreamExt, TryStreamExt};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -44,14 +44,7 @@
         if let Some(last) = last {
             request = request.header("last-event-id", last);
         }
-        let events = check_status(request.send().await?)
-            .await?
-            .bytes_stream()
-            .eventsource()
-            .map_err(|error| {
-                EngineError::OutcomeUnknown(format!("cache event stream failed: {error}"))
-            })
-            .boxed();
+        let events = read_events(check_status(request.send().await?).await?);
         Ok(CacheFeed { events, last_id: last, pending: None })
     }
 }
--- a/crates/engines/src/client.rs
+++ b/crates/engines/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of an engine.
 
+use crate::body::read_json;
 use crate::completion::{Completion, request_body};
 use crate::error::{EngineError, check_status};
 use damaskweir_core::prelude::*;
@@ -117,7 +118,7 @@
         request: RequestBuilder,
     ) -> Result<T, EngineError> {
         let response = request.timeout(self.settings.probe_timeout).send().await?;
-        Ok(check_status(response).await?.json().await?)
+        read_json(check_status(response).await?).await
     }
 }
 
--- a/crates/engines/src/completion.rs
+++ b/crates/engines/src/completion.rs
@@ -1,8 +1,8 @@
 //! Streamed completions.
 
+use crate::body::read_events;
 use crate::client::{Call, EngineSettings};
 use crate::error::EngineError;
-use eventsource_stream::{EventStreamError, Eventsource};
 use futures::stream::BoxStream;
 use futures::{StreamExt, TryStreamExt};
 use reqwest::Response;
@@ -51,15 +51,7 @@
 
 impl Completion {
     pub(crate) fn new(response: Response, resume_from: u32, idle_timeout: Duration) -> Self {
-        let events = response
-            .bytes_stream()
-            .eventsource()
-            .map_ok(|event| event.data)
-            .map_err(|error| match error {
-                EventStreamError::Transport(error) => error.into(),
-                error => EngineError::OutcomeUnknown(format!("invalid event stream: {error}")),
-            })
-            .boxed();
+        let events = read_events(response).map_ok(|event| event.data).boxed();
         Self { events, next_index: resume_from, idle_timeout, awaits_first: true, ended: false }
     }
 
--- a/crates/engines/src/error.rs
+++ b/crates/engines/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of engine calls, distinguished by whether the call ran.
 
+use crate::body::read_start;
 use damaskweir_core::prelude::Span;
 use reqwest::header::RETRY_AFTER;
 use reqwest::{Response, StatusCode};
@@ -8,6 +9,8 @@
 
 /// Longest excerpt of an error response in an error message, in characters.
 const EXCERPT_CHARS: usize = 200;
+/// Bytes of an error response that hold the excerpt.
+const EXCERPT_BYTES: usize = 4 * EXCERPT_CHARS;
 
 /// Why a call returned no complete response.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -76,9 +79,9 @@
         .get(RETRY_AFTER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map(Span::from_secs);
-    let text = response.text().await.unwrap_or_default();
-    let reason =
-        format!("status {status}: {}", text.chars().take(EXCERPT_CHARS).collect::<String>());
+    let text = read_start(response, EXCERPT_BYTES).await.unwrap_or_default();
+    let excerpt: String = String::from_utf8_lossy(&text).chars().take(EXCERPT_CHARS).collect();
+    let reason = format!("status {status}: {excerpt}");
     Err(match status {
         // Engines respond with these while their queue is full or they are starting.
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
--- a/crates/engines/src/lib.rs
+++ b/crates/engines/src/lib.rs
@@ -34,6 +34,7 @@
 //! # }
 //! ```
 
+mod body;
 mod cache;
 mod client;
 mod completion;
--- a/crates/engines/src/order.rs
+++ b/crates/engines/src/order.rs
@@ -1,5 +1,6 @@
 //! Orders that change an engine's model or role.
 
+use crate::body::read_json;
 use crate::client::Engine;
 use crate::error::{EngineError, OrderError, check_status};
 use reqwest::StatusCode;
@@ -68,7 +69,7 @@
             .map_err(EngineError::from)?;
         let conflict = response.status() == StatusCode::CONFLICT;
         let response = if conflict { response } else { check_status(response).await? };
-        let reply: OrderResponse = response.json().await.map_err(EngineError::from)?;
+        let reply: OrderResponse = read_json(response).await?;
         match reply.fence {
             Some(current) if conflict => Err(OrderError::Fenced { current }),
             None if conflict => Err(EngineError::Failed("status 409".to_owned()).into()),
--- a/crates/services/src/client.rs
+++ b/crates/services/src/client.rs
@@ -3,9 +3,9 @@
 use crate::error::{ServiceError, status_error};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::prelude::*;
-use reqwest::Client;
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use reqwest::redirect::Policy;
+use reqwest::{Client, Response};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -106,13 +106,25 @@
             Effect::Idempotent => &self.pooled,
             Effect::Once => &self.unpooled,
         };
-        let mut response = client
+        let response = client
             .post(format!("{}{}", self.settings.url, call.path))
             .headers(call_headers(call.attempt, call.key))
             .body(call.body)
             .send()
             .await?;
         let status = response.status();
+        let body = self.read_body(response).await?;
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&body);
+            return Err(status_error(
+                status,
+                &text.chars().take(EXCERPT_CHARS).collect::<String>(),
+            ));
+        }
+        Ok(body)
+    }
+
+    async fn read_body(&self, mut response: Response) -> Result<Bytes, ServiceError> {
         let mut body = BytesMut::new();
         while let Some(chunk) = response.chunk().await? {
             if body.len() + chunk.len() > self.settings.response_limit {
@@ -121,13 +133,6 @@
             }
             body.extend_from_slice(&chunk);
         }
-        if !status.is_success() {
-            let text = String::from_utf8_lossy(&body);
-            return Err(status_error(
-                status,
-                &text.chars().take(EXCERPT_CHARS).collect::<String>(),
-            ));
-        }
         Ok(body.freeze())
     }
 
@@ -140,7 +145,10 @@
         if !status.is_success() {
             return Err(status_error(status, ""));
         }
-        Ok(Some(response.json().await?))
+        let body = self.read_body(response).await?;
+        let load = serde_json::from_slice(&body);
+        load.map(Some)
+            .map_err(|error| ServiceError::OutcomeUnknown(format!("invalid report: {error}")))
     }
 
     /// Returns whether the health check succeeds.
--- a/crates/services/tests/calls.rs
+++ b/crates/services/tests/calls.rs
@@ -8,6 +8,8 @@
 use damaskweir_standins::service as standin;
 use rstest::rstest;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 fn call(effect: Effect) -> Call<'static> {
     let request = RequestId { entry: Incarnation(7), serial: 1 };
@@ -108,3 +110,33 @@
     let error = Service::new(settings).unwrap().call(call(Effect::Once)).await.unwrap_err();
     assert!(matches!(error, ServiceError::Failed(_)), "{error}");
 }
+
+/// Guards against a process that ends because its service sends a load report without end, which it keeps.
+#[tokio::test]
+async fn endless_load_report_is_given_up() {
+    const RESPONSE_LIMIT: usize = 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let sending = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert_ne!(stream.read(&mut vec![0; 4_096]).await.unwrap(), 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"running\":").await.unwrap();
+        let (part, mut sent) = ([b'1'; 4_096], 0);
+        // Socket buffers hold a part of it.
+        while sent < 32 * RESPONSE_LIMIT && stream.write_all(&part).await.is_ok() {
+            sent += part.len();
+        }
+        sent
+    });
+    let settings = ServiceSettings {
+        url,
+        load_path: Some("/load".to_owned()),
+        response_limit: RESPONSE_LIMIT,
+        ..ServiceSettings::default()
+    };
+    let client = Service::new(settings).unwrap();
+    assert!(client.load().await.is_err());
+    drop(client);
+    let sent = sending.await.unwrap();
+    assert!(sent < 16 * RESPONSE_LIMIT, "{sent} bytes");
+}
