Change a reservation atomically

A reservation may be dropped on another thread, between the load and the store of a change. The entry has one thread, but the type is public and promises no such thing.

--- a/crates/direct/src/memory.rs
+++ b/crates/direct/src/memory.rs
@@ -29,10 +29,10 @@
     shared: Arc<Shared>,
 }
 
-// Atomic because `Bytes` may be sent to other threads.
 #[derive(Debug)]
 struct Shared {
     limit: usize,
+    /// Sum of all reservations. Atomic because `Bytes`, which hold some, may be sent to other threads.
     used: AtomicUsize,
 }
 
@@ -69,13 +69,17 @@
 impl Reservation {
     /// Changes the number of bytes. Returns `false`, and changes nothing, if that many more are not left.
     pub fn resize(&mut self, bytes: usize) -> bool {
-        let others = self.shared.used.load(Ordering::Relaxed) - self.bytes;
-        if bytes > self.bytes && others.saturating_add(bytes) > self.shared.limit {
-            return false;
+        let (own, limit) = (self.bytes, self.shared.limit);
+        let change = |used: usize| {
+            let total = (used - own).saturating_add(bytes);
+            (bytes <= own || total <= limit).then_some(total)
+        };
+        let used = &self.shared.used;
+        let changed = used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, change).is_ok();
+        if changed {
+            self.bytes = bytes;
         }
-        self.shared.used.store(others + bytes, Ordering::Relaxed);
-        self.bytes = bytes;
-        true
+        changed
     }
 
     /// Changes the number of bytes to what a buffer of this capacity needs. Returns `false`, and changes
