Skip results that a stage's server sends once more

Cause: these answers name no request, and the first answer on a connection was taken. From then on the connection was one behind.

Evidence: repeated_results_are_not_those_of_the_next_call, case results: the call of id-1 has the input of id-0. The cases with a repeated refusal and lack of room held before; they guard the other branch.

Change: a connection remembers its last 64 answers to calls with pieces, as digests. An answer with handles that is the same as an earlier one for other pieces is skipped. Any other repeated answer is taken and its connection closed, as what follows may belong to the call before. Handles alone decide nothing: a piece that is made again may have the same one, as in lost_inputs_restart_the_stages.

--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -1,13 +1,13 @@
 //! Stage execution by the owner: batches pieces of all entries into calls to the servers that it owns.
 
-use crate::http::HttpError;
+use crate::http::{Conn, HttpError, ResponseHead};
 use crate::log::{Kind, Value};
 use crate::memory::BodyBuffer;
 use crate::node::Node;
 use crate::peers::{GroupRequest, GroupResponse, ResultRelease};
 use crate::permits::Permit;
 use crate::stages::{PieceFailure, StoredResult};
-use crate::wire::{PieceOutcome, PieceRequest, SendPath, Wire};
+use crate::wire::{PieceOutcome, PieceRequest, ResponseInfo, SendPath, Wire};
 use damaskweir_core::batch::{Batch, CallOutcome, Fullness, PieceId, QueuedPiece, ZoneKey};
 use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
@@ -17,6 +17,7 @@
 use damaskweir_core::standing::Standing;
 use damaskweir_core::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -27,6 +28,9 @@
 const RELEASE_DELAY: Duration = Duration::from_millis(12);
 /// Maximum size in bytes of a server's answer to a call with pieces or to a release.
 const RESULTS_BYTES_MAX: usize = 1024 * 1024;
+/// Maximum number of repeated answers to calls with pieces that are skipped before the connection is given
+/// up.
+const REPEATED_ANSWERS_MAX: usize = 3;
 /// Timeout of a release call to a server.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -290,19 +294,46 @@
         let server = &permit.server().clone();
         let mut conn = self.connection(permit).await?;
         conn.send(&self.wire.encode_stage_call(server, items), &[]).await?;
-        let head = conn.read_head(|_| true).await?;
-        let info = self.record_answer(server, &head);
-        let body = conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?.finish();
+        let (head, info, ends) = self.read_results(server, &mut conn, items).await?;
         self.keep_connection(&server.id, conn);
         if head.status.is_success() {
-            let ends =
-                self.wire.parse_stage_results(&body).filter(|ends| ends.len() == items.len());
+            let ends = ends.filter(|ends| ends.len() == items.len());
             let ends = ends.ok_or(HttpError::Malformed("invalid results of a stage call"))?;
             return Ok((CallOutcome::Done { dropped_bytes: 0 }, ends));
         }
         Ok((if info.not_run { CallOutcome::Full } else { CallOutcome::Failed }, Vec::new()))
     }
 
+    /// Reads the answer to a call, and skips earlier answers that the server sends once more. They name no
+    /// request, but a result has the same handle only for the same piece. Other answers may be the same as an
+    /// earlier one by right; what follows them on the connection may then belong to the call before.
+    async fn read_results(
+        self: &Rc<Self>,
+        server: &Replica,
+        conn: &mut Conn,
+        items: &[PieceRequest],
+    ) -> Result<(ResponseHead, ResponseInfo, Option<Vec<PieceOutcome>>), HttpError> {
+        let call = digest_pieces(items);
+        for _ in 0..=REPEATED_ANSWERS_MAX {
+            let head = conn.read_head(|_| true).await?;
+            let info = self.record_answer(server, &head);
+            let buffer = BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory);
+            let body = conn.read_body(buffer).await?.finish();
+            let ends = self.wire.parse_stage_results(&body);
+            let has_handle =
+                |ends: &Vec<_>| ends.iter().any(|e| matches!(e, PieceOutcome::Done(_)));
+            match conn.record_answer(call, &body) {
+                Some(earlier) if earlier != call && ends.as_ref().is_some_and(has_handle) => {
+                    continue;
+                }
+                Some(_) => conn.close_after_response(),
+                None => {}
+            }
+            return Ok((head, info, ends));
+        }
+        Err(HttpError::Malformed("too many repeated results"))
+    }
+
     fn deliver(&self, id: PieceId, made: StoredResult) {
         let waiter = self.state.borrow_mut().waiters.remove(&id);
         let unused = match waiter {
@@ -462,6 +493,13 @@
     }
 }
 
+/// Returns a digest of which pieces a call is for.
+fn digest_pieces(items: &[PieceRequest]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    items.iter().for_each(|item| (&item.id, item.stage, item.piece).hash(&mut hasher));
+    hasher.finish()
+}
+
 /// Returns the total size of the results that their server had no space for.
 fn rejected_bytes(batch: &Batch, wanted: &[PieceId], ends: &[PieceOutcome]) -> u64 {
     let rejected = wanted.iter().zip(ends).filter(|(_, end)| **end == PieceOutcome::NoRoom);
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -10,6 +10,8 @@
 use damaskweir_core::time::Span;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use socket2::{SockRef, TcpKeepalive};
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hasher as _};
 use std::io;
 use std::iter;
 use std::net::SocketAddr;
@@ -29,6 +31,8 @@
 const SKIPPED_RESPONSES_MAX: usize = 3;
 /// Maximum total size in bytes of the bodies of skipped responses.
 const SKIPPED_BYTES_MAX: usize = 256 * 1024;
+/// Maximum number of answers by which a repeated one is recognized.
+const PAST_ANSWERS_MAX: usize = 64;
 /// Time after which a connection fails if sent data is not acknowledged (`TCP_USER_TIMEOUT`).
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe, and between probes.
@@ -113,6 +117,8 @@
     reusable_until: Instant,
     /// Number of requests sent so far.
     uses: u32,
+    /// Digests of the latest answers that were recorded: body and call.
+    past_answers: VecDeque<(u64, u64)>,
 }
 
 impl Conn {
@@ -135,6 +141,7 @@
             must_close: false,
             reusable_until: Instant::now() + Duration::from(IDLE_TIMEOUT_DEFAULT),
             uses: 0,
+            past_answers: VecDeque::new(),
         })
     }
 
@@ -156,6 +163,28 @@
         self.unframed
     }
 
+    /// Records the body of the answer to a call. Returns the call that an earlier answer on this connection
+    /// with the same body was recorded for.
+    pub fn record_answer(&mut self, call: u64, body: &[u8]) -> Option<u64> {
+        let mut hasher = DefaultHasher::new();
+        hasher.write(body);
+        let digest = hasher.finish();
+        let earlier = self.past_answers.iter().find(|(body, _)| *body == digest);
+        if let Some((_, call)) = earlier {
+            return Some(*call);
+        }
+        if self.past_answers.len() == PAST_ANSWERS_MAX {
+            self.past_answers.pop_front();
+        }
+        self.past_answers.push_back((digest, call));
+        None
+    }
+
+    /// Closes the connection after the current response instead of reusing it.
+    pub fn close_after_response(&mut self) {
+        self.must_close = true;
+    }
+
     /// Returns the number of requests sent so far.
     pub fn uses(&self) -> u32 {
         self.uses
