Check whether a leaving server is gone when its answer ends without a length

Cause: the entry connects once more to learn whether such an answer ended in a crash, but not to a server that is leaving or has no record, as it may exit after its last answer.

Evidence: crash_of_a_leaving_server_breaks_an_answer_without_length, four cases, all failed before.

Change: it connects in each case, and a refusal means that the answer broke. A leaving server exits by its clock, so an exit seldom falls into the 5 ms after such an answer; a resumable stream then goes on elsewhere after its last event, with nothing to add.

--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -217,18 +217,15 @@
         }
     }
 
-    /// Whether the end of a response without a length is that of its connection in a crash. A server
-    /// that is leaving may exit after its last response; one that has crashed may run again.
+    /// Whether the end of a response without a length is that of its connection in a crash. A server that
+    /// has crashed may run again. One that is leaving counts as crashed if it is gone: few exit in the moment
+    /// in which a response ends.
     pub(crate) async fn broke_unframed(&self, server: &Replica, attempt: u64, conn: &Conn) -> bool {
         if !conn.is_unframed() {
             return false;
         }
-        let (crashed, staying) = {
-            let state = self.state.borrow();
-            let crashed = state.exposures.has_crashed(&server.process(), attempt);
-            (crashed, state.is_staying(&server.id))
-        };
-        crashed || staying && self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
+        let crashed = self.state.borrow().exposures.has_crashed(&server.process(), attempt);
+        crashed || self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
     }
 
     /// Records a crash if another process has taken the place of a server that lost requests, and
