Move a silent stream only if another server and a retry are reserved

Cause: the entry left the silent server first, and asked for a retry and another server afterwards. If either was refused, the stream was cut.

Evidence: silent_stream_stays_at_its_server_if_it_cannot_move, with one server, and with 120 streams at two servers; both failed before, with the first event only.

Change: after the stall timeout a server and then a retry are reserved. Without them the stream stays, and is looked at again after the same time, until its deadline. With them it moves as before: the first connection is closed before the request is sent again.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,6 +5,7 @@
 use crate::body::{Body, StreamError};
 use crate::log::Kind;
 use crate::memory::{BufferError, EventBuffer};
+use crate::permits::Permit;
 use crate::request::{ActiveRequest, CALL_QUARANTINED, PART_QUARANTINED, RequestError};
 use crate::wire::{SendPath, Wire};
 use bytes::Bytes;
@@ -58,10 +59,11 @@
     /// Returns the next complete events, or `None` at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, StreamError> {
         let deadline = self.request.node.instant(self.request.deadline);
-        // Counts from the last forwarded event: bytes of an incomplete event do not keep a stream alive.
         let stall_timeout =
             Span(STALL_TIMEOUT_MIN.0.max((self.request.route.event_gap * STALL_GAP_FACTOR).0));
-        let mut last_progress = self.request.node.now();
+        // The last forwarded event, as bytes of an incomplete one do not keep a stream alive, or the last time
+        // that no other server could take the stream.
+        let mut waiting_since = self.request.node.now();
         loop {
             let last_event = &mut self.upstream.last_event;
             let out = self.upstream.events.take_events(|event| {
@@ -80,7 +82,7 @@
             }
             let (server, attempt) = (&self.upstream.guard.replica, self.upstream.guard.attempt);
             let Some(conn) = &mut self.upstream.conn else { return Ok(None) };
-            let stall_deadline = self.request.node.instant(last_progress + stall_timeout);
+            let stall_deadline = self.request.node.instant(waiting_since + stall_timeout);
             let limit =
                 if self.request.can_retry() { stall_deadline.min(deadline) } else { deadline };
             let cause = match timeout_at(limit, conn.read_chunk()).await {
@@ -104,8 +106,19 @@
             if cause == "deadline" {
                 return Err(StreamError(cause));
             }
-            match timeout_at(deadline, self.resume(cause)).await {
-                Ok(Ok(())) => last_progress = self.request.node.now(),
+            let reserved = match cause {
+                "server_stalled" => {
+                    let Ok(Some(permit)) = timeout_at(deadline, self.reserve_next()).await else {
+                        // The server may still go on.
+                        waiting_since = self.request.node.now();
+                        continue;
+                    };
+                    Some(permit)
+                }
+                _ => None,
+            };
+            match timeout_at(deadline, self.resume(cause, reserved)).await {
+                Ok(Ok(())) => waiting_since = self.request.node.now(),
                 Ok(Err(error)) => return Err(error),
                 Err(_) => return Err(StreamError("deadline")),
             }
@@ -121,8 +134,21 @@
         }
     }
 
-    /// Resumes the stream on another server after the last event that was sent to the caller.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), StreamError> {
+    /// Reserves another server for a stream whose server is silent, and a retry.
+    async fn reserve_next(&self) -> Option<Permit> {
+        let request = &self.request;
+        self.upstream.last_event?;
+        let permit = request.reserve_server(None, SendPath::Resume).await.ok()?;
+        request.node.withdraw_retry(&request.pool).then_some(permit)
+    }
+
+    /// Resumes the stream on another server, the reserved one if possible, after the last event that was sent to
+    /// the caller.
+    async fn resume(
+        &mut self,
+        cause: &'static str,
+        mut reserved: Option<Permit>,
+    ) -> Result<(), StreamError> {
         let request = &mut self.request;
         // Closing the connection stops the first server from continuing work that the next one repeats.
         self.upstream.conn = None;
@@ -130,12 +156,16 @@
         let (Some(last), true) = (self.upstream.last_event, request.can_retry()) else {
             return Err(StreamError(cause));
         };
-        if !request.node.withdraw_retry(&request.pool) {
+        if reserved.is_none() && !request.node.withdraw_retry(&request.pool) {
             return Err(StreamError(cause));
         }
         let held = request.run_stages().await.map_err(|_| StreamError("stages_after_break"))?;
         let outcome = loop {
-            let permit = request.reserve_server(held.as_ref(), SendPath::Resume).await;
+            let permit = match reserved.take().filter(|permit| request.is_present(permit.server()))
+            {
+                Some(permit) => Ok(permit),
+                None => request.reserve_server(held.as_ref(), SendPath::Resume).await,
+            };
             let permit = permit.map_err(|error| match error {
                 RequestError::Unknown { cause: cause @ (PART_QUARANTINED | CALL_QUARANTINED) } => {
                     StreamError(cause)
