Start the entries of the memory tests in one place, and name a request's reservation

The same six lines started the process in both tests. The field of a request that holds its part of the memory had a name that told nothing.

--- a/crates/damaskweir/tests/memory.rs
+++ b/crates/damaskweir/tests/memory.rs
@@ -62,6 +62,17 @@
     Action::Send(response_text(200, "", &format!(r#"{{"items":[{items}]}}"#)))
 }
 
+/// Starts an entry with little memory at an address that no other test uses, and waits until it serves.
+async fn start_entry(number: u8, store: SocketAddr) -> (Process, SocketAddr) {
+    let host = Ipv4Addr::new(127, 91, 5, number);
+    let settings = settings(host, store, Duration::from_secs(3));
+    let text = format!("{settings}limits.memory_mb={MEMORY_MB}\n");
+    let process = Process::start(&write_settings(&format!("memory-{number}.conf"), &text));
+    drop(connect(settings.frontend()).await);
+    sleep(Duration::from_millis(1_500)).await;
+    (process, settings.frontend())
+}
+
 /// Highest resident memory of a process so far, in MB of 2^20 bytes.
 fn peak_memory_mb(process: &Process) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id()));
@@ -137,16 +148,11 @@
                 store.put("damaskweir/entries/e-0", &record);
                 servers.push(other);
             }
-            let host = Ipv4Addr::new(127, 91, 5, number);
-            let settings = settings(host, store.server.address, Duration::from_secs(3));
-            let text = format!("{settings}limits.memory_mb={MEMORY_MB}\n");
-            let process = Process::start(&write_settings(&format!("memory-{number}.conf"), &text));
-            drop(connect(settings.frontend()).await);
-            sleep(Duration::from_millis(1_500)).await;
+            let (process, frontend) = start_entry(number, store.server.address).await;
             let before = peak_memory_mb(&process);
             let (method, path, fields) = fault.request;
             for n in 0..fault.callers {
-                let (address, reading) = (settings.frontend(), fault.reading);
+                let (address, reading) = (frontend, fault.reading);
                 spawn_local(async move {
                     for turn in 0.. {
                         let id = format!("id-{n}-{turn}");
@@ -161,7 +167,7 @@
                 let path = if fault.service == "orders" { "/fill/" } else { "/order/" };
                 let request =
                     request_text("POST", path, &format!("own-{n}"), "Content-Length: 0\r\n");
-                let got = send(settings.frontend(), &request).await;
+                let got = send(frontend, &request).await;
                 served += usize::from(got.status == 200);
             }
             let peak = peak_memory_mb(&process);
@@ -195,14 +201,9 @@
             });
             let engine = engine.await;
             store.register("i-1", "engines", &engine, "ready");
-            let host = Ipv4Addr::new(127, 91, 5, number);
-            let settings = settings(host, store.server.address, Duration::from_secs(3));
-            let text = format!("{settings}limits.memory_mb={MEMORY_MB}\n");
-            let process = Process::start(&write_settings(&format!("memory-{number}.conf"), &text));
-            drop(connect(settings.frontend()).await);
-            sleep(Duration::from_millis(1_500)).await;
+            let (process, frontend) = start_entry(number, store.server.address).await;
             let calls = (0..60).map(|n| {
-                let address = settings.frontend();
+                let address = frontend;
                 spawn_local(async move {
                     let id = format!("id-{n}");
                     let (field, body) = match chunked {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -123,7 +123,8 @@
     /// Retry delay that was sent to the caller.
     retry_after: Span,
     ended: bool,
-    _slot: Reservation,
+    /// Its part of the memory for requests in progress.
+    _memory: Reservation,
 }
 
 /// Event times of a stream, for the final log line.
@@ -141,7 +142,7 @@
         (info, head, body): (RequestInfo, Parts, Vec<Bytes>),
         route: Arc<Route>,
         caller: (Option<WorkspaceId>, u8),
-        (arrived, slot): (Time, Reservation),
+        (arrived, memory): (Time, Reservation),
     ) -> Option<Self> {
         let draw = node.state.borrow_mut().rng.next_u64();
         let pool = route.target(draw)?.clone();
@@ -175,7 +176,7 @@
             admitted_late: false,
             retry_after: Span::ZERO,
             ended: false,
-            _slot: slot,
+            _memory: memory,
         })
     }
 
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -289,17 +289,17 @@
     if length.is_some_and(|length| length > limits.body_bytes) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
-    let slot = node.requests.reserve(REQUEST_BYTES);
+    let reserved = node.requests.reserve(REQUEST_BYTES);
     let mut buffer = BodyBuffer::new(limits.body_bytes, &node.memory);
-    let fits = slot.is_some() && buffer.reserve(length.unwrap_or_default()).is_ok();
+    let fits = reserved.is_some() && buffer.reserve(length.unwrap_or_default()).is_ok();
     let buffer = fits.then_some(buffer);
     let read = tokio::time::timeout(limits.body_timeout.into(), read_body(body, buffer)).await;
     let body = match read {
         Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body_late")),
         Ok(body) => body?,
     };
-    let slot = slot.ok_or(NO_MEMORY)?;
-    ActiveRequest::new(node.clone(), (info, head.clone(), body), route, caller, (arrived, slot))
+    let memory = reserved.ok_or(NO_MEMORY)?;
+    ActiveRequest::new(node.clone(), (info, head.clone(), body), route, caller, (arrived, memory))
         .ok_or((StatusCode::NOT_FOUND, "no_target"))
 }
 
