Predict the wait of pieces by their place in the queue

Callers of a more urgent route saw late answers in a burst of a less urgent one: their entry predicted that they would wait behind all queued pieces of their rank, although the queue is sorted by due time and rank, and served them behind all others or refused them. A tenant's priority gives the pieces of both routes the same rank.

Owners report the backlog ahead of a piece by its place in the queue order, entries count their own unanswered pieces in the same way, and the ratio of actual to expected time is kept by rank. Entries of earlier versions read and send the backlog by rank as before.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -68,19 +68,44 @@
 /// piece goes first only if it is due earlier by more than this.
 const RANK_STEP: Span = Span::from_secs(1);
 /// Number of distinct ranks; less urgent ones are treated as the last.
-const RANK_COUNT: usize = 3;
+pub(crate) const RANK_COUNT: usize = 3;
+
+/// Times from now to a piece's place in the queue order, in milliseconds, for which the backlog ahead of it
+/// is reported.
+const ORDER_STEPS_MS: [u64; ORDER_STEPS] = [250, 500, 1_000, 1_500, 2_000, 3_000, 4_000, 6_000];
+const ORDER_STEPS: usize = 8;
 
 /// Backlog of an owner's servers, in rounds of calls: 1.0 is as many pieces as all its usable servers
 /// take in one call each.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fullness {
     /// Backlog ahead of a new piece of each rank. Less urgent and late pieces are sorted behind it and
-    /// not counted.
+    /// not counted. For entries of earlier versions, which read only this.
     ranks: [f64; RANK_COUNT],
+    /// Backlog ahead of a new timely piece, for each of [`ORDER_STEPS_MS`]. Does not decrease. `None` from an
+    /// entry of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    steps: Option<[f64; ORDER_STEPS]>,
     /// Backlog ahead of a new late piece.
     late: f64,
 }
 
+/// Place of a piece in the queue order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuePlace {
+    /// Priority class of the piece.
+    pub lane: Lane,
+    /// Time from now until it is due, zero if that has passed.
+    pub due: Span,
+}
+
+impl QueuePlace {
+    /// Time from now by which timely pieces are sorted.
+    pub(crate) fn order(self) -> Span {
+        self.due + RANK_STEP * self.lane.level() as u64
+    }
+}
+
 value! {
     /// Priority class of queued pieces.
     #[derive(Copy, PartialOrd, Ord)]
@@ -95,27 +120,46 @@
 impl Fullness {
     /// The same backlog for all lanes.
     pub fn uniform(level: f64) -> Self {
-        Self { ranks: [level; RANK_COUNT], late: level }
+        Self { ranks: [level; RANK_COUNT], steps: Some([level; ORDER_STEPS]), late: level }
     }
 
-    /// Backlog ahead of a new piece of `lane`.
-    pub fn for_lane(&self, lane: Lane) -> f64 {
-        match lane {
-            Lane::Timely(_) => self.ranks[lane.level()],
-            Lane::Late => self.late,
+    /// Backlog ahead of a new piece at `place`.
+    pub fn ahead_of(&self, place: QueuePlace) -> f64 {
+        match (place.lane, self.steps) {
+            (Lane::Late, _) => self.late,
+            (Lane::Timely(_), Some(steps)) => interpolate(&steps, place.order()),
+            (Lane::Timely(_), None) => self.ranks[place.lane.level()],
         }
     }
 
-    /// Combines two backlogs lane by lane.
+    /// Combines two backlogs. Without the steps of one, those of the other are taken.
     pub(crate) fn zip_with(&self, other: &Self, combine: impl Fn(f64, f64) -> f64) -> Self {
         let ranks = std::array::from_fn(|i| combine(self.ranks[i], other.ranks[i]));
-        Self { ranks, late: combine(self.late, other.late) }
+        let steps = match (self.steps, other.steps) {
+            (Some(a), Some(b)) => Some(std::array::from_fn(|i| combine(a[i], b[i]))),
+            (a, b) => a.or(b),
+        };
+        Self { ranks, steps, late: combine(self.late, other.late) }
     }
 }
 
+/// Value at `at` of a function that is known at [`ORDER_STEPS_MS`] and linear between them. Before the first
+/// it rises from the half of its value, as what is queued for a call that starts at once can't be overtaken.
+fn interpolate(steps: &[f64; ORDER_STEPS], at: Span) -> f64 {
+    let at = at.as_secs_f64() * 1_000.0;
+    let (mut time, mut value) = (0.0, steps[0] / 2.0);
+    for (end, next) in ORDER_STEPS_MS.iter().map(|ms| *ms as f64).zip(steps) {
+        if at < end {
+            return value + (next - value) * (at - time) / (end - time);
+        }
+        (time, value) = (end, *next);
+    }
+    value
+}
+
 impl Lane {
     /// Index of the rank, capped to the last distinct one. `Late` counts as the last.
-    fn level(self) -> usize {
+    pub(crate) fn level(self) -> usize {
         match self {
             Self::Timely(rank) => usize::from(rank).min(RANK_COUNT - 1),
             Self::Late => RANK_COUNT - 1,
@@ -170,6 +214,11 @@
     fn is_late(&self, earliest_end: Time) -> bool {
         !self.large_inputs && self.due < earliest_end
     }
+
+    /// Time by which timely pieces are sorted.
+    fn order(&self) -> Time {
+        self.due + RANK_STEP * self.lane.level() as u64
+    }
 }
 
 /// Pieces to send in one call.
@@ -473,15 +522,20 @@
             let ahead = |p: &&QueuedPiece| !p.is_late(earliest_end) && p.lane.level() <= at;
             self.waiting.iter().filter(ahead).count() as f64 / round_size + working
         };
+        let steps = std::array::from_fn(|i| {
+            let end = now + Span::from_millis(ORDER_STEPS_MS[i]);
+            let last = i + 1 == ORDER_STEPS;
+            let ahead = |p: &&QueuedPiece| !p.is_late(earliest_end) && (last || p.order() <= end);
+            self.waiting.iter().filter(ahead).count() as f64 / round_size + working
+        });
         let late = ahead_of_late(timely, late, self.typical_batch) / round_size + working;
-        Fullness { ranks: std::array::from_fn(ahead), late }
+        Fullness { ranks: std::array::from_fn(ahead), steps: Some(steps), late }
     }
 
     /// Sorts timely pieces by due time and rank, followed by the late ones.
     fn sort(&mut self, now: Time) {
         let earliest_end = now + self.min_call_time();
-        let order = |piece: &QueuedPiece| piece.due + RANK_STEP * piece.lane.level() as u64;
-        self.waiting.sort_by_key(|p| (p.is_late(earliest_end), order(p), p.group, p.id));
+        self.waiting.sort_by_key(|p| (p.is_late(earliest_end), p.order(), p.group, p.id));
     }
 
     /// Idle servers, those in the preferred zone of the first piece first, then the fastest. Slow servers
@@ -588,7 +642,7 @@
     }
 
     fn call_time(&self, pieces: usize) -> Span {
-        self.spec.call_time + self.spec.piece_time * pieces as u64
+        self.spec.call_time_of(pieces)
     }
 
     fn min_call_time(&self) -> Span {
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -158,6 +158,13 @@
     }
 }
 
+impl PieceSpec {
+    /// Stated time of a call with a number of pieces.
+    pub fn call_time_of(&self, pieces: usize) -> Span {
+        self.call_time + self.piece_time * pieces as u64
+    }
+}
+
 impl Repeat {
     /// Whether a request that may already have run can be sent again.
     pub fn can_retry(self) -> bool {
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -5,7 +5,7 @@
 //! expected to finish first, given the backlog that owners report with their answers and the pieces
 //! that this entry has pending there.
 
-use crate::batch::{Fullness, Lane};
+use crate::batch::{Fullness, Lane, QueuePlace, RANK_COUNT};
 use crate::catalog::PieceSpec;
 use crate::fleet::Replica;
 use crate::ids::{AvailabilityZone, PoolId, ServerId};
@@ -136,8 +136,33 @@
 pub struct PieceGroup {
     /// Number of pieces.
     pub pieces: usize,
-    /// Priority class of the pieces.
-    pub lane: Lane,
+    /// Place of the pieces in the queue order.
+    pub place: QueuePlace,
+}
+
+/// Pieces that this entry sent to an owner and that are not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PendingGroup {
+    pieces: usize,
+    lane: Lane,
+    /// Time by which its pieces are sorted.
+    order: Time,
+}
+
+impl PendingGroup {
+    fn new(now: Time, group: PieceGroup) -> Self {
+        let PieceGroup { pieces, place } = group;
+        Self { pieces, lane: place.lane, order: now + place.order() }
+    }
+
+    /// Whether its pieces are sorted before those of a new group.
+    fn is_ahead_of(&self, new: &Self) -> bool {
+        match (self.lane, new.lane) {
+            (_, Lane::Late) => true,
+            (Lane::Late, Lane::Timely(_)) => false,
+            (Lane::Timely(_), Lane::Timely(_)) => self.order <= new.order,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -146,8 +171,8 @@
     /// Number of its servers in each zone.
     zones: BTreeMap<AvailabilityZone, usize>,
     servers: usize,
-    /// Number of pieces sent by this entry that it has not answered, by lane.
-    pending: BTreeMap<Lane, usize>,
+    /// What this entry sent and the owner has not answered.
+    pending: Vec<PendingGroup>,
     /// Backlog that it last reported.
     reported: Fullness,
     reported_at: Time,
@@ -165,8 +190,8 @@
     mean_at: Time,
     /// Name of each server's owner.
     server_owners: BTreeMap<ServerId, String>,
-    /// Moving average of the ratio of actual to expected time.
-    time_ratio: f64,
+    /// Moving average of the ratio of actual to expected time, by rank.
+    time_ratios: [f64; RANK_COUNT],
 }
 
 impl Owners {
@@ -179,7 +204,7 @@
             mean: Fullness::default(),
             mean_at: Time::default(),
             server_owners: BTreeMap::new(),
-            time_ratio: 1.0,
+            time_ratios: [1.0; RANK_COUNT],
         }
     }
 
@@ -213,7 +238,7 @@
                     entry: entry.clone(),
                     zones: BTreeMap::new(),
                     servers: 0,
-                    pending: BTreeMap::new(),
+                    pending: Vec::new(),
                     reported: Fullness::default(),
                     reported_at: Time::default(),
                 };
@@ -271,7 +296,7 @@
                 .scale(owner.servers as f64 / servers.max(1) as f64)
         });
         let mean = delays.fold(Span::ZERO, |sum, delay| sum + delay);
-        (servers > 0).then(|| mean.scale(self.time_ratio))
+        (servers > 0).then(|| mean.scale(self.time_ratios[group.place.lane.level()]))
     }
 
     /// Records that pieces were sent to an owner. Returns the expected time until they are done, to be
@@ -286,16 +311,17 @@
         let Some(owner) = self.owners.get(name) else { return Span::ZERO };
         let expected = self.expected_delay(now, owner, group, local);
         if let Some(owner) = self.owners.get_mut(name) {
-            *owner.pending.entry(group.lane).or_default() += group.pieces;
+            owner.pending.push(PendingGroup::new(now, group));
         }
         expected
     }
 
     /// Records how long pieces took and how long they were expected to take.
-    pub fn record_time(&mut self, took: Span, expected: Span) {
+    pub fn record_time(&mut self, lane: Lane, took: Span, expected: Span) {
         let ratio =
             (took.0 as f64 / expected.0.max(1) as f64).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
-        self.time_ratio += (ratio - self.time_ratio) * RATIO_WEIGHT;
+        let known = &mut self.time_ratios[lane.level()];
+        *known += (ratio - *known) * RATIO_WEIGHT;
     }
 
     /// Records that an owner answered and reported its backlog, or that it did not answer (`None`).
@@ -307,8 +333,10 @@
         reported: Option<Fullness>,
     ) {
         let Some(owner) = self.owners.get_mut(name) else { return };
-        let pending = owner.pending.entry(group.lane).or_default();
-        *pending = pending.saturating_sub(group.pieces);
+        let same = |p: &PendingGroup| p.pieces == group.pieces && p.lane == group.place.lane;
+        if let Some(ended) = owner.pending.iter().position(same) {
+            owner.pending.remove(ended);
+        }
         if let Some(reported) = reported {
             self.mean =
                 self.mean.zip_with(&reported, |mean, new| mean + (new - mean) * MEAN_WEIGHT);
@@ -329,13 +357,15 @@
     ) -> Span {
         let round_size = (owner.servers * self.spec.batch).max(1) as f64;
         let ahead = if owner.entry.name == self.local.name {
-            local.for_lane(group.lane)
+            local.ahead_of(group.place)
         } else {
             // An old report predicts less than the more recent reports of the other owners.
             let keep = decay(now, owner.reported_at, REPORT_DECAY);
-            let mean = self.mean.for_lane(group.lane) * decay(now, self.mean_at, MEAN_DECAY);
-            let pending: usize = owner.pending.range(..=group.lane).map(|(_, count)| count).sum();
-            let reported = owner.reported.for_lane(group.lane);
+            let mean = self.mean.ahead_of(group.place) * decay(now, self.mean_at, MEAN_DECAY);
+            let new = PendingGroup::new(now, group);
+            let pending = owner.pending.iter().filter(|sent| sent.is_ahead_of(&new));
+            let pending: usize = pending.map(|sent| sent.pieces).sum();
+            let reported = owner.reported.ahead_of(group.place);
             (reported * keep + mean * (1.0 - keep)).max(pending as f64 / round_size)
         };
         let pieces = group.pieces as f64;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -300,7 +300,7 @@
         }
         let latency = self.mean_latency();
         let key = self.node.wire.piece_key(&self.head).unwrap_or_default();
-        let due = self.arrived + self.route.objective.scale(DUE_RATIO) - self.elapsed - latency;
+        let due = self.stages_due(latency);
         let job = StageJob {
             route: &self.route,
             id: &self.info.id,
@@ -325,8 +325,9 @@
 
     /// Predicts the latency of the request if it were admitted now.
     fn estimate_arrival(&self, left: Span) -> ArrivalEstimate {
-        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane).critical_path;
         let (latency, behind) = (self.mean_latency(), self.ranks_behind());
+        let due = self.stages_due(latency);
+        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane, due).critical_path;
         ArrivalEstimate {
             timely: forecast(Lane::Timely(behind)) + latency,
             late: forecast(Lane::Late) + latency,
@@ -336,6 +337,11 @@
         }
     }
 
+    /// Returns when the stages must be done to meet the objective, if the response takes `latency` after them.
+    fn stages_due(&self, latency: Span) -> Time {
+        self.arrived + self.route.objective.scale(DUE_RATIO) - self.elapsed - latency
+    }
+
     /// Returns by how many ranks the request is less urgent than the most urgent requests with stages.
     fn ranks_behind(&self) -> u8 {
         let state = self.node.state.borrow();
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::peers::{GroupRequest, GroupResponse};
 use crate::wire::{PieceInput, PieceRequest, Wire};
-use damaskweir_core::batch::{Fullness, Lane};
+use damaskweir_core::batch::{Fullness, Lane, QueuePlace};
 use damaskweir_core::catalog::{Route, Work};
 use damaskweir_core::forecast::Forecast;
 use damaskweir_core::graph::{PieceIndex, StageGraph, StagePlan};
@@ -168,15 +168,32 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Predicts the stage times of a request that arrives now.
-    pub(crate) fn forecast(&self, route: &Route, plan: &StagePlan, lane: Lane) -> Forecast {
+    /// Predicts the stage times of a request that arrives now and whose stages are to be done by `due`.
+    pub(crate) fn forecast(
+        &self,
+        route: &Route,
+        plan: &StagePlan,
+        lane: Lane,
+        due: Time,
+    ) -> Forecast {
         let now = self.now();
         let state = self.state.borrow();
+        let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
+        let call_time = |(i, pieces): (usize, usize)| {
+            match pools.and_then(|pools| pools.get(&route.stages.get(i)?.pool))?.work {
+                Work::Pieces(spec) => (pieces > 0).then(|| spec.call_time_of(pieces)),
+                _ => None,
+            }
+        };
+        let unqueued: Vec<_> = plan.counts().enumerate().map(call_time).collect();
+        let tails = Forecast::new(plan, &unqueued).tails;
         let time = |(i, pieces): (usize, usize)| {
             let pool = &route.stages.get(i)?.pool;
             let owners = state.owners.get(pool)?;
             let own = state.batchers.get(pool).map(|batcher| batcher.fullness(now));
-            let group = PieceGroup { pieces, lane };
+            let tail = tails.get(i).copied().unwrap_or_default();
+            let place = QueuePlace { lane, due: (due - tail).since(now) };
+            let group = PieceGroup { pieces, place };
             (pieces > 0)
                 .then(|| owners.predict_time(now, group, &own.unwrap_or_default()))
                 .flatten()
@@ -194,7 +211,7 @@
         let mut progress = StageRun {
             node: self,
             job,
-            forecast: self.forecast(job.route, job.plan, job.lane),
+            forecast: self.forecast(job.route, job.plan, job.lane, job.due),
             graph: StageGraph::new(job.plan),
             held: HeldResults {
                 node: self.clone(),
@@ -307,8 +324,11 @@
     /// Sends pieces of one stage to the owner that is expected to finish them first.
     fn dispatch(&mut self, group: &[PieceIndex], first: bool) -> Result<(), StageError> {
         let node = self.node;
-        let size = PieceGroup { pieces: group.len(), lane: self.job.lane };
         let now = node.now();
+        let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
+        let due = (self.job.due - tail).since(now);
+        let size =
+            PieceGroup { pieces: group.len(), place: QueuePlace { lane: self.job.lane, due } };
         let stage = &self.job.route.stages[group[0].stage];
         let transfers = self.transfers_by_zone(group[0].stage);
         let (owner, expected, suspects) = {
@@ -328,8 +348,6 @@
             (chosen, expected, state.suspects.keys().cloned().collect())
         };
         let input_ttl = self.input_ttl(group[0].stage);
-        let tail = self.forecast.tails.get(group[0].stage).copied().unwrap_or(Span::ZERO);
-        let due = (self.job.due - tail).since(now);
         let left = Span((self.job.deadline - tail).since(now).0.min(input_ttl.0));
         let untouched = first && self.needs_no_results(group[0].stage) && !self.restarted;
         let call = GroupRequest {
@@ -485,11 +503,12 @@
         sender: &UnboundedSender<PieceResult>,
     ) {
         let lane = call.lane;
+        let place = QueuePlace { lane, due: call.due };
         let mut open = OpenPieces {
             node: self.clone(),
             pool: call.pool.clone(),
             owner: owner.name.clone(),
-            group: PieceGroup { pieces: group.len(), lane },
+            group: PieceGroup { pieces: group.len(), place },
             fullness: None,
         };
         let (began, pool) = (self.now(), call.pool.clone());
@@ -535,7 +554,8 @@
         let took = self.now().since(began);
         if lane != Lane::Late && ends.iter().all(Result::is_ok) {
             let mut state = self.state.borrow_mut();
-            state.owners.get_mut(&pool).into_iter().for_each(|o| o.record_time(took, expected));
+            let owners = state.owners.get_mut(&pool);
+            owners.into_iter().for_each(|o| o.record_time(lane, took, expected));
         }
         let failed = ends.iter().filter(|end| end.is_err()).count();
         let mut fields = vec![
@@ -547,7 +567,7 @@
             ("owner", owner.name.as_str().into()),
             (
                 "fullness_percent",
-                ((reported.unwrap_or_default().for_lane(lane) * 100.0) as u64).into(),
+                ((reported.unwrap_or_default().ahead_of(place) * 100.0) as u64).into(),
             ),
             ("expected_ms", expected.as_millis().into()),
             ("took_ms", took.as_millis().into()),
