Count results as released once their server has confirmed it

What callers saw: under load, requests were refused as stage_server_full and waited longer for their stages.

Cause: results counted as released when the release was queued, and the calls that this made possible were sent before it. The server then had no room for a part of the pieces, which were dropped, counted as retries, and paused the server for 150 ms. Evidence: 33 of 181 calls to one pool in 5 s of a burst dropped 244 pieces; the pause took 7% of the servers' time.

Change: results are counted as released when the release is answered, and the pool's calls are started then. An unanswered release leaves its results counted until they expire.

--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -16,7 +16,7 @@
 use damaskweir_core::room::ResultKey;
 use damaskweir_core::standing::Standing;
 use damaskweir_core::time::{Span, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,8 +44,8 @@
 
 /// Queued releases, grouped by where they are sent.
 struct ReleaseTargets {
-    /// Handles to release directly, by server that this entry owns.
-    owned: Vec<(Permit, Vec<String>)>,
+    /// Results to release directly, by server that this entry owns.
+    owned: Vec<(Permit, Vec<ResultRelease>)>,
     /// Releases to send to the owners of the other servers.
     forwarded: Vec<(EntryInfo, Vec<ResultRelease>)>,
 }
@@ -390,16 +390,17 @@
         loop {
             sleep(RELEASE_DELAY).await;
             let ReleaseTargets { owned, forwarded } = self.release_targets();
-            let pools: BTreeSet<_> =
-                owned.iter().map(|(permit, _)| permit.server().pool.clone()).collect();
-            pools.iter().for_each(|pool| self.dispatch_due(pool));
-            for (permit, handles) in owned {
+            for (permit, releases) in owned {
                 let node = self.clone();
                 tokio::task::spawn_local(async move {
-                    let server = permit.server().id.clone();
-                    let released =
-                        timeout(RELEASE_TIMEOUT, node.release_at(permit, &handles)).await;
-                    node.log_release(server.as_str(), matches!(released, Ok(Ok(()))));
+                    let server = permit.server().clone();
+                    let release = node.release_at(permit, &releases);
+                    let released = matches!(timeout(RELEASE_TIMEOUT, release).await, Ok(Ok(())));
+                    node.log_release(server.id.as_str(), released);
+                    if released {
+                        node.record_releases(&server, &releases);
+                        node.dispatch_due(&server.pool);
+                    }
                 });
             }
             for (owner, releases) in forwarded {
@@ -416,7 +417,7 @@
     /// at a server whose limit allows no call now stay queued.
     fn release_targets(&self) -> ReleaseTargets {
         let releases = std::mem::take(&mut self.state.borrow_mut().releases);
-        let mut permits = BTreeMap::<ServerId, Option<(Permit, Vec<String>)>>::new();
+        let mut permits = BTreeMap::<ServerId, Option<(Permit, Vec<ResultRelease>)>>::new();
         let mut forwarded = BTreeMap::<EntryInfo, Vec<ResultRelease>>::new();
         for release in releases {
             // The results of a removed server no longer exist, and those of one that leaves end with it.
@@ -433,16 +434,10 @@
             let permit = permits.entry(replica.id.clone()).or_insert_with(|| {
                 self.permit_locally(&replica, SendPath::Release).map(|permit| (permit, Vec::new()))
             });
-            let mut state = self.state.borrow_mut();
-            let Some((_, handles)) = permit else {
-                state.releases.push(release);
-                continue;
-            };
-            if let Some(batcher) = state.batchers.get_mut(&replica.pool) {
-                let key = ResultKey::from(release.handle.as_str());
-                batcher.result_released(&replica.id, key, release.bytes);
+            match permit {
+                Some((_, releases)) => releases.push(release),
+                None => self.state.borrow_mut().releases.push(release),
             }
-            handles.push(release.handle);
         }
         ReleaseTargets {
             owned: permits.into_values().flatten().collect(),
@@ -450,6 +445,17 @@
         }
     }
 
+    /// Counts results as released. Their memory can be used again only once the server has confirmed it: a call
+    /// that arrives before the release finds no room.
+    fn record_releases(&self, server: &Replica, releases: &[ResultRelease]) {
+        let mut state = self.state.borrow_mut();
+        let Some(batcher) = state.batchers.get_mut(&server.pool) else { return };
+        for release in releases {
+            let key = ResultKey::from(release.handle.as_str());
+            batcher.result_released(&server.id, key, release.bytes);
+        }
+    }
+
     /// Whether the results at a server expire before it accepts a call that releases them.
     fn expires_before_release(&self, server: &Replica) -> bool {
         let now = self.now();
@@ -472,11 +478,12 @@
     async fn release_at(
         self: &Rc<Self>,
         permit: Permit,
-        handles: &[String],
+        releases: &[ResultRelease],
     ) -> Result<(), HttpError> {
         let server = &permit.server().clone();
+        let handles: Vec<_> = releases.iter().map(|release| release.handle.clone()).collect();
         let mut conn = self.connection(permit).await?;
-        conn.send(&self.wire.encode_release(server, handles), &[]).await?;
+        conn.send(&self.wire.encode_release(server, &handles), &[]).await?;
         let head = conn.read_head(|_| true).await?;
         self.record_answer(server, &head);
         conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?;
