Serve sooner after many entries have started at once

What callers saw: after all entries had lost power, requests were refused as starting for up to 1.5 s after the processes had started, and the one retry of most callers ended there.

Cause: an entry without a configuration waited 1.7 s for other entries, which had started at the same moment, polled them every 0.4 s, and refused requests meanwhile. Evidence: first admissions 0.4 to 1.5 s after the start of the process.

Change: the wait for other entries grows with their number (0.2 s for 29), polls are 40 ms apart until a configuration is known, and a request that arrives before that is held for a quarter of its time, 1 s at most, within the memory for requests.

--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -45,6 +45,10 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// `Retry-After` while no configuration is known.
 const STARTING_RETRY: Span = Span::from_millis(500);
+/// Share of a request's remaining time for which a starting entry holds it until the configuration and servers
+/// are known, and the longest time. Callers retry once or twice, and after many entries have lost power
+/// together, the retry arrives at an entry that starts as well.
+const STARTING_HOLD: (f64, Span) = (0.25, Span::from_secs(1));
 /// Maximum size in bytes of the body of a request from another entry.
 const PEER_REQUEST_BYTES_MAX: usize = 1024 * 1024;
 /// Status and cause of the refusal of a request that there is no memory for.
@@ -249,8 +253,7 @@
 async fn handle_request<W: Wire>(node: Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     let arrived = node.now();
     let (head, body) = request.into_parts();
-    let catalog = node.state.borrow().active_catalog().cloned();
-    let Some(catalog) = catalog else {
+    let Some(catalog) = await_catalog(&node, &head, arrived).await else {
         return error_response(StatusCode::SERVICE_UNAVAILABLE, "starting", Some(STARTING_RETRY));
     };
     match read_request(&node, &catalog, &head, body, arrived).await {
@@ -270,6 +273,39 @@
     }
 }
 
+/// Returns the configuration. An entry that has just started waits for it and for the list of servers as long as
+/// the request allows.
+async fn await_catalog<W: Wire>(
+    node: &Node<W>,
+    head: &Parts,
+    arrived: Time,
+) -> Option<Rc<Catalog>> {
+    let known = || {
+        let state = node.state.borrow();
+        let has_servers = state.fleet.replicas().next().is_some();
+        (state.active_catalog().cloned(), has_servers, state.draining.is_some())
+    };
+    if let (Some(catalog), true, _) = known() {
+        return Some(catalog);
+    }
+    let deadline = node.wire.parse_request(head).ok()?.deadline.unwrap_or_default();
+    let hold = deadline.scale(STARTING_HOLD.0).min(STARTING_HOLD.1);
+    let limit = node.instant(arrived + hold);
+    let _reserved = node.requests.reserve(REQUEST_BYTES)?;
+    loop {
+        let changed = node.changed.notified();
+        match known() {
+            (Some(catalog), true, _) => return Some(catalog),
+            (catalog, _, true) => return catalog,
+            (catalog, ..) => {
+                if tokio::time::timeout_at(limit, changed).await.is_err() {
+                    return catalog;
+                }
+            }
+        }
+    }
+}
+
 /// Reads a complete request, or returns the status and cause of its rejection.
 async fn read_request<W: Wire>(
     node: &Rc<Node<W>>,
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -51,9 +51,14 @@
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay between a response and the next poll, so that changes are batched.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(40);
-/// Time after the start in which an entry waits for other entries to relay the store's data before
-/// it reads the store itself.
-const START_RELAY_WAIT: Span = Span::from_millis(1_700);
+/// Time after the start in which an entry waits for other entries to relay the store's data before it reads the
+/// store itself: a fixed part, one for each listed entry, and the maximum. The store can't serve all entries of
+/// a large fleet at once; with a small fleet that starts together, reading is faster than waiting.
+const START_RELAY_WAIT: (Span, Span, Span) =
+    (Span::from_millis(100), Span::from_millis(4), Span::from_millis(1_700));
+/// Time after the start in which an entry without a configuration polls other entries at the shorter interval.
+/// They may have started at the same moment and have one soon.
+const START_POLL_PERIOD: Span = Span::from_secs(3);
 /// Watch timeout for the configuration, as a share of `NodeConfig::apply_limit`. In normal
 /// operation the configuration gets as old as two watches, and the server list as old as two
 /// watches and the interval between them.
@@ -468,7 +473,7 @@
                     (self.apply_share(READ_STORE_SHARE).saturating_sub(age), PEER_POLL_INTERVAL)
                 }
                 None => (
-                    START_RELAY_WAIT.saturating_sub(now.since(Time::default())),
+                    self.start_relay_wait().saturating_sub(now.since(Time::default())),
                     START_CHECK_INTERVAL,
                 ),
             };
@@ -481,6 +486,13 @@
         }
     }
 
+    /// Returns how long a starting entry waits for other entries to relay the store's data.
+    fn start_relay_wait(&self) -> Span {
+        let (fixed, per_entry, max) = START_RELAY_WAIT;
+        let entries = self.node.state.borrow().roster.entries().len() as u64;
+        (fixed + per_entry * entries).min(max)
+    }
+
     /// Waits while other entries relay the store's data and confirm the list of entries.
     async fn wait_to_read_entries(&self) {
         let old_list = async {
@@ -582,8 +594,10 @@
             // Poll all others in quick succession; if none has recent data, poll them at the normal
             // interval.
             let next = !useful && self.failed_polls.get() < peers.len();
-            sleep(if next || useful && !reads { CHANGE_BATCH_DELAY } else { PEER_POLL_INTERVAL })
-                .await;
+            let starting = self.node.state.borrow().catalog.is_none()
+                && self.node.now().since(Time::default()) < START_POLL_PERIOD;
+            let soon = next || starting || useful && !reads;
+            sleep(if soon { CHANGE_BATCH_DELAY } else { PEER_POLL_INTERVAL }).await;
         }
     }
 
@@ -631,6 +645,7 @@
         let confirmed = self.consulted.get() && self.catalog_confirmed.get();
         let mut state = self.node.state.borrow_mut();
         state.servable |= confirmed && state.catalog.is_some();
+        self.node.changed.notify_waiters();
     }
 
     /// Updates and returns whether the known configuration may be served. An old one may be if
@@ -641,6 +656,7 @@
         let unaided = peers > 0 && self.failed_polls.get() >= peers;
         let mut state = self.node.state.borrow_mut();
         state.servable |= state.catalog.is_some() && (overdue || unaided);
+        self.node.changed.notify_waiters();
         state.servable
     }
 
