Refuse requests whose stage results would expire while they wait

Change: if the forecast of a stage behind all timely requests is longer than its inputs stay stored, the request is refused on arrival. The new test did not compile before; the two other tests name the same times.

--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -17,6 +17,8 @@
 /// Critical-path analysis of a request's stages.
 #[derive(Clone, Debug)]
 pub struct Forecast {
+    /// Predicted time of each stage, zero for one without pieces.
+    pub times: Vec<Span>,
     /// Time of the longest chain of stages.
     pub critical_path: Span,
     /// For each stage, the time of the longest chain of stages that follow it.
@@ -46,7 +48,8 @@
             ahead[i] = before.max().unwrap_or(Span::ZERO);
         }
         let slack = |i: usize| whole.saturating_sub(ahead[i] + through[i]);
-        Self { critical_path: whole, slacks: (0..plan.len()).map(slack).collect(), tails }
+        let slacks = (0..plan.len()).map(slack).collect();
+        Self { times: (0..plan.len()).map(time).collect(), critical_path: whole, tails, slacks }
     }
 }
 
@@ -68,8 +71,9 @@
     /// Predicted time to the first part of the answer, if the request is queued with those that can
     /// meet their objective.
     pub timely: Span,
-    /// Predicted time to the first part of the answer, if the request is queued behind those.
-    pub late: Span,
+    /// Predicted time to the first part of the answer, if the request is queued behind those. `None` if
+    /// results of its stages would expire before the next stage takes them.
+    pub late: Option<Span>,
     /// Remaining time that the caller will wait.
     pub time_left: Span,
     /// Time since the caller's first try, or zero if this is the first.
@@ -96,9 +100,10 @@
     if arrival.timely <= Span(objective.0.min(by_deadline.0)) {
         return Decision::Admit;
     }
-    if arrival.late <= by_deadline {
-        return Decision::AdmitLate;
-    }
-    let over = arrival.late.saturating_sub(by_deadline);
-    Decision::Refuse(Span(over.0.clamp(RETRY_HINT_RANGE.0.0, RETRY_HINT_RANGE.1.0)))
+    let retry = match arrival.late {
+        Some(late) if late <= by_deadline => return Decision::AdmitLate,
+        Some(late) => late.saturating_sub(by_deadline),
+        None => RETRY_HINT_RANGE.1,
+    };
+    Decision::Refuse(Span(retry.0.clamp(RETRY_HINT_RANGE.0.0, RETRY_HINT_RANGE.1.0)))
 }
--- a/crates/core/tests/graph.rs
+++ b/crates/core/tests/graph.rs
@@ -156,7 +156,7 @@
 ) {
     let arrival = ArrivalEstimate {
         timely: Span::from_millis(whole),
-        late: Span::from_millis(whole),
+        late: Some(Span::from_millis(whole)),
         time_left: Span::from_millis(left),
         elapsed: Span::from_millis(6_000 - left),
         objective: Span::from_secs(1),
@@ -164,6 +164,20 @@
     assert_eq!(decide_admission(&arrival), expected);
 }
 
+/// Guards against admitting a request whose results expire while it waits for its next stage: the stages before
+/// were worked on in vain, and the refusal came seconds later.
+#[test]
+fn request_whose_results_would_expire_is_refused_at_once() {
+    let arrival = ArrivalEstimate {
+        timely: Span::from_secs(4),
+        late: None,
+        time_left: Span::from_secs(20),
+        elapsed: Span::ZERO,
+        objective: Span::from_secs(2),
+    };
+    assert_eq!(decide_admission(&arrival), Decision::Refuse(Span::from_secs(3)));
+}
+
 /// Guards against large results that stay stored while a longer chain of stages that runs in parallel
 /// is still at work.
 #[test]
--- a/crates/core/tests/returns.rs
+++ b/crates/core/tests/returns.rs
@@ -21,7 +21,7 @@
 fn arrival(wait: Span, elapsed: Span) -> ArrivalEstimate {
     ArrivalEstimate {
         timely: Span::from_millis(520),
-        late: Span::from_millis(900),
+        late: Some(Span::from_millis(900)),
         time_left: wait,
         elapsed,
         objective: Span::from_millis(730),
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -257,7 +257,10 @@
         let arrival = self.estimate_arrival(left);
         let decision = decide_admission(&arrival);
         self.admitted_late = decision == Decision::AdmitLate;
-        self.predicted_time = if self.admitted_late { arrival.late } else { arrival.timely };
+        self.predicted_time = match arrival.late {
+            Some(late) if self.admitted_late => late,
+            _ => arrival.timely,
+        };
         match decision {
             Decision::Admit | Decision::AdmitLate => {
                 let pieces: Vec<_> = self.info.pieces.iter().map(usize::to_string).collect();
@@ -327,10 +330,16 @@
     fn estimate_arrival(&self, left: Span) -> ArrivalEstimate {
         let (latency, behind) = (self.mean_latency(), self.ranks_behind());
         let due = self.stages_due(latency);
-        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane, due).critical_path;
+        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane, due);
+        let late = forecast(Lane::Late);
+        let expires = (0..self.plan.len()).any(|stage| {
+            late.times
+                .get(stage)
+                .is_some_and(|time| *time > self.node.input_ttl(&self.route, &self.plan, stage))
+        });
         ArrivalEstimate {
-            timely: forecast(Lane::Timely(behind)) + latency,
-            late: forecast(Lane::Late) + latency,
+            timely: forecast(Lane::Timely(behind)).critical_path + latency,
+            late: (!expires).then(|| late.critical_path + latency),
             time_left: left,
             elapsed: self.elapsed,
             objective: self.route.objective,
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -179,11 +179,12 @@
         let now = self.now();
         let state = self.state.borrow();
         let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
-        let call_time = |(i, pieces): (usize, usize)| {
-            match pools.and_then(|pools| pools.get(&route.stages.get(i)?.pool))?.work {
-                Work::Pieces(spec) => (pieces > 0).then(|| spec.call_time_of(pieces)),
-                _ => None,
-            }
+        let call_time = |(i, pieces): (usize, usize)| match pools
+            .and_then(|pools| pools.get(&route.stages.get(i)?.pool))?
+            .work
+        {
+            Work::Pieces(spec) => (pieces > 0).then(|| spec.call_time_of(pieces)),
+            _ => None,
         };
         let unqueued: Vec<_> = plan.counts().enumerate().map(call_time).collect();
         let tails = Forecast::new(plan, &unqueued).tails;
@@ -202,6 +203,21 @@
         Forecast::new(plan, &times)
     }
 
+    /// Time for which the inputs of a stage are sure to stay stored. A piece that waits longer would be processed
+    /// in vain.
+    pub(crate) fn input_ttl(&self, route: &Route, plan: &StagePlan, stage: usize) -> Span {
+        let state = self.state.borrow();
+        let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
+        let keep = |before: &usize| {
+            let pool = &route.stages.get(*before)?.pool;
+            match pools.and_then(|pools| pools.get(pool))?.work {
+                Work::Pieces(spec) => Some(spec.result_ttl.saturating_sub(RESULT_TTL_MARGIN)),
+                _ => None,
+            }
+        };
+        plan.dependencies(stage).iter().filter_map(keep).min().unwrap_or(Span(u64::MAX))
+    }
+
     /// Runs all stages of a request and returns their results.
     pub(crate) async fn run_stages(
         self: &Rc<Self>,
@@ -347,7 +363,7 @@
             let expected = owners.pieces_sent(now, &chosen.name, size, &own);
             (chosen, expected, state.suspects.keys().cloned().collect())
         };
-        let input_ttl = self.input_ttl(group[0].stage);
+        let input_ttl = node.input_ttl(self.job.route, self.job.plan, group[0].stage);
         let left = Span((self.job.deadline - tail).since(now).0.min(input_ttl.0));
         let untouched = first && self.needs_no_results(group[0].stage) && !self.restarted;
         let call = GroupRequest {
@@ -396,22 +412,6 @@
         self.job.plan.dependencies(stage).is_empty()
     }
 
-    /// Time for which the inputs of a stage are sure to stay stored. A piece that waits longer
-    /// would be processed in vain.
-    fn input_ttl(&self, stage: usize) -> Span {
-        let state = self.node.state.borrow();
-        let pools = state.catalog.as_ref().map(|catalog| &catalog.pools);
-        let keep = |before: &usize| {
-            let pool = &self.job.route.stages[*before].pool;
-            match pools.and_then(|pools| pools.get(pool))?.work {
-                Work::Pieces(spec) => Some(spec.result_ttl.saturating_sub(RESULT_TTL_MARGIN)),
-                _ => None,
-            }
-        };
-        let dependencies = self.job.plan.dependencies(stage).iter();
-        dependencies.filter_map(keep).min().unwrap_or(Span(u64::MAX))
-    }
-
     /// Whether the inputs of a stage take a large share of the result storage of their servers.
     fn has_large_inputs(&self, stage: usize) -> bool {
         let state = self.node.state.borrow();
