--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -257,7 +257,10 @@
         let arrival = self.estimate_arrival(left);
         let decision = decide_admission(&arrival);
         self.admitted_late = decision == Decision::AdmitLate;
-        self.predicted_time = if self.admitted_late { arrival.late } else { arrival.timely };
+        self.predicted_time = match arrival.late {
+            Some(late) if self.admitted_late => late,
+            _ => arrival.timely,
+        };
         match decision {
             Decision::Admit | Decision::AdmitLate => {
                 let pieces: Vec<_> = self.info.pieces.iter().map(usize::to_string).collect();
@@ -300,7 +303,7 @@
         }
         let latency = self.mean_latency();
         let key = self.node.wire.piece_key(&self.head).unwrap_or_default();
-        let due = self.arrived + self.route.objective.scale(DUE_RATIO) - self.elapsed - latency;
+        let due = self.stages_due(latency);
         let job = StageJob {
             route: &self.route,
             id: &self.info.id,
@@ -325,17 +328,29 @@
 
     /// Predicts the latency of the request if it were admitted now.
     fn estimate_arrival(&self, left: Span) -> ArrivalEstimate {
-        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane).critical_path;
         let (latency, behind) = (self.mean_latency(), self.ranks_behind());
+        let due = self.stages_due(latency);
+        let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane, due);
+        let late = forecast(Lane::Late);
+        let expires = (0..self.plan.len()).any(|stage| {
+            late.times
+                .get(stage)
+                .is_some_and(|time| *time > self.node.input_ttl(&self.route, &self.plan, stage))
+        });
         ArrivalEstimate {
-            timely: forecast(Lane::Timely(behind)) + latency,
-            late: forecast(Lane::Late) + latency,
+            timely: forecast(Lane::Timely(behind)).critical_path + latency,
+            late: (!expires).then(|| late.critical_path + latency),
             time_left: left,
             elapsed: self.elapsed,
             objective: self.route.objective,
         }
     }
 
+    /// Returns when the stages must be done to meet the objective, if the response takes `latency` after them.
+    fn stages_due(&self, latency: Span) -> Time {
+        self.arrived + self.route.objective.scale(DUE_RATIO) - self.elapsed - latency
+    }
+
     /// Returns by how many ranks the request is less urgent than the most urgent requests with stages.
     fn ranks_behind(&self) -> u8 {
         let state = self.node.state.borrow();
