--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod claim;
 pub mod entry;
 pub mod epoch;
+pub mod evacuation;
 pub mod fleet;
 pub mod forecast;
 pub mod fresh;
