Send nothing new to the servers of an evacuated zone

While the key `op/evacuate/ZONE` exists in the store, callers' requests, retries, resumed streams, pieces, releases and permits go to servers of other zones; what runs goes on. If all zones of a service are evacuated, its requests are refused at once as not run (`no_server`, `stage_away`).

Entries pass the set on with their polls, and with refused pieces and permits, so that the one that is behind learns it at once. `State::accepts_work` decides for all paths, and a connection asks again once it is open. A batch that could not be sent is queued again without a part of the retry budget, or goes to another owner.

--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -84,6 +84,9 @@
         if let Some(told) = &call.roster {
             self.merge_roster(told, Span::ZERO);
         }
+        if let Some(told) = &call.evacuations {
+            self.merge_evacuations(told);
+        }
         if !self.owns_servers(&pool) {
             let others = call.suspects.iter().filter(|name| **name != self.config.entry.name);
             others.for_each(|name| self.suspect_entry(name));
@@ -99,6 +102,10 @@
                     ends: vec![Err(PieceFailure::Moved); call.items.len()],
                     fullness: Fullness::uniform(1.0),
                     roster: Some(state.roster.statement(now)),
+                    evacuations: state
+                        .evacuations
+                        .as_of()
+                        .map(|_| state.evacuations.statement(now)),
                 };
             };
             let group = state.last_piece + 1;
@@ -137,7 +144,7 @@
         let state = self.state.borrow();
         let fullness = state.batchers.get(&pool).map(|batcher| batcher.fullness(now));
         let fullness = fullness.unwrap_or_default();
-        GroupResponse { ends, fullness, roster: None }
+        GroupResponse { ends, fullness, roster: None, evacuations: None }
     }
 
     fn owns_servers(&self, pool: &PoolId) -> bool {
@@ -195,7 +202,11 @@
                 (CallOutcome::Done { dropped_bytes }, ends)
             }
             Ok(Ok(ended)) => ended,
-            Ok(Err(HttpError::Declined)) => (CallOutcome::Full, Vec::new()),
+            Ok(Err(HttpError::Declined)) => {
+                self.log_call(server, &batch, CallOutcome::Full, &[], self.now().since(sent));
+                self.return_batch(self.now(), pool, &batch);
+                return self.dispatch_due(pool);
+            }
             Ok(Err(error)) => {
                 let text = error.to_string();
                 let fields =
@@ -243,13 +254,18 @@
         self.dispatch_due(pool);
     }
 
-    /// Queues the pieces of a batch again that was not sent.
+    /// Queues the pieces of a batch again that was not sent. If this entry no longer owns a server for them,
+    /// they are sent to another owner.
     fn return_batch(&self, now: Time, pool: &PoolId, batch: &Batch) {
         let mut state = self.state.borrow_mut();
-        if let Some(batcher) = state.batchers.get_mut(pool) {
-            batch.pieces.iter().for_each(|piece| batcher.push(*piece));
-            batcher.call_ended(now, &batch.server.id, batch.pieces.len(), CallOutcome::Full);
-        }
+        let state = &mut *state;
+        let Some(batcher) = state.batchers.get_mut(pool) else { return };
+        let owns = batcher.server_count() > 0;
+        let waiting = batch.pieces.iter().filter(|piece| state.waiters.contains_key(&piece.id));
+        let (kept, moved): (Vec<_>, Vec<_>) = waiting.copied().partition(|_| owns);
+        kept.into_iter().for_each(|piece| batcher.push(piece));
+        batcher.call_ended(now, &batch.server.id, batch.pieces.len(), CallOutcome::Full);
+        moved.iter().for_each(|piece| state.fail_piece(piece.id, PieceFailure::Moved));
     }
 
     /// Queues pieces again that a server did not run, if the retry budget allows it.
@@ -419,9 +435,13 @@
         let mut permits = BTreeMap::<ServerId, Option<(Permit, Vec<String>)>>::new();
         let mut forwarded = BTreeMap::<EntryInfo, Vec<ResultRelease>>::new();
         for release in releases {
-            // The results of a removed server no longer exist, and those of one that leaves end with it.
+            // The results of a removed server no longer exist, and those of one that leaves end with it. One in
+            // an evacuated zone gets no call, and drops them when their time is over.
             let replica = self.state.borrow().fleet.get(&release.server).cloned();
-            let staying = |server: &Replica| !self.state.borrow().standings.is_leaving(server);
+            let staying = |server: &Replica| {
+                let state = self.state.borrow();
+                !state.standings.is_leaving(server) && !state.evacuations.contains(&server.zone)
+            };
             let Some(replica) = replica.filter(staying) else { continue };
             if let Some(owner) = self.other_owner(&replica) {
                 forwarded.entry(owner).or_default().push(release);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod body;
 mod calls;
+mod evacuation;
 mod event;
 mod exposure;
 mod peers;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -78,6 +78,10 @@
     ServerUnlimited = "server_unlimited"
     /// The list of entries changed.
     EntriesChanged = "entries"
+    /// The servers of an availability zone get no new work.
+    ZoneEvacuated = "zone_evacuated"
+    /// The evacuation of an availability zone was withdrawn.
+    ZoneRestored = "zone_restored"
     /// A request was admitted.
     Admitted = "admitted"
     /// A request was refused and did not run.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -49,6 +49,7 @@
     leaving_servers: Gauge<u64>,
     backoff_servers: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
     queued_pieces: Gauge<u64>,
     entries: Gauge<u64>,
     entries_age: Gauge<f64>,
@@ -74,6 +75,8 @@
     pub backoff_servers: u64,
     /// Prompt parts that are quarantined.
     pub quarantined_parts: u64,
+    /// Availability zones that are evacuated and have servers.
+    pub evacuated_zones: u64,
     /// Pieces queued at this entry, by pool.
     pub queued_pieces: Vec<(&'a str, u64)>,
     /// Entries in the list of entries.
@@ -130,6 +133,7 @@
             leaving_servers: meter.u64_gauge("direct_servers_leaving").build(),
             backoff_servers: meter.u64_gauge("direct_servers_backing_off").build(),
             quarantined_parts: meter.u64_gauge("direct_parts_quarantined").build(),
+            evacuated_zones: meter.u64_gauge("direct_zones_evacuated").build(),
             queued_pieces: meter.u64_gauge("direct_pieces_waiting").build(),
             entries: meter.u64_gauge("direct_entries").build(),
             entries_age: meter.f64_gauge("direct_entries_age").with_unit("s").build(),
@@ -193,6 +197,7 @@
         self.leaving_servers.record(values.leaving_servers, &[]);
         self.backoff_servers.record(values.backoff_servers, &[]);
         self.quarantined_parts.record(values.quarantined_parts, &[]);
+        self.evacuated_zones.record(values.evacuated_zones, &[]);
         values
             .queued_pieces
             .iter()
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -15,8 +15,9 @@
 use damaskweir_core::Rng;
 use damaskweir_core::batch::{Batcher, PieceId};
 use damaskweir_core::catalog::{Catalog, Work};
+use damaskweir_core::evacuation::Evacuations;
 use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
-use damaskweir_core::fresh::Freshness;
+use damaskweir_core::fresh::{Freshness, SuspensionDetector};
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::intake::Intake;
 use damaskweir_core::owner::{EntryInfo, Owners};
@@ -82,6 +83,9 @@
     /// Time limit for an approved configuration to take effect and for a leaving server to get no
     /// more new work.
     pub apply_limit: Span,
+    /// Whether there is a time limit for evacuations, which `apply_limit` does not exceed. If so, the process
+    /// sends nothing after a suspension until its data is confirmed.
+    pub bounds_evacuation: bool,
     /// Memory in bytes that the process may use.
     pub memory: usize,
 }
@@ -102,6 +106,8 @@
     pub catalog: Option<Rc<Catalog>>,
     /// All backend servers.
     pub fleet: Fleet,
+    /// Availability zones whose servers get no new work.
+    pub evacuations: Evacuations,
     /// All entries.
     pub roster: Roster,
     /// Server selection by pool.
@@ -153,6 +159,8 @@
     pub store_current: bool,
     /// When the store last confirmed the local state.
     pub(crate) freshness: Freshness,
+    /// Notices that the process was suspended.
+    pub(crate) suspension: SuspensionDetector,
     /// Highest known generation of the store: a number that rises when it returns with an older state. 0 if
     /// it is unknown.
     pub(crate) generation: u64,
@@ -214,6 +222,7 @@
         let state = State {
             catalog: None,
             fleet: Fleet::default(),
+            evacuations: Evacuations::default(),
             roster: Roster::default(),
             placers: BTreeMap::new(),
             batchers: BTreeMap::new(),
@@ -240,6 +249,7 @@
             last_refusal: None,
             store_current: false,
             freshness: Freshness::default(),
+            suspension: SuspensionDetector::default(),
             generation: 0,
             returned_at: None,
             stale: false,
@@ -529,8 +539,14 @@
                 Conn::connect(server.address, CONNECT_TIMEOUT).await?
             }
         };
-        // An answer may have arrived while the connection was opened, or since the permit was given.
-        if self.state.borrow().standings.declines(self.now(), &server) {
+        self.wait_caught_up().await;
+        // An answer may have arrived while the connection was opened, or since the permit was given, or the
+        // zone may have been evacuated.
+        let declines = {
+            let state = self.state.borrow();
+            !state.accepts_work(&server) || state.standings.declines(self.now(), &server)
+        };
+        if declines {
             self.keep_connection(&server.id, conn);
             return Err(HttpError::Declined);
         }
@@ -560,6 +576,7 @@
             leaving_servers: state.standings.leaving().count() as u64,
             backoff_servers: state.standings.backing_off(self.now()).count() as u64,
             quarantined_parts: state.quarantine.len(self.now()) as u64,
+            evacuated_zones: state.evacuations.zone_count() as u64,
             queued_pieces: queued.map(|(pool, n)| (pool, n as u64)).collect(),
             entries: state.roster.entries().len() as u64,
             entries_age: state.roster.age(self.now()).map(Span::as_secs_f64),
@@ -609,18 +626,26 @@
         self.assign_owners(config, now);
     }
 
-    /// Whether a server is listed and does not leave, by the list or by its own word.
+    /// Whether a server is listed and gets new work.
     pub(crate) fn is_staying(&self, id: &ServerId) -> bool {
         self.fleet.get(id).is_some_and(|server| self.accepts_work(server))
     }
 
-    fn accepts_work(&self, server: &Replica) -> bool {
-        !server.leaving && !self.standings.is_leaving(server)
+    /// Whether a server gets new work: it does not leave, by the list or by its own word, and its zone is not
+    /// evacuated. Nothing else decides this.
+    pub(crate) fn accepts_work(&self, server: &Replica) -> bool {
+        self.is_open_by_lists(server) && !self.standings.is_leaving(server)
+    }
+
+    /// Whether what the store tells lets a server get new work. Owners are computed from this, as all entries
+    /// know it.
+    fn is_open_by_lists(&self, server: &Replica) -> bool {
+        !server.leaving && !self.evacuations.contains(&server.zone)
     }
 
-    /// Adds a server to its pool unless it is already there or leaves. A server of an unknown pool is
-    /// ignored.
-    fn add_server(&mut self, replica: Replica, config: &NodeConfig) {
+    /// Adds a server to its pool unless it is already there or gets no new work. A server of an unknown pool
+    /// is ignored.
+    pub(crate) fn add_server(&mut self, replica: Replica, config: &NodeConfig) {
         if !self.accepts_work(&replica) {
             return;
         }
@@ -665,14 +690,14 @@
         let pool = self.catalog.as_ref().and_then(|catalog| catalog.pools.get(id));
         let Some(Work::Pieces(spec)) = pool.map(|pool| &pool.work) else { return };
         let spec = *spec;
-        let usable = |replica: &&Replica| replica.pool == *id && !replica.leaving;
+        let usable = |replica: &&Replica| replica.pool == *id && self.is_open_by_lists(replica);
         let servers: Vec<Replica> = self.fleet.replicas().filter(usable).cloned().collect();
         let new_owners = || Owners::new(config.entry.clone(), spec);
         let owners = self.owners.entry(id.clone()).or_insert_with(new_owners);
         owners.set_spec(spec);
         let mut owned = owners.assign(id, self.roster.entries(), &self.suspects, &servers);
         // Others may not know yet that such a server leaves, so it counts when owners are computed.
-        owned.retain(|server| !self.standings.is_leaving(server));
+        owned.retain(|server| self.accepts_work(server));
         let batcher = self.batchers.entry(id.clone()).or_insert_with(|| Batcher::new(spec));
         batcher.set_spec(spec);
         batcher.set_servers(now, &owned);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::stages::{PieceFailure, StoredResult};
 use crate::wire::{PieceRequest, Wire};
 use damaskweir_core::batch::{Fullness, Lane};
+use damaskweir_core::evacuation::EvacuationStatement;
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::roster::RosterStatement;
@@ -59,6 +60,9 @@
     /// The sender's list of entries, if the receiver refused the group because of an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) roster: Option<RosterStatement>,
+    /// The sender's set of evacuated zones, if the receiver refused the group because of an older one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations: Option<EvacuationStatement>,
 }
 
 /// Outcomes of a group, in the order of its items.
@@ -70,6 +74,9 @@
     /// The list of entries by which the receiver owns no server of the pool.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) roster: Option<RosterStatement>,
+    /// The evacuated zones by which it owns none, if it knows them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations: Option<EvacuationStatement>,
 }
 
 /// A stored result to release.
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -8,6 +8,7 @@
 use crate::log::{Kind, Value};
 use crate::node::{Node, NodeConfig, State};
 use crate::wire::{ResponseInfo, SendPath, Wire};
+use damaskweir_core::evacuation::EvacuationStatement;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::intake::{Change, Notice, Rate, Statement};
@@ -74,6 +75,9 @@
     answer: PermitAnswer,
     /// What the grantor knows of the server's limit.
     told: Option<Statement>,
+    /// The evacuated zones, if that of the server is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    evacuations: Option<EvacuationStatement>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -150,7 +154,7 @@
     pub(crate) fn permit_locally(&self, server: &Replica, path: SendPath) -> Option<Permit> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        if !state.standings.accepts(now, server) {
+        if !state.accepts_work(server) || !state.standings.accepts(now, server) {
             return None;
         }
         let share = state.grant_share(now, server, &self.config);
@@ -223,6 +227,9 @@
         let call = self.call_entry(grantor, "/permit", &request);
         let response: PermitResponse =
             timeout(PERMIT_TIMEOUT, call).await.map_err(|_| HttpError::TimedOut)??;
+        if let Some(told) = &response.evacuations {
+            self.merge_evacuations(told);
+        }
         if let Some(told) = response.told {
             self.merge_statement(told, now);
         }
@@ -238,7 +245,11 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let other = state.grantor(server).filter(|entry| entry.name != *own).cloned();
+        let evacuated = state.evacuations.contains(&server.zone);
+        let evacuations = evacuated.then(|| state.evacuations.statement(now));
         let answer = match other {
+            // An entry of an earlier version takes no notice of the evacuated zones.
+            _ if request.take && evacuated => PermitAnswer::Wait(UNKNOWN_WAIT),
             _ if !request.take || state.intake.limit(server).is_none() => PermitAnswer::Granted,
             Some(other) => PermitAnswer::Moved(other),
             None => {
@@ -247,7 +258,7 @@
                 granted.map_or_else(PermitAnswer::Wait, |()| PermitAnswer::Granted)
             }
         };
-        PermitResponse { answer, told: state.intake.statement(now, server) }
+        PermitResponse { answer, told: state.intake.statement(now, server), evacuations }
     }
 
     /// Records that an entry did not answer. Another one grants its requests for [`SILENT_DURATION`].
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -251,6 +251,9 @@
         let Some((1.., latency)) = known else {
             return Err(RequestError::NotRun { cause: "no_server", retry: NO_SERVER_RETRY });
         };
+        if self.has_evacuated_stage() {
+            return Err(RequestError::NotRun { cause: "stage_away", retry: NO_SERVER_RETRY });
+        }
         let left = self.deadline.since(now);
         let wait = self.info.deadline.unwrap_or(left);
         self.elapsed = node.since_first_try(&self.route.name, wait);
@@ -293,6 +296,14 @@
         })
     }
 
+    /// Whether a stage that the request runs has no server because zones are evacuated. The stages before it
+    /// would run in vain.
+    fn has_evacuated_stage(&self) -> bool {
+        let state = self.node.state.borrow();
+        let stages = self.route.stages.iter().zip(self.plan.counts());
+        stages.into_iter().any(|(stage, pieces)| pieces > 0 && state.is_evacuated(&stage.pool))
+    }
+
     /// Runs the stages of the route. Returns `None` if it has none.
     pub(crate) async fn run_stages(&self) -> Result<Option<HeldResults<W>>, RequestError> {
         if self.route.stages.is_empty() {
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -6,6 +6,7 @@
 use crate::quarantine;
 use crate::wire::Wire;
 use damaskweir_core::catalog::Catalog;
+use damaskweir_core::evacuation::EvacuationStatement;
 use damaskweir_core::fleet::Delta;
 use damaskweir_core::ids::Version;
 use damaskweir_core::intake::Statement;
@@ -54,6 +55,10 @@
     /// Digest of the rulings on prompt parts that it last received.
     #[serde(default)]
     pub(crate) rulings: u64,
+    /// Revision of its set of evacuated zones, the default one if it has none; `None` if it is an entry of an
+    /// earlier version, which takes no set.
+    #[serde(default)]
+    pub(crate) evacuations: Option<Revision>,
     /// Time for which the response may be held until there are changes.
     pub(crate) wait: Span,
     /// Whether it asks for the configuration alone.
@@ -96,6 +101,13 @@
     /// The rulings on prompt parts; omitted if the polling entry has them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) rulings: Option<Vec<RulingStatement>>,
+    /// Time since the store confirmed the set of evacuated zones, also if that is omitted; `None` if it never
+    /// has. An entry of an earlier version tells none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations_age: Option<Span>,
+    /// The evacuated zones; omitted if the polling entry has them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations: Option<EvacuationStatement>,
     /// Time for which the response was held.
     #[serde(default)]
     pub(crate) held: Span,
@@ -114,7 +126,8 @@
         loop {
             let changed = node.changed.notified();
             let snapshot = Self::capture(node, &known, received);
-            if snapshot.has_changes(&known) {
+            let lacks = |zones| node.state.borrow().evacuations.changed_since(zones);
+            if known.evacuations.is_some_and(lacks) || snapshot.has_changes(&known) {
                 return snapshot;
             }
             if timeout_at(limit, changed).await.is_err() {
@@ -136,6 +149,10 @@
             age: state.freshness.age(node.now()),
             limits: Vec::new(),
             rulings: None,
+            evacuations_age: state.freshness.zones_age(node.now()),
+            evacuations: known
+                .evacuations
+                .and_then(|known| state.evacuations.statement_for(node.now(), known)),
             held: node.now().since(received),
             generation: state.generation,
         };
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -344,6 +344,7 @@
             refusable: untouched.then_some(left),
             suspects,
             roster: None,
+            evacuations: None,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
@@ -453,8 +454,9 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Sends a group to another entry. If the two have different lists of entries and the receiver refuses
-    /// the group, the later list replaces the other, and a receiver that was behind gets the group once more.
+    /// Sends a group to another entry. If the two have different lists of entries or evacuated zones and the
+    /// receiver refuses the group, the later list replaces the other, and a receiver that was behind gets the
+    /// group once more.
     async fn request_and_reconcile(
         self: &Rc<Self>,
         owner: &EntryInfo,
@@ -465,11 +467,19 @@
         let Some(told) = &answer.roster else { return Ok(answer) };
         let (own, took) =
             (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
+        call.evacuations = answer.evacuations.as_ref().and_then(|told| {
+            self.merge_evacuations(told);
+            let state = self.state.borrow();
+            state.evacuations.changed_since(told.as_of).then(|| state.evacuations.statement(sent))
+        });
         if own.mark.revision() <= told.mark.revision() || own.mark.digest == told.mark.digest {
             self.merge_roster(told, took);
+        } else {
+            call.roster = Some(own);
+        }
+        if call.roster.is_none() && call.evacuations.is_none() {
             return Ok(answer);
         }
-        call.roster = Some(own);
         call.due = call.due.saturating_sub(took);
         call.left = call.left.saturating_sub(took);
         self.request_group(owner, &call).await
@@ -503,7 +513,7 @@
         };
         let mut refused_by = None;
         let ends = match answer {
-            Ok(GroupResponse { ends, fullness, roster }) if ends.len() == group.len() => {
+            Ok(GroupResponse { ends, fullness, roster, .. }) if ends.len() == group.len() => {
                 open.fullness = Some(fullness);
                 refused_by = roster.map(|told| told.mark);
                 ends
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -183,7 +183,12 @@
             } else {
                 self.apply_share(CATALOG_WATCH_SHARE)
             };
-            after = relayed.or(after);
+            if let Some(catalog) = relayed {
+                // An entry of an earlier version relays the configuration without the evacuated zones, and
+                // then a full read is needed.
+                let zones = self.node.state.borrow().evacuations.as_of();
+                after = zones.map(|zones| zones.min(catalog));
+            }
             let (sent, full_read) = (self.node.now(), after.is_none());
             let read = match after {
                 None => self.source.catalog().await,
@@ -195,10 +200,10 @@
                     delay = RETRY_DELAYS.0;
                     compacted = false;
                     after = Some(read.revision);
-                    let changed = full_read || read.value.is_some();
-                    let held = if changed { Span::ZERO } else { wait };
+                    self.node.apply_zones(read.revision, &read.value.zones, full_read);
+                    let held = if read.value.changed { Span::ZERO } else { wait };
                     self.confirm(Dataset::Catalog, sent, held);
-                    if let Some(catalog) = read.value {
+                    if let Some(catalog) = read.value.catalog {
                         self.node.apply_catalog(catalog, UpdateSource::Store);
                     }
                     self.catalog_confirmed.set(true);
@@ -456,13 +461,17 @@
 
     /// Waits while another entry reads the store for this one or is about to: if every entry of a
     /// large fleet read everything at its start, the store could not serve any of them in time.
-    /// Returns whether it had to wait. With `skip_unservable`, it does not wait while the relayed
-    /// configuration may not be served.
+    /// Returns whether it had to wait. With `skip_unservable`, the call is for the configuration and the
+    /// evacuated zones, and does not wait while the relayed configuration may not be served.
     async fn wait_to_read(&self, skip_unservable: bool) -> bool {
         let mut waited = false;
         loop {
             let now = self.node.now();
-            let relayed_age = self.node.state.borrow().freshness.relayed_age(now);
+            let freshness = self.node.state.borrow().freshness;
+            let relayed_age = match skip_unservable {
+                true => freshness.relayed_catalog_age(now),
+                false => freshness.relayed_age(now),
+            };
             let (remaining, interval) = match relayed_age {
                 Some(age) => {
                     (self.apply_share(READ_STORE_SHARE).saturating_sub(age), PEER_POLL_INTERVAL)
@@ -621,6 +630,9 @@
         let Ok(conn) = Conn::connect(peer, CONNECT_TIMEOUT).await else { return };
         let Ok((snapshot, _)) = request_snapshot(conn, peer, &known).await else { return };
         self.node.observe_generation(snapshot.generation);
+        if let Some(told) = &snapshot.evacuations {
+            self.node.merge_evacuations(told);
+        }
         if let Some(catalog) = snapshot.catalog {
             self.node.apply_catalog(catalog, UpdateSource::Entry(peer));
         }
@@ -640,6 +652,8 @@
         let overdue = self.node.now().since(Time::default()) > self.node.config.apply_limit;
         let unaided = peers > 0 && self.failed_polls.get() >= peers;
         let mut state = self.node.state.borrow_mut();
+        // Entries of an earlier version tell no evacuated zones. The store is read before the start is overdue.
+        let unaided = unaided && state.evacuations.as_of().is_some();
         state.servable |= state.catalog.is_some() && (overdue || unaided);
         state.servable
     }
@@ -689,6 +703,7 @@
             entries_as_of: mark.as_of,
             entries_generation: mark.generation,
             generation: state.generation,
+            evacuations: Some(state.evacuations.as_of().unwrap_or_default()),
             ..self.known.get()
         }
     }
@@ -698,6 +713,9 @@
     fn merge(&self, snapshot: Snapshot, peer: SocketAddr, sent: Time) -> bool {
         let now = self.node.now();
         self.node.observe_generation(snapshot.generation);
+        if let Some(told) = &snapshot.evacuations {
+            self.node.merge_evacuations(told);
+        }
         // An entry of an earlier version doesn't notice that the store has returned with an older state.
         let notices = snapshot.generation > 0 || self.node.state.borrow().generation == 0;
         let told_age = snapshot.age.filter(|_| notices);
@@ -706,7 +724,11 @@
         let trusted = confirmed.is_some() && notices;
         self.failed_polls.set(if trusted { 0 } else { self.failed_polls.get() + 1 });
         if let Some(age) = told_age {
-            self.node.state.borrow_mut().freshness.relayed(sent, snapshot.held, age);
+            let freshness = &mut self.node.state.borrow_mut().freshness;
+            freshness.relayed(sent, snapshot.held, age);
+            if let Some(age) = snapshot.evacuations_age {
+                freshness.relayed_zones(sent, snapshot.held, age);
+            }
             self.node.changed.notify_waiters();
         }
         for told in snapshot.limits {
@@ -736,8 +758,9 @@
         }
         // Data confirmed before this process started may be older than what the previous process
         // served.
-        let since_start =
-            told_age.is_some_and(|age| age <= (sent + snapshot.held).since(Time::default()));
+        let is_since_start = |age| age <= (sent + snapshot.held).since(Time::default());
+        let since_start = told_age.is_some_and(is_since_start)
+            && snapshot.evacuations_age.is_some_and(is_since_start);
         self.catalog_confirmed.set(self.catalog_confirmed.get() || since_start);
         self.serve_confirmed();
         self.known.set(known);
@@ -763,6 +786,7 @@
         loop {
             sleep(EXPIRY_INTERVAL).await;
             let now = self.node.now();
+            self.node.expire_evacuations();
             let gone = self.node.state.borrow_mut().fleet.expire(now);
             self.node.apply_fleet_changes(gone);
             self.node.expire_suspects();
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -4,6 +4,7 @@
 use crate::http::ResponseHead;
 use bytes::Bytes;
 use damaskweir_core::catalog::Catalog;
+use damaskweir_core::evacuation::ZoneEvent;
 use damaskweir_core::fleet::{Listing, Replica};
 use damaskweir_core::intake::Notice;
 use damaskweir_core::owner::EntryInfo;
@@ -207,6 +208,17 @@
     pub value: T,
 }
 
+/// What operators write to the source: all of it, or its changes.
+#[derive(Clone, Debug, Default)]
+pub struct OperatorData {
+    /// The newest valid configuration, if any.
+    pub catalog: Option<Catalog>,
+    /// Evacuated zones, or changes of them in order of revision.
+    pub zones: Vec<ZoneEvent>,
+    /// Whether the answer holds anything, of use or not. The source may have answered at any moment then.
+    pub changed: bool,
+}
+
 /// What entries write to the source.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -232,14 +244,14 @@
     /// Returns the highest generation of the source that a response named: a number that rises when the
     /// source returns with an older state. 0 if none did.
     fn generation(&self) -> u64;
-    /// Returns the newest valid configuration, if any.
-    fn catalog(&self) -> impl Future<Output = Result<Versioned<Option<Catalog>>, Self::Error>>;
-    /// Waits up to `wait` for a configuration newer than revision `after`.
+    /// Returns the newest valid configuration, if any, and the evacuated zones.
+    fn catalog(&self) -> impl Future<Output = Result<Versioned<OperatorData>, Self::Error>>;
+    /// Waits up to `wait` for a configuration or evacuations newer than revision `after`.
     fn watch_catalog(
         &self,
         after: Revision,
         wait: Span,
-    ) -> impl Future<Output = Result<Versioned<Option<Catalog>>, Self::Error>>;
+    ) -> impl Future<Output = Result<Versioned<OperatorData>, Self::Error>>;
     /// Returns all servers.
     fn listings(&self) -> impl Future<Output = Result<Versioned<Vec<Listing>>, Self::Error>>;
     /// Waits up to `wait` for server changes after revision `after`.
