Wait for the evacuated zones before the time of an attempt begins

A suspended entry that could not reach the store answered 502 to its first request: the second for which connections wait counted as the server's time to answer, so the attempt was given up as it was sent. The wait comes before that time begins now, and a call with pieces is put together again after it.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -156,6 +156,8 @@
         resume: Option<u64>,
     ) -> Option<Outcome<W>> {
         let node = self.node.clone();
+        // The wait must not count as the server's time to answer.
+        node.wait_caught_up().await;
         let (server, path) = (&permit.server().clone(), permit.path());
         let started = node.now();
         self.sent.push(server.id.clone());
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -193,6 +193,12 @@
 
     /// Calls a server with one batch and delivers the results.
     async fn call_server(self: Rc<Self>, sent: Time, pool: &PoolId, permit: Permit, batch: Batch) {
+        if self.is_catching_up() {
+            // The wait must not count as the server's time to answer.
+            self.wait_caught_up().await;
+            self.return_batch(self.now(), pool, &batch);
+            return self.dispatch_due(pool);
+        }
         let server = &batch.server;
         let (items, wanted) = self.waiting_items(&batch);
         let limit = self.instant(batch.timeout_at);
--- a/crates/direct/src/evacuation.rs
+++ b/crates/direct/src/evacuation.rs
@@ -123,7 +123,8 @@
         }
     }
 
-    fn is_catching_up(&self) -> bool {
+    /// Whether the process was suspended and its set of evacuated zones is not confirmed yet.
+    pub(crate) fn is_catching_up(&self) -> bool {
         let now = self.now();
         let state = self.state.borrow();
         let old = |age: Option<Span>| age.is_none_or(|age| age > self.config.apply_limit);
