Release results at stage servers that leave by the list, as before

Since the evacuation of zones, results at a stage server that the list tells to leave stayed there until their time was over: permits asked `State::accepts_work`, which refuses such a server, also for releases. Permits, releases and open connections ask `State::accepts_calls` now: no announced leaving and no evacuated zone.

--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -444,11 +444,8 @@
             // The results of a removed server no longer exist, and those of one that leaves end with it. One in
             // an evacuated zone gets no call, and drops them when their time is over.
             let replica = self.state.borrow().fleet.get(&release.server).cloned();
-            let staying = |server: &Replica| {
-                let state = self.state.borrow();
-                !state.standings.is_leaving(server) && !state.evacuations.contains(&server.zone)
-            };
-            let Some(replica) = replica.filter(staying) else { continue };
+            let accepts = |server: &Replica| self.state.borrow().accepts_calls(server);
+            let Some(replica) = replica.filter(accepts) else { continue };
             if let Some(owner) = self.other_owner(&replica) {
                 forwarded.entry(owner).or_default().push(release);
                 continue;
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -544,7 +544,7 @@
         // zone may have been evacuated.
         let declines = {
             let state = self.state.borrow();
-            !state.accepts_work(&server) || state.standings.declines(self.now(), &server)
+            !state.accepts_calls(&server) || state.standings.declines(self.now(), &server)
         };
         if declines {
             self.keep_connection(&server.id, conn);
@@ -634,7 +634,12 @@
     /// Whether a server gets new work: it does not leave, by the list or by its own word, and its zone is not
     /// evacuated. Nothing else decides this.
     pub(crate) fn accepts_work(&self, server: &Replica) -> bool {
-        self.is_open_by_lists(server) && !self.standings.is_leaving(server)
+        !server.leaving && self.accepts_calls(server)
+    }
+
+    /// Whether a server gets calls at all. One that leaves by the list alone still releases results.
+    pub(crate) fn accepts_calls(&self, server: &Replica) -> bool {
+        !self.standings.is_leaving(server) && !self.evacuations.contains(&server.zone)
     }
 
     /// Whether what the store tells lets a server get new work. Owners are computed from this, as all entries
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -154,7 +154,7 @@
     pub(crate) fn permit_locally(&self, server: &Replica, path: SendPath) -> Option<Permit> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        if !state.accepts_work(server) || !state.standings.accepts(now, server) {
+        if !state.accepts_calls(server) || !state.standings.accepts(now, server) {
             return None;
         }
         let share = state.grant_share(now, server, &self.config);
