--- a/crates/direct/src/explain.rs
+++ b/crates/direct/src/explain.rs
@@ -20,6 +20,8 @@
     Kind::ServerBackoffEnded,
     Kind::ServerLimited,
     Kind::ServerUnlimited,
+    Kind::ZoneEvacuated,
+    Kind::ZoneRestored,
     Kind::LinesOmitted,
 ];
 
