Pace the requests to cold servers

What callers see: a server that has just started, or has become cold again, gets at most cold_per_s x cold_over + cold_slack requests in any second from all entries together. Requests go to other servers meanwhile, or are refused at once, as not run, with the time of the next permit. Without bounds.cold_over nothing changes.

Cause: each entry sends a new server what it would send a warm one, and all of them together crash it.

Change: core::warmup keeps until when each server process is cold, from its record, its answers, its start and the end of an evacuation (Warmups::assume_cold, Node::assume_cold). A record whose warm-up time alone changes is relayed in deltas and reported as FleetChange::Warmup; its countdown is no change. While a server is cold, and for two steps of a second after it, each connection needs a permit that is at most 200 ms old. One entry grants all, its deputy in another zone half, and no other entry any, so that the sum stays below the bound whoever is out of contact; a grantor that is new, was frozen or is behind grants half. Entries of the earlier version are told by a missing field in their response, and an equal share in time slots takes the place of their permits.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -4,6 +4,7 @@
 use crate::revision::Revision;
 use crate::time::Span;
 use crate::value;
+use crate::warmup::WarmupSpec;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -117,6 +118,9 @@
         pub connections: u32,
         /// Kind of work that its servers do.
         pub work: Work,
+        /// How long its servers are cold, and what they can take then; `None` if they never are.
+        #[serde(default)]
+        pub warmup: Option<WarmupSpec>,
     }
 
     /// Kind of work that the servers of a pool do.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,6 +20,10 @@
 /// Time for which a record of a copy is not applied if it contradicts what is known of the server. A server
 /// that it describes truly is still listed then; the record of one that is gone expires sooner.
 const RECALL_HOLD: Span = Span::from_secs(5);
+/// A time at which a server is warm counts as another one if it is later than the known one by more than the
+/// first, or earlier by more than the second. Records of one warm-up differ by the delay with which they are
+/// read, up to 0.6 s.
+const WARMUP_TOLERANCE: (Span, Span) = (Span::from_millis(500), Span::from_millis(1_000));
 
 value! {
     /// A registered backend server.
@@ -40,6 +44,10 @@
         /// process under the same id.
         #[serde(rename = "born")]
         pub started: Option<u64>,
+        /// Time left in which it is cold, as of the record; `None` if the record does not tell it. See
+        /// [`Fleet::warm_at`].
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub warmup: Option<Span>,
     }
 
     /// A process of a backend server.
@@ -68,12 +76,24 @@
         self.started == other.started && self.address == other.address
     }
 
+    /// Whether another record says the same, apart from the time left in which the server is cold.
+    fn is_same_record(&self, other: &Self) -> bool {
+        let Self { id, pool, address, zone, slots, leaving, started, warmup: _ } = self;
+        (id, pool, address, zone) == (&other.id, &other.pool, &other.address, &other.zone)
+            && (slots, leaving, started) == (&other.slots, &other.leaving, &other.started)
+    }
+
     /// The process that the record describes.
     pub fn process(&self) -> ServerProcess {
         ServerProcess { id: self.id.clone(), started: self.started }
     }
 }
 
+/// Whether two records describe the same process under the same id, whatever its state.
+pub(crate) fn is_same_process(a: &Replica, b: &Replica) -> bool {
+    a.id == b.id && a.is_same_process(b)
+}
+
 /// Changes to the list since the last change that another process knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -100,6 +120,8 @@
     Leaving(ServerId),
     /// The server no longer exists.
     Removed(ServerId),
+    /// The record of the server tells another time at which it is warm, see [`Fleet::warm_at`].
+    Warmup(ServerId),
 }
 
 #[derive(Clone, Debug)]
@@ -109,6 +131,10 @@
     /// Value of the list's `sequence` when the content of the record last changed.
     last_change: u64,
     replica: Replica,
+    /// When the server is warm; `None` if no record told it.
+    warm_at: Option<Time>,
+    /// A record that is read from this time on counts as a change.
+    awaited: Option<Time>,
     /// Set while the record is missing: when the server is removed unless the record returns.
     expires: Option<Time>,
 }
@@ -132,6 +158,18 @@
     replica: Replica,
 }
 
+/// Whether a record tells nothing new of when its server is warm.
+fn is_same_warmup(now: Time, known: Option<Time>, told: Option<Time>) -> bool {
+    match (known, told) {
+        (Some(known), Some(told)) => {
+            let (later, earlier) = WARMUP_TOLERANCE;
+            let both_warm = known <= now && told <= now;
+            both_warm || told.since(known) <= later && known.since(told) <= earlier
+        }
+        (known, told) => known.is_none() && told.is_none(),
+    }
+}
+
 /// The list of registered servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -176,11 +214,34 @@
         self.records.get(id).map(|record| &record.replica)
     }
 
+    /// When a server is warm, by its record, and the revision of that record.
+    pub fn warm_at(&self, id: &ServerId) -> (Option<Time>, Revision) {
+        let record = self.records.get(id);
+        let number = record.map_or(0, |record| record.revision);
+        (record.and_then(|r| r.warm_at), Revision::new(self.as_of.generation, number))
+    }
+
+    /// Has the first record of a server that is read from a time on count as a change, whatever it says.
+    pub fn await_record(&mut self, id: &ServerId, from: Time) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.awaited = Some(from);
+        }
+    }
+
     /// Whether the list names a process.
     pub fn lists_process(&self, server: &Replica) -> bool {
         self.get(&server.id).is_some_and(|listed| listed.is_same_process(server))
     }
 
+    /// The changes as [`Fleet::delta_since`] returns them, with the times left as of `now`.
+    pub fn delta_at(&self, now: Time, known: u64) -> Option<Delta> {
+        let mut delta = self.delta_since(known)?;
+        for replica in delta.listings.iter_mut().filter_map(|listing| listing.replica.as_mut()) {
+            replica.warmup = self.warm_at(&replica.id).0.map(|at| at.since(now));
+        }
+        Some(delta)
+    }
+
     /// The changes after sequence number `known`, or `None` if there are none.
     pub fn delta_since(&self, known: u64) -> Option<Delta> {
         if known >= self.sequence {
@@ -305,7 +366,7 @@
         let mut out: Vec<_> = gone.into_iter().map(FleetChange::Removed).collect();
         let released = self.held.extract_if(.., |_, held| held.until <= now);
         for (_, held) in released.collect::<Vec<_>>() {
-            self.apply_record(held.revision, held.replica, &mut out);
+            self.apply_record(now, held.revision, held.replica, &mut out);
         }
         out
     }
@@ -323,7 +384,7 @@
             }
             Some(listed) => {
                 self.held.remove(&change.id);
-                self.apply_record(change.revision, listed.clone(), out);
+                self.apply_record(now, change.revision, listed.clone(), out);
             }
             None => {
                 self.held.remove(&change.id);
@@ -359,10 +420,28 @@
     }
 
     /// Applies a record, whatever revision is known.
-    fn apply_record(&mut self, revision: u64, replica: Replica, out: &mut Vec<FleetChange>) {
+    fn apply_record(
+        &mut self,
+        now: Time,
+        revision: u64,
+        replica: Replica,
+        out: &mut Vec<FleetChange>,
+    ) {
         let id = replica.id.clone();
         let known = self.records.get(&id);
-        let unchanged = known.is_some_and(|record| record.replica == replica);
+        let told = replica.warmup.map(|left| now + left);
+        let same = known.is_some_and(|record| record.replica.is_same_process(&replica));
+        let same_warmup = known.is_some_and(|record| {
+            let awaited = record.awaited.is_some_and(|from| from <= now);
+            same && !awaited && is_same_warmup(now, record.warm_at, told)
+        });
+        let awaited = known.and_then(|record| record.awaited).filter(|from| same && *from > now);
+        let warm_at = match known {
+            Some(record) if same_warmup => record.warm_at,
+            _ => told,
+        };
+        let unchanged =
+            same_warmup && known.is_some_and(|record| record.replica.is_same_record(&replica));
         let last_change = match known {
             Some(record) if unchanged => record.last_change,
             _ => {
@@ -385,7 +464,10 @@
         } else if was_leaving && !replica.leaving {
             out.push(FleetChange::Up(replica.clone()));
         }
-        let record = Record { revision, last_change, replica, expires: None };
+        if same_process && !same_warmup {
+            out.push(FleetChange::Warmup(id.clone()));
+        }
+        let record = Record { revision, last_change, replica, warm_at, awaited, expires: None };
         self.records.insert(id, record);
     }
 
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -3,11 +3,12 @@
 //! A limit holds for all entries together. For each server, one entry grants the requests of all; the
 //! others ask it before each request.
 
-use crate::fleet::Replica;
+use crate::fleet::{Replica, is_same_process};
 use crate::ids::ServerId;
 use crate::pace::{Pace, Pacer};
 use crate::time::{Span, Time};
 use crate::value;
+use crate::warmup::{ColdBound, Warmups};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
@@ -43,6 +44,17 @@
     pub fn per_second(self) -> f64 {
         1.0 / self.0.as_secs_f64()
     }
+
+    /// Creates a rate; `None` if the number is not positive or is too high.
+    pub fn from_per_second(number: f64) -> Option<Self> {
+        let valid = number > 0.0 && number <= MAX_PER_SECOND;
+        valid.then(|| Self(Span::from_secs(1).scale(1.0 / number)))
+    }
+
+    /// Multiplies the requests per second.
+    pub fn scale(self, factor: f64) -> Self {
+        Self(self.0.scale(1.0 / factor))
+    }
 }
 
 impl FromStr for Rate {
@@ -52,11 +64,7 @@
         if !text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.') {
             return Err(RateError);
         }
-        let number: f64 = text.parse().map_err(|_| RateError)?;
-        if number > 0.0 && number <= MAX_PER_SECOND {
-            return Ok(Self(Span::from_secs(1).scale(1.0 / number)));
-        }
-        Err(RateError)
+        text.parse().ok().and_then(Self::from_per_second).ok_or(RateError)
     }
 }
 
@@ -145,9 +153,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Intake {
     servers: BTreeMap<ServerId, ServerIntake>,
+    /// The servers that are cold.
+    pub warmups: Warmups,
 }
 
 impl Intake {
+    /// Creates an intake that keeps a bound of cold servers.
+    pub fn new(bound: Option<ColdBound>) -> Self {
+        Self { servers: BTreeMap::new(), warmups: Warmups::new(bound) }
+    }
+
     /// Records an answer of a server. Returns what has changed, if anything.
     pub fn record(&mut self, now: Time, server: &Replica, notice: Notice) -> Option<Change> {
         let intake = self.entry(now, server)?;
@@ -189,6 +204,18 @@
         self.get(server)?.limit.map(|limit| limit.rate)
     }
 
+    /// The lower one of the limit that a server named and that of its warm-up, if any.
+    pub fn limit_in_force(&self, now: Time, server: &Replica) -> Option<Rate> {
+        // The longer interval is the lower limit.
+        self.limit(server).max(self.warmups.rate(now, server))
+    }
+
+    /// The servers whose requests need permits: those that name a limit and those that are cold.
+    pub fn paced(&self, now: Time) -> impl Iterator<Item = &Replica> {
+        let cold = self.warmups.active(now).filter(|server| self.limit(server).is_none());
+        self.limited().chain(cold)
+    }
+
     /// The servers that name a limit.
     pub fn limited(&self) -> impl Iterator<Item = &Replica> {
         self.servers.values().filter(|intake| intake.limit.is_some()).map(|intake| &intake.server)
@@ -221,6 +248,57 @@
         }
     }
 
+    /// Grants one request to a server that is or may be cold, if `share` of its limit and `cold` of the rate of
+    /// its warm-up allow it. The error is the time until the next grant.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        server: &Replica,
+        (share, cold): (f64, f64),
+    ) -> Result<(), Span> {
+        if let Some(wait) = self.warmups.wait(now, server, cold).filter(|wait| *wait > Span::ZERO) {
+            return Err(self.warmups.book_wait(now, server, wait, cold));
+        }
+        self.try_grant(now, server, share)?;
+        self.warmups.try_grant(now, server, cold)
+    }
+
+    /// Grants one call that releases results at a server that is or may be cold.
+    pub fn grant_release(
+        &mut self,
+        now: Time,
+        server: &Replica,
+        (share, cold): (f64, f64),
+    ) -> bool {
+        let wait = self.warmups.wait(now, server, cold).unwrap_or_default();
+        if wait > Span::ZERO || !self.warmups.may_release(now, server) {
+            return false;
+        }
+        let granted = self.try_grant_release(now, server, share)
+            && self.warmups.try_grant(now, server, cold).is_ok();
+        if granted {
+            self.warmups.record_release(now, server);
+        }
+        granted
+    }
+
+    /// The pace of the requests that this entry grants to a server; `None` if it gets any number.
+    pub fn pace_in_force(
+        &self,
+        now: Time,
+        server: &Replica,
+        (share, cold): (f64, f64),
+    ) -> Option<Pace> {
+        let named = self.pace(now, server, share);
+        let Some(wait) = self.warmups.wait(now, server, cold) else { return named };
+        let interval = self.warmups.interval(now, server, cold).unwrap_or_default();
+        let warmup = Pace { interval, ready: now + wait };
+        Some(named.map_or(warmup, |named| Pace {
+            interval: named.interval.max(warmup.interval),
+            ready: named.ready.max(warmup.ready),
+        }))
+    }
+
     /// Grants one call that releases results at a server, of which only a few are.
     pub fn try_grant_release(&mut self, now: Time, server: &Replica, share: f64) -> bool {
         let Some(limit) = self.limit_mut(server) else { return true };
@@ -247,7 +325,9 @@
 
     /// The servers to which no request may be sent now, and until when.
     pub fn blocked(&self, now: Time) -> Vec<(ServerId, Time)> {
-        let blocked = |intake: &&ServerIntake| intake.limit.is_some() && intake.blocked_until > now;
+        let blocked = |intake: &&ServerIntake| {
+            intake.blocked_until > now && self.limit_in_force(now, &intake.server).is_some()
+        };
         let blocked = self.servers.values().filter(blocked);
         blocked.map(|intake| (intake.server.id.clone(), intake.blocked_until)).collect()
     }
@@ -261,12 +341,12 @@
     }
 
     fn get(&self, server: &Replica) -> Option<&ServerIntake> {
-        self.servers.get(&server.id).filter(|intake| same_process(&intake.server, server))
+        self.servers.get(&server.id).filter(|intake| is_same_process(&intake.server, server))
     }
 
     fn limit_mut(&mut self, server: &Replica) -> Option<&mut Limit> {
         let intake = self.servers.get_mut(&server.id)?;
-        intake.limit.as_mut().filter(|_| same_process(&intake.server, server))
+        intake.limit.as_mut().filter(|_| is_same_process(&intake.server, server))
     }
 
     /// The record of a server process, created if necessary. What an earlier process under its id said
@@ -276,7 +356,7 @@
         if known.is_some_and(|known| known.started > server.started) {
             return None;
         }
-        if known.is_some_and(|known| !same_process(known, server)) {
+        if known.is_some_and(|known| !is_same_process(known, server)) {
             self.servers.remove(&server.id);
         }
         Some(self.servers.entry(server.id.clone()).or_insert_with(|| ServerIntake {
@@ -325,8 +405,3 @@
         })
     }
 }
-
-/// Whether two records describe the same process, whatever its state.
-fn same_process(a: &Replica, b: &Replica) -> bool {
-    a.id == b.id && a.started == b.started && a.address == b.address
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod standing;
 pub mod time;
 pub mod tree;
+pub mod warmup;
 pub mod window;
 
 /// Random number generator that callers pass in; this crate never seeds one itself.
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -96,6 +96,21 @@
     trusted.max_by_key(|entry| (hash_score(&[server.as_str(), &entry.name]), &entry.name))
 }
 
+/// Returns the entry that grants the requests of all entries to a cold server, and its deputy: one of another
+/// zone if there is any, so that they are not lost together.
+pub fn cold_grantors<'a>(
+    server: &ServerId,
+    entries: &'a [EntryInfo],
+) -> (Option<&'a EntryInfo>, Option<&'a EntryInfo>) {
+    let Some(first) = grantor(server, entries, |_| false) else { return (None, None) };
+    let others = entries.iter().filter(|entry| entry.name != first.name);
+    let deputy = others.max_by_key(|entry| {
+        let score = hash_score(&[server.as_str(), &entry.name]);
+        (entry.zone != first.zone, score, &entry.name)
+    });
+    (Some(first), deputy)
+}
+
 /// Partitions the servers into named clusters, each of which gets one owner. Rendezvous hashing keeps
 /// the number of servers that change clusters small when a server is added or removed.
 fn clusters(servers: &[Replica]) -> Vec<(String, Vec<&Replica>)> {
--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -29,6 +29,7 @@
         slots: 1,
         leaving: false,
         started: Some(1),
+        warmup: None,
     }
 }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -16,6 +16,7 @@
         slots: 4,
         leaving,
         started: Some(started),
+        warmup: None,
     }
 }
 
@@ -100,6 +101,38 @@
     assert_eq!(fleet.replicas().count(), 1);
 }
 
+/// Guards against a warm-up that other entries don't learn of or learn with the time left long ago, against
+/// heartbeats that each change all entries' lists, and against a server that counts as another process.
+#[test]
+fn change_of_a_warm_up_is_relayed_and_its_countdown_is_not() {
+    let warming =
+        |millis: u64| Replica { warmup: Some(Span::from_millis(millis)), ..replica("a", 1, false) };
+    let millis = |n: u64| Time::default() + Span::from_millis(n);
+    let warmup = [FleetChange::Warmup(ServerId::from("a"))];
+    let mut fleet = known();
+    let changes = fleet.apply(seconds(2), at(11), &[listed(11, warming(3_000))]);
+    assert_eq!(changes, warmup, "the record did not tell a time before");
+    let known = fleet.sequence();
+    for (n, (now, left)) in
+        [(3_600, 1_800), (4_400, 600), (5_800, 0), (7_000, 0)].iter().enumerate()
+    {
+        let revision = 12 + n as u64;
+        let changes = fleet.apply(millis(*now), at(revision), &[listed(revision, warming(*left))]);
+        assert_eq!((changes, fleet.sequence()), (Vec::new(), known), "at {now} ms");
+    }
+    assert_eq!(fleet.apply(seconds(8), at(20), &[listed(20, warming(3_000))]), warmup);
+    assert_eq!(fleet.warm_at(&ServerId::from("a")), (Some(seconds(11)), at(20)));
+    let delta = fleet.delta_at(seconds(10), known).expect("a change");
+    let mut receiver = Fleet::default();
+    receiver.merge(seconds(100), &Delta { full: true, ..delta }).expect("a list");
+    assert_eq!(receiver.warm_at(&ServerId::from("a")).0, Some(seconds(101)));
+    fleet.apply(seconds(12), at(21), &[listed(21, warming(0))]);
+    fleet.await_record(&ServerId::from("a"), seconds(14));
+    assert_eq!(fleet.apply(seconds(13), at(22), &[listed(22, warming(0))]), []);
+    assert_eq!(fleet.apply(seconds(14), at(23), &[listed(23, warming(0))]), warmup);
+    assert_eq!(fleet.apply(seconds(15), at(24), &[listed(24, warming(0))]), []);
+}
+
 /// Guards against sending the full list when little changed (one entry of 300 sent 4 MB/s), and against
 /// counting heartbeats as changes.
 #[test]
--- a/crates/core/tests/intake.rs
+++ b/crates/core/tests/intake.rs
@@ -20,6 +20,7 @@
         slots: 6,
         leaving: false,
         started: Some(started),
+        warmup: None,
     }
 }
 
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -32,6 +32,7 @@
         slots: 1,
         leaving: false,
         started: Some(1),
+        warmup: None,
     }
 }
 
--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place.rs
@@ -19,6 +19,7 @@
         slots: 8,
         leaving: false,
         started: Some(1),
+        warmup: None,
     }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod stages;
 mod standing;
 mod stream;
+mod warmup;
 
 pub mod explain;
 pub mod http;
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -76,6 +76,10 @@
     ServerLimited = "server_limited"
     /// A backend server no longer names a limit.
     ServerUnlimited = "server_unlimited"
+    /// A backend server is cold and gets few requests.
+    ServerCold = "server_cold"
+    /// A backend server that was cold gets any number of requests.
+    ServerWarm = "server_warm"
     /// The list of entries changed.
     EntriesChanged = "entries"
     /// A request was admitted.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -46,6 +46,7 @@
     request_latency: Histogram<f64>,
     servers: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    cold_servers: Gauge<u64>,
     leaving_servers: Gauge<u64>,
     backoff_servers: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
@@ -68,6 +69,8 @@
     pub servers: Vec<(&'a str, u64)>,
     /// Backend servers that name a limit, as far as this entry knows.
     pub limited_servers: u64,
+    /// Backend servers that get few requests because they are or were cold.
+    pub cold_servers: u64,
     /// Backend servers that said in an answer that they leave.
     pub leaving_servers: u64,
     /// Backend servers that get no request now because they asked for time.
@@ -127,6 +130,7 @@
             request_latency: seconds("direct_request"),
             servers: meter.u64_gauge("direct_servers").build(),
             limited_servers: meter.u64_gauge("direct_servers_limited").build(),
+            cold_servers: meter.u64_gauge("direct_servers_cold").build(),
             leaving_servers: meter.u64_gauge("direct_servers_leaving").build(),
             backoff_servers: meter.u64_gauge("direct_servers_backing_off").build(),
             quarantined_parts: meter.u64_gauge("direct_parts_quarantined").build(),
@@ -190,6 +194,7 @@
         let pool = |name: &str| [KeyValue::new("pool", name.to_owned())];
         values.servers.iter().for_each(|(name, n)| self.servers.record(*n, &pool(name)));
         self.limited_servers.record(values.limited_servers, &[]);
+        self.cold_servers.record(values.cold_servers, &[]);
         self.leaving_servers.record(values.leaving_servers, &[]);
         self.backoff_servers.record(values.backoff_servers, &[]);
         self.quarantined_parts.record(values.quarantined_parts, &[]);
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -28,6 +28,7 @@
 use damaskweir_core::roster::{Roster, RosterMark, RosterStatement};
 use damaskweir_core::standing::Standings;
 use damaskweir_core::time::{Span, Time};
+use damaskweir_core::warmup::{ColdBound, Pauses};
 use damaskweir_core::window::WindowBudget;
 use rand_core::Rng as _;
 use std::cell::RefCell;
@@ -84,6 +85,8 @@
     pub apply_limit: Span,
     /// Memory in bytes that the process may use.
     pub memory: usize,
+    /// Requests that cold servers may get; `None` if they are treated like others.
+    pub cold: Option<ColdBound>,
 }
 
 /// The origin of an update.
@@ -121,6 +124,10 @@
     /// When the list of entries, or of those that do not answer, last changed. Another entry may have
     /// been the grantor of any server until then.
     pub(crate) grantors_changed: Time,
+    /// When the list of entries last changed.
+    pub(crate) roster_changed: Time,
+    /// When the process was last frozen.
+    pub(crate) pauses: Pauses,
     /// Number of open calls for a permit, by server.
     pub(crate) open_asks: BTreeMap<ServerId, u32>,
     /// Return times of callers that were refused because of servers' limits.
@@ -223,13 +230,15 @@
             suspects: BTreeMap::new(),
             silent: BTreeMap::new(),
             grantors_changed: Time::default(),
+            roster_changed: Time::default(),
+            pauses: Pauses::default(),
             open_asks: BTreeMap::new(),
             return_slots: BTreeMap::new(),
             releases: Vec::new(),
             entry_connections: HashMap::new(),
             wakeups: BTreeMap::new(),
             last_piece: 0,
-            intake: Intake::default(),
+            intake: Intake::new(config.cold),
             standings: Standings::default(),
             exposures: Exposures::default(),
             quarantine: Quarantine::default(),
@@ -351,6 +360,7 @@
             ],
         );
         state.install_catalog(catalog, &self.config, self.now());
+        self.record_all_warmups(&mut state);
         self.changed.notify_waiters();
         true
     }
@@ -402,8 +412,10 @@
                     self.log
                         .process(Kind::ServerUp, &[("server", id.into()), ("pool", pool.into())]);
                     state.remove_server(&replica.id);
+                    self.record_listed_warmup(&mut state, &replica.id);
                     state.add_server(replica, &self.config);
                 }
+                FleetChange::Warmup(id) => self.record_listed_warmup(&mut state, &id),
                 FleetChange::Leaving(id) => {
                     let fields = [("server", id.as_str().into()), ("from", "list".into())];
                     self.log.process(Kind::ServerLeaving, &fields);
@@ -419,6 +431,7 @@
         let now = self.now();
         pools.iter().for_each(|pool| state.assign_pool_owners(pool, &self.config, now));
         state.assign_grantors(&self.config, now);
+        state.assign_cold_grantors(&self.config, now);
         drop(state);
         removed.iter().for_each(|id| self.check_replaced(id));
         self.changed.notify_waiters();
@@ -443,6 +456,7 @@
                 ("age_ms", age.unwrap_or_default().as_millis().into()),
             ];
             self.log.process(Kind::EntriesChanged, &fields);
+            state.roster_changed = now;
             state.entries_changed(&self.config, now);
         }
         self.changed.notify_waiters();
@@ -496,7 +510,12 @@
         if state.suspects.len() < suspects || state.silent.len() < silent {
             state.entries_changed(&self.config, now);
         }
+        state.pauses.record(now);
         state.intake.expire(now, |id| state.fleet.get(id).is_some());
+        let warm = state.intake.warmups.expire(now, |server| state.fleet.lists_process(server));
+        for server in warm {
+            self.log.process(Kind::ServerWarm, &[("server", server.id.as_str().into())]);
+        }
         state.standings.expire(now, |server| state.fleet.lists_process(server));
         state.exposures.expire(now);
         state.quarantine.expire(now);
@@ -519,7 +538,7 @@
     /// Returns an idle connection to the server of a permit, or opens a new one. Fails if the server accepts
     /// no request by then.
     pub(crate) async fn connection(&self, permit: Permit) -> Result<Conn, HttpError> {
-        let server = permit.into_server();
+        let server = permit.server().clone();
         let idle =
             self.state.borrow_mut().idle_connections.get_mut(&server.id).and_then(IdleConns::take);
         let conn = match idle {
@@ -530,7 +549,8 @@
             }
         };
         // An answer may have arrived while the connection was opened, or since the permit was given.
-        if self.state.borrow().standings.declines(self.now(), &server) {
+        let declines = self.state.borrow().standings.declines(self.now(), &server);
+        if declines || permit.is_expired(self.now()) {
             self.keep_connection(&server.id, conn);
             return Err(HttpError::Declined);
         }
@@ -557,6 +577,7 @@
         self.metrics.record_gauges(&GaugeValues {
             servers: servers.map(|(pool, n)| (pool, n as u64)).collect(),
             limited_servers: state.intake.limited().count() as u64,
+            cold_servers: state.intake.warmups.active(self.now()).count() as u64,
             leaving_servers: state.standings.leaving().count() as u64,
             backoff_servers: state.standings.backing_off(self.now()).count() as u64,
             quarantined_parts: state.quarantine.len(self.now()) as u64,
@@ -658,6 +679,7 @@
             catalog.pools.keys().for_each(|pool| self.assign_pool_owners(pool, config, now));
         }
         self.assign_grantors(config, now);
+        self.assign_cold_grantors(config, now);
     }
 
     /// Recomputes the server owners of one pool, if it is a stage pool.
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -1,8 +1,9 @@
-//! Permission to send requests to servers that name a limit.
+//! Permission to send requests to servers that name a limit or are cold.
 //!
 //! Each entry sees only its own requests, but a limit holds for those of all entries together. One
 //! entry, the grantor, grants them all; the others ask it before each request. All entries compute the
-//! same grantor from the list of entries. While they may disagree, each grants only a share.
+//! same grantor from the list of entries. While they may disagree, each grants only a share. For a cold
+//! server only two entries ever grant, see `damaskweir_core::warmup`.
 
 use crate::http::{HttpError, ResponseHead};
 use crate::log::{Kind, Value};
@@ -11,9 +12,10 @@
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, ServerId};
 use damaskweir_core::intake::{Change, Notice, Rate, Statement};
-use damaskweir_core::owner::{EntryInfo, grantor};
+use damaskweir_core::owner::{EntryInfo, cold_grantors, grantor};
 use damaskweir_core::pace::Pace;
 use damaskweir_core::time::{Span, Time};
+use damaskweir_core::warmup::{GrantorView, PERMIT_LIFETIME, Role, WarmupStatement};
 use http::StatusCode;
 use rand_core::Rng as _;
 use serde::{Deserialize, Serialize};
@@ -38,6 +40,8 @@
 pub(crate) struct Permit {
     server: Replica,
     path: SendPath,
+    /// When it was asked for, if the server is cold and it must be used soon.
+    asked: Option<Time>,
 }
 
 impl Permit {
@@ -46,9 +50,9 @@
         &self.server
     }
 
-    /// Uses the permit up.
-    pub(crate) fn into_server(self) -> Replica {
-        self.server
+    /// Whether the server is cold and the permit is too old to be used.
+    pub(crate) fn is_expired(&self, now: Time) -> bool {
+        self.asked.is_some_and(|at| now.since(at) > PERMIT_LIFETIME)
     }
 
     /// Why the request is sent.
@@ -64,6 +68,9 @@
     told: Statement,
     /// Whether a request is to be sent. If not, the call only passes on what is known.
     take: bool,
+    /// What the sender knows of the server's warm-up; `None` if it needs no permits because of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    warmup: Option<WarmupStatement>,
     /// Entries that did not answer the sender. The receiver may take their place without knowing it.
     silent: Vec<String>,
 }
@@ -74,6 +81,9 @@
     answer: PermitAnswer,
     /// What the grantor knows of the server's limit.
     told: Option<Statement>,
+    /// Whether the grantor paces the requests to cold servers. One of an earlier version does not.
+    #[serde(default)]
+    paces_cold: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,8 +117,8 @@
 }
 
 impl<W: Wire> Node<W> {
-    /// Returns a permit for a request to a server. Returns `None` if its limit allows no request now;
-    /// the server is then blocked for a while.
+    /// Returns a permit for a request to a server. Returns `None` if its limit or its warm-up allows no request
+    /// now; the server is then blocked for a while.
     pub(crate) async fn permit(
         self: &Rc<Self>,
         server: &Replica,
@@ -116,15 +126,24 @@
     ) -> Option<Permit> {
         let mut redirect = None;
         for _ in 0..MAX_ASKS {
-            if self.state.borrow().intake.limit(server).is_none() {
-                return Some(self.issue(server, path));
+            let asked = self.now();
+            if self.state.borrow().intake.limit_in_force(asked, server).is_none() {
+                return Some(self.issue(server, path, asked));
+            }
+            let cold = self.state.borrow().is_cold(asked, server);
+            let grantor = match redirect.take() {
+                None if cold => self.state.borrow().cold_grantor(server).cloned(),
+                None => self.state.borrow().grantor(server).cloned(),
+                known => known,
+            };
+            if cold && grantor.is_none() {
+                break;
             }
-            let grantor = redirect.take().or_else(|| self.state.borrow().grantor(server).cloned());
             let Some(grantor) = grantor.filter(|entry| entry.name != self.config.entry.name) else {
                 return self.permit_locally(server, path);
             };
             match self.ask(&grantor, server, true).await {
-                Ok(PermitAnswer::Granted) => return Some(self.issue(server, path)),
+                Ok(PermitAnswer::Granted) => return Some(self.issue(server, path, asked)),
                 Ok(PermitAnswer::Wait(wait)) => {
                     self.block(server, wait);
                     return None;
@@ -145,24 +164,24 @@
         None
     }
 
-    /// Returns a permit for a request to a server that accepts any, if it names no limit or this entry is its
-    /// grantor and its limit allows the request.
+    /// Returns a permit for a request to a server that accepts any, if it needs none or this entry is its
+    /// grantor and its limit and its warm-up allow the request.
     pub(crate) fn permit_locally(&self, server: &Replica, path: SendPath) -> Option<Permit> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if !state.standings.accepts(now, server) {
             return None;
         }
-        let share = state.grant_share(now, server, &self.config);
+        let shares = state.grant_shares(now, server, &self.config);
         let granted = match path {
-            SendPath::Release => state.intake.try_grant_release(now, server, share),
+            SendPath::Release => state.intake.grant_release(now, server, shares),
             _ => {
-                let granted = state.intake.try_grant(now, server, share);
+                let granted = state.intake.grant(now, server, shares);
                 granted.map_err(|wait| state.intake.block(now, server, wait)).is_ok()
             }
         };
         drop(state);
-        granted.then(|| self.issue(server, path))
+        granted.then(|| self.issue(server, path, now))
     }
 
     /// Returns a permit if this entry's equal share of the server's limit allows it.
@@ -170,11 +189,16 @@
         let now = self.now();
         let granted = {
             let mut state = self.state.borrow_mut();
-            let share = 1.0 / state.roster.entries().len().max(1) as f64;
-            state.intake.try_grant(now, server, share)
+            let state = &mut *state;
+            let entries = state.roster.entries();
+            let share = 1.0 / entries.len().max(1) as f64;
+            let before = entries.iter().filter(|entry| entry.name < self.config.entry.name);
+            let slot = (before.count() as u64, entries.len() as u64);
+            let granted = state.intake.try_grant(now, server, share);
+            granted.and_then(|()| state.intake.warmups.try_equal_share(now, server, slot))
         };
         match granted {
-            Ok(()) => Some(self.issue(server, path)),
+            Ok(()) => Some(self.issue(server, path, now)),
             Err(wait) => {
                 self.block(server, wait);
                 None
@@ -182,15 +206,16 @@
         }
     }
 
-    fn issue(&self, server: &Replica, path: SendPath) -> Permit {
+    fn issue(&self, server: &Replica, path: SendPath, asked: Time) -> Permit {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.standings.record_send(now, server);
-        if state.intake.limit(server).is_some() {
+        if state.intake.limit_in_force(now, server).is_some() {
             self.metrics.limited_send(path);
         }
+        let asked = state.is_cold(now, server).then_some(asked);
         drop(state);
-        Permit { server: server.clone(), path }
+        Permit { server: server.clone(), path, asked }
     }
 
     /// Lets no request be sent to a server for `wait` and a random part of its interval, so that entries
@@ -198,7 +223,8 @@
     fn block(&self, server: &Replica, wait: Span) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let interval = state.intake.limit(server).map_or(Span::ZERO, Rate::interval);
+        let limit = state.intake.limit_in_force(now, server);
+        let interval = limit.map_or(Span::ZERO, Rate::interval);
         let jitter = state.rng.next_u64() % (interval.0.min(UNKNOWN_WAIT.0) / 2).max(1);
         state.intake.block(now, server, wait + Span(jitter));
     }
@@ -211,13 +237,15 @@
         take: bool,
     ) -> Result<PermitAnswer, HttpError> {
         let now = self.now();
-        let request = {
+        let (request, cold) = {
             let mut state = self.state.borrow_mut();
             let silent = state.silent.keys().cloned().collect();
             *state.open_asks.entry(server.id.clone()).or_default() += 1;
             let told = state.intake.statement(now, server);
             let unknown = Statement { server: server.clone(), limit: None, age: Span(u64::MAX) };
-            PermitRequest { told: told.unwrap_or(unknown), take, silent }
+            let warmup = state.intake.warmups.statement(now, server);
+            let told = told.unwrap_or(unknown);
+            (PermitRequest { told, take, warmup, silent }, warmup.is_some())
         };
         let _open = OpenAsk { node: self, server };
         let call = self.call_entry(grantor, "/permit", &request);
@@ -226,6 +254,9 @@
         if let Some(told) = response.told {
             self.merge_statement(told, now);
         }
+        if cold && take && !response.paces_cold {
+            return Err(HttpError::Malformed("the entry does not pace requests to cold servers"));
+        }
         Ok(response.answer)
     }
 
@@ -235,19 +266,29 @@
         request.silent.iter().filter(|name| *name != own).for_each(|name| self.silence(name));
         self.merge_statement(request.told.clone(), self.now());
         let (now, server) = (self.now(), &request.told.server);
+        if let Some(told) = request.warmup {
+            self.merge_warmup(server, told);
+        }
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let other = state.grantor(server).filter(|entry| entry.name != *own).cloned();
-        let answer = match other {
-            _ if !request.take || state.intake.limit(server).is_none() => PermitAnswer::Granted,
+        let other = match (state.is_cold(now, server), state.cold_role(server, own)) {
+            (true, Role::First | Role::Deputy) => None,
+            (true, Role::Other) => state.cold_grantor(server),
+            (false, _) => state.grantor(server).filter(|entry| entry.name != *own),
+        };
+        let answer = match other.cloned() {
+            _ if !request.take || state.intake.limit_in_force(now, server).is_none() => {
+                PermitAnswer::Granted
+            }
             Some(other) => PermitAnswer::Moved(other),
             None => {
-                let share = state.grant_share(now, server, &self.config);
-                let granted = state.intake.try_grant(now, server, share);
+                let shares = state.grant_shares(now, server, &self.config);
+                let granted = state.intake.grant(now, server, shares);
                 granted.map_or_else(PermitAnswer::Wait, |()| PermitAnswer::Granted)
             }
         };
-        PermitResponse { answer, told: state.intake.statement(now, server) }
+        let told = state.intake.statement(now, server);
+        PermitResponse { answer, told, paces_cold: self.config.cold.is_some() }
     }
 
     /// Records that an entry did not answer. Another one grants its requests for [`SILENT_DURATION`].
@@ -270,6 +311,7 @@
         // Another server has taken over the address.
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_notice(server, std::mem::take(&mut info.limit));
+            self.record_warmup(server, std::mem::take(&mut info.warmup));
             self.record_announcement(server, std::mem::take(&mut info.announcement));
         }
         info
@@ -340,7 +382,7 @@
     /// Returns the entry that grants the requests of all entries to a server: its owner if it runs
     /// stages, as nobody else sends it any.
     pub(crate) fn grantor(&self, server: &Replica) -> Option<&EntryInfo> {
-        let owner = self.owners.get(&server.pool).and_then(|owners| owners.owner_of(&server.id));
+        let owner = self.owner(server);
         let absent =
             |name: &str| self.silent.contains_key(name) || self.suspects.contains_key(name);
         owner.or_else(|| grantor(&server.id, self.roster.entries(), absent))
@@ -371,13 +413,79 @@
         self.intake.set_grants(now, &server.id, own, since);
     }
 
+    /// Recomputes the servers whose requests this entry grants while they are cold.
+    pub(crate) fn assign_cold_grantors(&mut self, config: &NodeConfig, now: Time) {
+        let servers: Vec<Replica> = self.intake.warmups.servers().cloned().collect();
+        for server in servers {
+            let first = self.cold_role(&server, &config.entry.name) == Role::First;
+            let since = if self.owner(&server).is_some() { now } else { self.roster_changed };
+            self.intake.warmups.set_grants(now, &server.id, first, since);
+        }
+    }
+
+    /// Whether requests to a server need permits because it is or was cold.
+    pub(crate) fn is_cold(&self, now: Time, server: &Replica) -> bool {
+        self.intake.warmups.rate(now, server).is_some()
+    }
+
+    fn owner(&self, server: &Replica) -> Option<&EntryInfo> {
+        self.owners.get(&server.pool).and_then(|owners| owners.owner_of(&server.id))
+    }
+
+    /// Returns the entry to ask for permits for a cold server: the first one, or its deputy if that does not
+    /// answer. `None` if neither does.
+    fn cold_grantor(&self, server: &Replica) -> Option<&EntryInfo> {
+        if let Some(owner) = self.owner(server) {
+            return Some(owner);
+        }
+        let absent =
+            |name: &str| self.silent.contains_key(name) || self.suspects.contains_key(name);
+        let (first, deputy) = cold_grantors(&server.id, self.roster.entries());
+        first.into_iter().chain(deputy).find(|entry| !absent(&entry.name))
+    }
+
+    /// Returns the part of an entry in granting the requests to a cold server. An owner of a stage's server may
+    /// only have taken the place of one that does not answer.
+    fn cold_role(&self, server: &Replica, own: &str) -> Role {
+        if let Some(owner) = self.owner(server) {
+            return match owner.name == own {
+                true if self.suspects.is_empty() => Role::First,
+                true => Role::Deputy,
+                false => Role::Other,
+            };
+        }
+        let (first, deputy) = cold_grantors(&server.id, self.roster.entries());
+        match own {
+            _ if first.is_some_and(|entry| entry.name == own) => Role::First,
+            _ if deputy.is_some_and(|entry| entry.name == own) => Role::Deputy,
+            _ => Role::Other,
+        }
+    }
+
+    /// Returns the shares of a server's limit, and of its rate while it is cold, that this entry may grant.
+    fn grant_shares(&self, now: Time, server: &Replica, config: &NodeConfig) -> (f64, f64) {
+        let share = self.grant_share(now, server, config);
+        if !self.is_cold(now, server) {
+            return (share, 1.0);
+        }
+        let granted_for = self.intake.warmups.grants_for(now, server);
+        let view = GrantorView {
+            role: self.cold_role(server, &config.entry.name),
+            granted_for: granted_for.map(|time| time.min(self.pauses.resumed_for(now))),
+            roster_age: self.roster.age(now),
+            data_age: self.freshness.age(now),
+            data_limit: config.apply_limit,
+        };
+        (share, view.share())
+    }
+
     /// Sets the pace of the calls to the servers of a stage pool that this entry owns: that of their limits,
     /// after the times without requests that they asked for.
     pub(crate) fn set_paces(&mut self, pool: &PoolId, now: Time, config: &NodeConfig) {
-        let limited = self.intake.limited().filter(|server| server.pool == *pool);
+        let limited = self.intake.paced(now).filter(|server| server.pool == *pool);
         let pace = |server: &Replica| {
-            let share = self.grant_share(now, server, config);
-            Some((server.id.clone(), self.intake.pace(now, server, share)?))
+            let shares = self.grant_shares(now, server, config);
+            Some((server.id.clone(), self.intake.pace_in_force(now, server, shares)?))
         };
         let mut paces: BTreeMap<_, _> = limited.filter_map(pace).collect();
         for (id, until) in self.backing_off(now, pool) {
@@ -408,7 +516,7 @@
         let asked = |server: &&Replica| {
             self.open_asks.get(&server.id).is_some_and(|open| *open >= MAX_OPEN_ASKS)
         };
-        let asked = self.intake.limited().filter(asked);
+        let asked = self.intake.paced(now).filter(asked);
         let asked = asked.map(|server| (server.id.clone(), now + Span::from(PERMIT_TIMEOUT)));
         let mut blocked = self.intake.blocked(now);
         blocked.extend(asked);
@@ -420,8 +528,9 @@
     /// Returns how long a caller should wait that is refused because servers accept no request. The earliest
     /// time is that at which one of them accepts a request again.
     pub(crate) fn book_return(&mut self, now: Time, pool: &PoolId, earliest: Span) -> Span {
-        let limited = self.intake.limited().filter(|server| server.pool == *pool);
-        let rates = limited.filter_map(|server| self.intake.limit(server)).map(Rate::per_second);
+        let limited = self.intake.paced(now).filter(|server| server.pool == *pool);
+        let rates = limited.filter_map(|server| self.intake.limit_in_force(now, server));
+        let rates = rates.map(Rate::per_second);
         let own_rate = rates.sum::<f64>() / self.roster.entries().len().max(1) as f64;
         let interval = match self.placers.get(pool) {
             Some(placer) if own_rate == 0.0 => placer.mean_interval(),
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -150,7 +150,7 @@
         let rulings = state.quarantine.statements(node.now());
         let ruled = quarantine::digest(&rulings) != known.rulings;
         Self {
-            servers: follows.then(|| state.fleet.delta_since(sequence)).flatten(),
+            servers: follows.then(|| state.fleet.delta_at(node.now(), sequence)).flatten(),
             entries: fresh.then(|| state.roster.entries().to_vec()),
             roster: Some(state.roster.mark(node.now())),
             limits: state.intake.statements(node.now()),
--- a/crates/direct/src/wire.rs
+++ b/crates/direct/src/wire.rs
@@ -12,6 +12,7 @@
 use damaskweir_core::revision::Revision;
 use damaskweir_core::standing::Announcement;
 use damaskweir_core::time::Span;
+use damaskweir_core::warmup::WarmupNotice;
 use http::StatusCode;
 use http::request::Parts;
 use serde::{Deserialize, Serialize};
@@ -106,6 +107,8 @@
     pub limit: Notice,
     /// What the answer says about further requests.
     pub announcement: Announcement,
+    /// What the answer says about the server's warm-up.
+    pub warmup: WarmupNotice,
 }
 
 /// A piece of work in a call to a stage's server.
