--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -161,6 +161,7 @@
   --no-crashes           no prompt part crashes servers and no answer lacks a length, likewise
   --no-returns           the store never returns from a copy, likewise
   --no-announcements     servers say in no answer that they leave or want no requests, likewise
+  --no-cold              engines are never cold, likewise
   --broken WAY           add a defect on purpose, so that a check must fail
   --folder DIR           directory for settings and logs (default: the system's temporary directory)
 
@@ -366,6 +367,7 @@
     let crashes = !arguments.contains("--no-crashes");
     let returns = !arguments.contains("--no-returns");
     let announcements = !arguments.contains("--no-announcements");
+    let cold = !arguments.contains("--no-cold");
     let folder = arguments.opt_value_from_str("--folder")?.unwrap_or(defaults.folder);
     reject_remaining(arguments)?;
     let within = (1..=32).contains(&jobs) && (1..=100).contains(&entries);
@@ -395,6 +397,7 @@
                     crashes,
                     returns,
                     announcements,
+                    cold,
                     defect: broken,
                     folder,
                 };
--- a/crates/damaskweir/tests/child/mod.rs
+++ b/crates/damaskweir/tests/child/mod.rs
@@ -58,6 +58,7 @@
         budget_ratio: 0.2,
         budget_slack: 50.0,
         budget_window: Duration::from_secs(10),
+        cold: None,
     }
 }
 
--- a/crates/damaskweir/tests/soak.rs
+++ b/crates/damaskweir/tests/soak.rs
@@ -10,12 +10,12 @@
 
 /// Options of seeds that failed before servers named limits and crashed.
 const NO_SERVER_FAULTS: &[&str] =
-    &["--no-limits", "--no-crashes", "--no-returns", "--no-announcements"];
+    &["--no-limits", "--no-crashes", "--no-returns", "--no-announcements", "--no-cold"];
 /// Options of seeds that failed before the store returned from copies, and servers announced anything.
-const NO_RETURNS: &[&str] = &["--no-returns", "--no-announcements"];
+const NO_RETURNS: &[&str] = &["--no-returns", "--no-announcements", "--no-cold"];
 
 /// Options of seeds that failed before servers announced anything.
-const NO_ANNOUNCEMENTS: &[&str] = &["--no-announcements"];
+const NO_ANNOUNCEMENTS: &[&str] = &["--no-announcements", "--no-cold"];
 
 fn soak(arguments: &[&str]) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_damaskweir"))
@@ -73,6 +73,7 @@
 #[case(Defect::LeavingIgnored, "a leaving server gets no new work")]
 #[case(Defect::LeavingUnheard, "what servers say in answers is kept")]
 #[case(Defect::BackoffIgnored, "what servers say in answers is kept")]
+#[case(Defect::ColdIgnored, "a cold server gets few requests")]
 #[case(Defect::ManifestRollback, "no manifest goes back")]
 #[case(Defect::ManifestNotApplied, "an approved manifest is in force in time")]
 #[case(Defect::ImmediateExit, "a process ends in order within its grace time")]
@@ -82,9 +83,10 @@
     // With seed 3 nothing disturbs the server that leaves. The others are detected in what the store doesn't
     // disturb.
     let options: &[&str] = match broken {
-        Defect::LeavingIgnored => &["--seed", "3", "--no-announcements"],
-        Defect::LeavingUnheard => &["--seed", "3"],
-        _ => &["--seed", "1", "--no-returns"],
+        Defect::LeavingIgnored => &["--seed", "3", "--no-announcements", "--no-cold"],
+        Defect::LeavingUnheard => &["--seed", "3", "--no-cold"],
+        Defect::ColdIgnored => &["--seed", "1", "--no-returns"],
+        _ => &["--seed", "1", "--no-returns", "--no-cold"],
     };
     let (passed, output) =
         soak(&[options, &["--seconds", "4", "--broken", broken.name()]].concat());
