Complete a relayed configuration, and tell fewer entries later times for permits

What callers see: with 4 entries and half of the rate, as while the store is away, cold servers get that half. A request that was permitted while its server was warm is not sent if the server has become cold meanwhile.

An entry of an earlier version passes on a configuration without the warm-up times, which then counted as the newest version. Tests of the bound had no idle time in which grants could be saved up, so that more saved grants were not noticed.

Change: two entries are told later times. Catalog::replaces takes the same version if the known one lacks the warm-up times (tells_warmup). Node::connection declines a request without a permit to a server that is cold by then. A time left that another entry tells is cut at ten minutes.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -27,6 +27,10 @@
         pub keys: BTreeMap<String, Caller>,
         /// Limits on callers' requests and connections.
         pub limits: Limits,
+        /// Whether its pools tell how long their servers are cold. They don't if an entry of an earlier version
+        /// has passed it on.
+        #[serde(default)]
+        pub tells_warmup: bool,
     }
 
     /// The owner of an API key.
@@ -180,6 +184,13 @@
         Revision::new(self.generation, self.revision)
     }
 
+    /// Whether it replaces another configuration: it is of a later version, or of the same one and tells what
+    /// an entry of an earlier version has left out.
+    pub fn replaces(&self, other: &Self) -> bool {
+        let completes = self.tells_warmup && !other.tells_warmup;
+        self.version > other.version || self.version == other.version && completes
+    }
+
     /// The route with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -37,7 +37,7 @@
 pub const RECORD_DELAY: Span = Span::from_secs(3);
 /// Entries at most that are told one time after the other when to ask again. An entry that has found another
 /// server does not ask again.
-const BOOKED_MAX: u64 = 4;
+const BOOKED_MAX: u64 = 2;
 /// Time for which a new grantor grants half, as the one before may not know of it yet.
 const SETTLE_TIME: Span = Span::from_secs(6);
 /// Age of the list of entries from which a grantor assumes that another one may have taken its place. It is
@@ -392,7 +392,8 @@
         told: WarmupStatement,
     ) -> Option<WarmupChange> {
         self.bound?;
-        let until = now + told.left - STEP_TIME * 2;
+        let left = Span(told.left.0.min((MAX_WARMUP + STEP_TIME * 2).0));
+        let until = now + left - STEP_TIME * 2;
         if self.get(server).is_none() {
             // An earlier process under the id is left as it is, and a later one is added.
             let change = self.record(now, server, told.spec, (Some(until), Revision::default()));
--- a/crates/core/tests/warmup.rs
+++ b/crates/core/tests/warmup.rs
@@ -168,6 +168,32 @@
     ends.map(|(n, end)| n + 1 - sends.partition_point(|at| *at + 1_000 <= *end)).max().unwrap_or(0)
 }
 
+/// Guards against two entries that each grant all, and against entries that grant although two others do.
+#[test]
+fn grantor_grants_all_only_while_no_other_one_can() {
+    let sure = GrantorView {
+        role: Role::First,
+        granted_for: Some(Span::from_secs(60)),
+        roster_age: Some(Span::from_secs(3)),
+        data_age: Some(Span::from_secs(1)),
+        data_limit: Span::from_secs(3),
+    };
+    let secs = |n| Some(Span::from_secs(n));
+    assert_eq!(sure.share(), 1.0);
+    for doubtful in [
+        GrantorView { granted_for: None, ..sure },
+        GrantorView { granted_for: secs(5), ..sure },
+        GrantorView { roster_age: None, ..sure },
+        GrantorView { roster_age: secs(6), ..sure },
+        GrantorView { data_age: secs(4), ..sure },
+        GrantorView { role: Role::Deputy, ..sure },
+    ] {
+        assert_eq!(doubtful.share(), 0.5, "{doubtful:?}");
+    }
+    assert_eq!(GrantorView { data_age: secs(11), ..sure }.share(), 0.25);
+    assert_eq!(GrantorView { role: Role::Other, ..sure }.share(), 0.0);
+}
+
 /// What happens to the entries while the servers are cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
@@ -403,11 +429,16 @@
             }
             let blocked = entries.members[n].intake.blocked(time);
             for (s, server) in servers.iter().enumerate() {
-                if !entries.members[n].knows || blocked.iter().any(|(id, _)| *id == server.id) {
+                // A burst follows a time without requests, so that grants could be saved up.
+                let idle = s % 2 == 1 && now / 1_500 % 2 == 0;
+                if idle
+                    || !entries.members[n].knows
+                    || blocked.iter().any(|(id, _)| *id == server.id)
+                {
                     continue;
                 }
                 if entries.ask(time, n, server, away) {
-                    granted += u64::from(now >= begin + 600);
+                    granted += u64::from(now >= begin + 600 && s % 2 == 0);
                     // Some connections open slowly, so that the request is sent late.
                     let late = if entries.draw(4) == 0 { entries.draw(400) } else { 5 };
                     if millis(late) <= PERMIT_LIFETIME {
@@ -422,6 +453,6 @@
         let most = most_in_a_second(sends);
         assert!(most <= 20, "{} got {most} requests in a second", server.id);
     }
-    let rate = granted as f64 / servers.len() as f64 / 2.4;
+    let rate = granted as f64 / servers.len().div_ceil(2) as f64 / 2.4;
     assert!(rate >= 5.0, "{rate:.1} requests a second and server");
 }
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -333,7 +333,7 @@
             UpdateSource::Store => ("store", String::new()),
             UpdateSource::Entry(address) => ("entry", address.to_string()),
         };
-        if let Some(known) = state.catalog.as_ref().filter(|old| old.version >= catalog.version) {
+        if let Some(known) = state.catalog.as_ref().filter(|old| !catalog.replaces(old)) {
             // A full read often returns the configuration that is in force.
             if (catalog.version, catalog.revision) != (known.version, known.revision) {
                 let fields = [
@@ -549,8 +549,13 @@
             }
         };
         // An answer may have arrived while the connection was opened, or since the permit was given.
-        let declines = self.state.borrow().standings.declines(self.now(), &server);
-        if declines || permit.is_expired(self.now()) {
+        let now = self.now();
+        let declines = {
+            let state = self.state.borrow();
+            let cold = state.is_cold(now, &server);
+            state.standings.declines(now, &server) || cold && !permit.is_paced()
+        };
+        if declines || permit.is_expired(now) {
             self.keep_connection(&server.id, conn);
             return Err(HttpError::Declined);
         }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -55,6 +55,11 @@
         self.asked.is_some_and(|at| now.since(at) > PERMIT_LIFETIME)
     }
 
+    /// Whether the server was cold when the request was permitted.
+    pub(crate) fn is_paced(&self) -> bool {
+        self.asked.is_some()
+    }
+
     /// Why the request is sent.
     pub(crate) fn path(&self) -> SendPath {
         self.path
