Merge the limits of cold servers

Servers that are restored after an evacuation count as cold (State::restore_zone, Node::assume_cold).

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -4,6 +4,7 @@
 use crate::revision::Revision;
 use crate::time::Span;
 use crate::value;
+use crate::warmup::WarmupSpec;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -26,6 +27,10 @@
         pub keys: BTreeMap<String, Caller>,
         /// Limits on callers' requests and connections.
         pub limits: Limits,
+        /// Whether its pools tell how long their servers are cold. They don't if an entry of an earlier version
+        /// has passed it on.
+        #[serde(default)]
+        pub tells_warmup: bool,
     }
 
     /// The owner of an API key.
@@ -117,6 +122,9 @@
         pub connections: u32,
         /// Kind of work that its servers do.
         pub work: Work,
+        /// How long its servers are cold, and what they can take then; `None` if they never are.
+        #[serde(default)]
+        pub warmup: Option<WarmupSpec>,
     }
 
     /// Kind of work that the servers of a pool do.
@@ -183,6 +191,13 @@
         Revision::new(self.generation, self.revision)
     }
 
+    /// Whether it replaces another configuration: it is of a later version, or of the same one and tells what
+    /// an entry of an earlier version has left out.
+    pub fn replaces(&self, other: &Self) -> bool {
+        let completes = self.tells_warmup && !other.tells_warmup;
+        self.version > other.version || self.version == other.version && completes
+    }
+
     /// The route with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
--- a/crates/damaskweir/src/command.rs
+++ b/crates/damaskweir/src/command.rs
@@ -162,6 +162,7 @@
   --no-returns           the store never returns from a copy, likewise
   --no-announcements     servers say in no answer that they leave or want no requests, likewise
   --no-evacuations       no availability zone is evacuated and all servers are in one, likewise
+  --no-cold              engines are never cold, likewise
   --broken WAY           add a defect on purpose, so that a check must fail
   --folder DIR           directory for settings and logs (default: the system's temporary directory)
 
@@ -368,6 +369,7 @@
     let returns = !arguments.contains("--no-returns");
     let announcements = !arguments.contains("--no-announcements");
     let evacuations = !arguments.contains("--no-evacuations");
+    let cold = !arguments.contains("--no-cold");
     let folder = arguments.opt_value_from_str("--folder")?.unwrap_or(defaults.folder);
     reject_remaining(arguments)?;
     let within = (1..=32).contains(&jobs) && (1..=100).contains(&entries);
@@ -398,6 +400,7 @@
                     returns,
                     announcements,
                     evacuations,
+                    cold,
                     defect: broken,
                     folder,
                 };
--- a/crates/direct/src/evacuation.rs
+++ b/crates/direct/src/evacuation.rs
@@ -58,15 +58,16 @@
         if changes == EvacuationChanges::default() {
             return;
         }
-        let mut pools = BTreeSet::new();
+        let (mut pools, mut restored) = (BTreeSet::new(), Vec::new());
         {
             let mut state = self.state.borrow_mut();
             for zone in &changes.begun {
                 pools.extend(state.evacuate_zone(zone));
             }
             for ended in &changes.ended {
-                let restored = state.restore_zone(&ended.zone, &self.config);
-                pools.extend(restored.into_iter().map(|server| server.pool));
+                let servers = state.restore_zone(&ended.zone, &self.config);
+                pools.extend(servers.iter().map(|server| server.pool.clone()));
+                restored.extend(servers);
             }
             pools.iter().for_each(|pool| state.assign_pool_owners(pool, &self.config, now));
             state.assign_grantors(&self.config, now);
@@ -79,6 +80,8 @@
             ];
             self.log.process(Kind::ZoneRestored, &fields);
         }
+        // Servers may have become cold while their zone was evacuated.
+        self.assume_cold(&restored);
         pools.iter().for_each(|pool| self.dispatch_due(pool));
         self.changed.notify_waiters();
     }
