Keep a grant of a cold server for the release of results

What callers saw: pieces at a cold stage server found no room, as its results were released only once it was warm.

Cause: calls with pieces took every grant of the server's rate, and a release found none.

Change: a release that finds no grant gets the next one, once in four intervals.

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -259,6 +259,9 @@
         if let Some(wait) = self.warmups.wait(now, server, cold).filter(|wait| *wait > Span::ZERO) {
             return Err(self.warmups.book_wait(now, server, wait, cold));
         }
+        if let Some(wait) = self.warmups.reserved_wait(now, server, cold) {
+            return Err(wait);
+        }
         self.try_grant(now, server, share)?;
         self.warmups.try_grant(now, server, cold)
     }
@@ -271,7 +274,11 @@
         (share, cold): (f64, f64),
     ) -> bool {
         let wait = self.warmups.wait(now, server, cold).unwrap_or_default();
-        if wait > Span::ZERO || !self.warmups.may_release(now, server) {
+        if !self.warmups.may_release(now, server) {
+            return false;
+        }
+        if wait > Span::ZERO {
+            self.warmups.reserve_release(now, server);
             return false;
         }
         let granted = self.try_grant_release(now, server, share)
@@ -292,7 +299,8 @@
         let named = self.pace(now, server, share);
         let Some(wait) = self.warmups.wait(now, server, cold) else { return named };
         let interval = self.warmups.interval(now, server, cold).unwrap_or_default();
-        let warmup = Pace { interval, ready: now + wait };
+        let reserved = self.warmups.reserved_wait(now, server, cold).unwrap_or_default();
+        let warmup = Pace { interval, ready: now + wait + reserved };
         Some(named.map_or(warmup, |named| Pace {
             interval: named.interval.max(warmup.interval),
             ready: named.ready.max(warmup.ready),
--- a/crates/core/src/warmup.rs
+++ b/crates/core/src/warmup.rs
@@ -33,6 +33,8 @@
 const MIN_PACE: f64 = 0.1;
 /// Least time between two calls that release results at a cold server, in intervals between grants.
 const RELEASE_INTERVALS: u64 = 4;
+/// Time for which a grant is kept for a release after it was last asked for. Queued releases ask every 12 ms.
+const RESERVE_TIME: Span = Span::from_millis(100);
 /// Age up to which a record may be older than an answer that arrived before it.
 pub const RECORD_DELAY: Span = Span::from_secs(3);
 /// Entries at most that are told one time after the other when to ask again. An entry that has found another
@@ -232,6 +234,8 @@
     refused: u64,
     /// When results were last released.
     released: Time,
+    /// When a release last found no grant, for which the next one is kept.
+    reserved: Option<Time>,
     /// Whether this entry is the first grantor, and since when.
     grants: bool,
     grants_since: Time,
@@ -338,6 +342,7 @@
             next: now,
             refused: 0,
             released: Time::default(),
+            reserved: None,
             grants,
             grants_since,
             used_slot: None,
@@ -511,10 +516,27 @@
         self.get(server).is_none_or(|known| now >= known.released + interval * RELEASE_INTERVALS)
     }
 
+    /// Keeps the next grant for a call that releases results, for which there was none. Under load, requests would
+    /// take every grant, and the results would stay until the server is warm.
+    pub fn reserve_release(&mut self, now: Time, server: &Replica) {
+        if let Some(known) = self.get_mut(server) {
+            known.reserved = Some(now);
+        }
+    }
+
+    /// Returns the time for which requests wait because the next grant is kept for a release.
+    pub fn reserved_wait(&self, now: Time, server: &Replica, share: f64) -> Option<Span> {
+        let known = self.get(server)?;
+        let kept = known.reserved.is_some_and(|at| now.since(at) < RESERVE_TIME);
+        let waits = kept && self.may_release(now, server);
+        waits.then(|| self.interval(now, server, share)).flatten()
+    }
+
     /// Records a call that releases results at a server.
     pub fn record_release(&mut self, now: Time, server: &Replica) {
         if let Some(known) = self.get_mut(server) {
             known.released = now;
+            known.reserved = None;
         }
     }
 
--- a/crates/core/tests/warmup.rs
+++ b/crates/core/tests/warmup.rs
@@ -147,6 +147,21 @@
     assert!((2..=5).contains(&granted(&mut intake)));
 }
 
+/// Guards against calls with pieces that take every grant of a cold server, so that no result is released there
+/// until it is warm.
+#[test]
+fn release_gets_a_grant_while_calls_ask_for_each() {
+    let (mut intake, server) = (Intake::new(Some(BOUND)), server("i-1", 1));
+    intake.warmups.record(at(0), &server, spec(), (None, revision(1)));
+    let (mut calls, mut releases) = (0, 0);
+    for now in (0..2_000).step_by(4) {
+        calls += u32::from(intake.grant(at(now), &server, (1.0, 1.0)).is_ok());
+        releases += u32::from(now % 12 == 0 && intake.grant_release(at(now), &server, (1.0, 1.0)));
+    }
+    assert!((2..=6).contains(&releases), "{releases} releases beside {calls} calls");
+    assert!(calls >= 10, "{calls} calls beside {releases} releases");
+}
+
 /// Guards against entries of a mixed version that each grant themselves a request at the same time.
 #[test]
 fn equal_shares_do_not_coincide() {
