Select engines by bounded load, and exchange reports of open requests

What callers see: entries that choose at the same moment send fewer requests to the same engine, and a shared prompt part is read at fewer engines.

Cause: each entry knew only its own requests, and preferred one server for a shared part by hash, which it left as soon as its own open requests or another engine's slowness weighed more.

Change: `core::exchange` holds what other entries report as sent and not answered. Reports travel in calls with pieces and in polls, in optional fields that entries of the earlier version ignore. With more than one entry, an engine pool selects the first server in the rendezvous order of the last shared part whose backlog is within the bound. Each server's pace is measured from the tokens to be read and the time until the answer. A single entry and plain pools use the earlier selection.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod claim;
 pub mod entry;
 pub mod epoch;
+pub mod exchange;
 pub mod fleet;
 pub mod forecast;
 pub mod fresh;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -1,10 +1,12 @@
-//! Selects a backend server for a whole request, based on how this entry's own requests have gone.
+//! Selects a backend server for a whole request, based on how this entry's own requests have gone, and for
+//! engines on what other entries report.
 //!
 //! Two workloads are supported: generation on engines with a prompt cache, where prefilling an
 //! uncached prompt again is the largest cost, and short plain calls to servers that may fail or
 //! stall.
 
 use crate::Rng;
+use crate::exchange::{LoadReports, LoadRow, LoadView, server_key};
 use crate::fleet::Replica;
 use crate::ids::{AvailabilityZone, ServerId};
 use crate::time::{Span, Time, decay};
@@ -13,6 +15,39 @@
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Whether engines are selected by bounded load when other entries' reports are given. Without it the
+/// selection is the same as for a single entry.
+const BOUNDED_LOAD: bool = true;
+/// Factor of the mean backlog of all servers up to which a server gets a request (`c` in the literature on
+/// consistent hashing with bounded loads).
+const BOUND_FACTOR: f64 = 1.25;
+/// Share of the request's own part that is added to that bound.
+const OWN_WORK_SHARE: f64 = 0.5;
+/// Share of a shared prompt that the first server in rendezvous order is expected to have cached. The bound of
+/// that server is higher by the time to read it.
+const FIRST_CREDIT: f64 = 0.9;
+/// The same for the following servers in the order, which get what is above the first one's bound.
+const NEXT_CREDIT: f64 = 0.4;
+/// Number of servers in the order that have a credit.
+const CREDITED_SERVERS: usize = 3;
+/// Number of servers compared for a prompt without a shared part. More of them make entries that choose at
+/// the same moment choose the same server.
+const COMPARED_SERVERS: usize = 3;
+/// Weight of a new sample in a server's pace, and in the mean pace of the pool.
+const PACE_WEIGHTS: (f64, f64) = (0.3, 0.05);
+/// Time in which a server's pace decays to 1/e of its distance from the pool's.
+const PACE_DECAY_TIME: Span = Span::from_secs(5);
+/// Lower and upper bound of a server's pace, as a factor of the pool's. Engines of one pool differ by up to 2.4.
+const PACE_RANGE: (f64, f64) = (0.4, 2.5);
+/// Lower and upper bound of the pool's pace, in tokens a millisecond.
+const MEAN_PACE_RANGE: (f64, f64) = (5.0, 500.0);
+/// Tokens from which a request is a sample of the pace. The time of shorter ones is mostly other delay.
+const PACE_TOKENS_MIN: u64 = 1_000;
+/// Part of a latency that does not depend on the tokens: the network and a decode step.
+const BASE_LATENCY: Span = Span::from_millis(10);
+/// Time constant of the mean of the tokens that this entry sends in a second.
+const SENT_DECAY_TIME: Span = Span::from_secs(2);
+
 /// Prompt tokens that an engine prefills per millisecond, used to weigh uncached tokens against a
 /// queue. The deployments state rates of 32 and 92.
 const PREFILL_TOKENS_PER_MS: u64 = 50;
@@ -77,6 +112,29 @@
     pub blocked: &'a [ServerId],
     /// Maximum number of open requests from this entry per server; 0 means no limit.
     pub max_open: u32,
+    /// What other entries reported. `None` if there are no others; the pool is then balanced by this entry's
+    /// own requests alone.
+    pub others: Option<&'a LoadReports>,
+}
+
+/// Why a server was selected by bounded load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// It is the first one in the order of the prompt's shared part.
+    First,
+    /// It is the next one in that order whose backlog is within the bound.
+    Next,
+    /// It has the least backlog: the prompt has no shared part, or no server is within the bound.
+    Least,
+}
+
+/// A selected server.
+#[derive(Clone, Copy, Debug)]
+pub struct Selection<'a> {
+    /// The server.
+    pub replica: &'a Replica,
+    /// Why it was selected; `None` if the load is not bounded.
+    pub choice: Option<Choice>,
 }
 
 /// How an attempt at a server ended.
@@ -99,6 +157,8 @@
     replica: Replica,
     /// Hash of the server's id.
     hash: u64,
+    /// Its key in reports.
+    key: u32,
     open: u32,
     /// Uncached prompt tokens of requests sent by this entry that have not been answered yet.
     pending_tokens: u64,
@@ -108,11 +168,34 @@
     /// Moving average of the latency divided by the route's mean, as of `slowdown_updated`.
     slowdown: f64,
     slowdown_updated: Time,
+    /// Tokens read in a millisecond as a factor of the pool's pace, as of `pace_updated`.
+    pace: f64,
+    pace_updated: Time,
+    /// For each request that will be a sample of the pace: its tokens, and those to be read until its answer.
+    reading: Vec<(u64, f64)>,
     paused_until: Time,
     next_pause: Span,
     parts: HashMap<u64, Time>,
 }
 
+/// A server that may be selected by bounded load.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    server: &'a ServerState,
+    /// Place in the order of the prompt's shared part; the highest comes first.
+    score: u64,
+    /// Time in microseconds until it begins with a new request.
+    backlog: f64,
+    /// Further delay that choosing it causes, in microseconds.
+    cost: f64,
+}
+
+impl Candidate<'_> {
+    fn delay(&self) -> f64 {
+        self.backlog + self.cost
+    }
+}
+
 /// Server selection of an entry for one pool.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -124,6 +207,11 @@
     mean_latency: f64,
     /// Mean latency per route, because prompt lengths differ by large factors between routes.
     route_latencies: HashMap<String, f64>,
+    /// Mean number of tokens that a server reads in a millisecond.
+    pace: f64,
+    /// Mean number of tokens that this entry sends in a second, as of `sent_updated`.
+    sent_rate: f64,
+    sent_updated: Time,
 }
 
 impl Placer {
@@ -136,6 +224,9 @@
             servers: BTreeMap::new(),
             mean_latency: mean_latency.0.max(1) as f64,
             route_latencies: HashMap::new(),
+            pace: PREFILL_TOKENS_PER_MS as f64,
+            sent_rate: 0.0,
+            sent_updated: Time::default(),
         }
     }
 
@@ -151,10 +242,14 @@
             failures_updated: Time::default(),
             slowdown: 1.0,
             slowdown_updated: Time::default(),
+            pace: 1.0,
+            pace_updated: Time::default(),
+            reading: Vec::new(),
             paused_until: Time::default(),
             next_pause: PAUSE_RANGE.0,
             parts: HashMap::new(),
             hash: xxh3_64(replica.id.as_str().as_bytes()),
+            key: server_key(&replica.id),
             replica,
         };
         self.servers.insert(server.replica.id.clone(), server);
@@ -198,19 +293,110 @@
         Span(self.route_latencies.get(route).copied().unwrap_or(self.mean_latency) as u64)
     }
 
-    /// Chooses the server with the lowest expected delay. Returns `None` if every server is
-    /// excluded or at its limit.
+    /// Whether the servers are generation engines.
+    pub fn is_engine(&self) -> bool {
+        self.is_engine
+    }
+
+    /// Adds this entry's open requests to the rows of a report, and returns the mean number of tokens that it
+    /// sends to a server in a second.
+    pub fn report(&self, now: Time, rows: &mut Vec<LoadRow>) -> f64 {
+        let open = self.servers.values().filter(|server| server.open > 0);
+        rows.extend(open.map(|server| LoadRow {
+            server: server.key,
+            open: server.open,
+            tokens: u32::try_from(server.pending_tokens).unwrap_or(u32::MAX),
+        }));
+        self.sent_rate_at(now) / self.servers.len().max(1) as f64
+    }
+
+    /// Chooses a server as [`Self::select`] does.
     pub fn choose(
         &self,
         now: Time,
         rng: &mut Rng,
         requirements: &Requirements<'_>,
     ) -> Option<&Replica> {
-        let eligible = |server: &&ServerState| {
-            !requirements.excluded.contains(&server.replica.id)
-                && !requirements.blocked.contains(&server.replica.id)
-                && (requirements.max_open == 0 || server.open < requirements.max_open)
+        self.select(now, rng, requirements).map(|selection| selection.replica)
+    }
+
+    /// Selects an engine by bounded load if other entries' reports are given, and otherwise the server with the
+    /// lowest expected delay. Returns `None` if every server is excluded or at its limit.
+    pub fn select(
+        &self,
+        now: Time,
+        rng: &mut Rng,
+        requirements: &Requirements<'_>,
+    ) -> Option<Selection<'_>> {
+        if let Some(reports) = requirements.others.filter(|_| self.is_engine && BOUNDED_LOAD) {
+            return self.select_bounded(now, rng, requirements, &reports.at(now));
+        }
+        let replica = self.least_delay(now, rng, requirements)?;
+        Some(Selection { replica, choice: None })
+    }
+
+    /// Selects the first server in the order of the prompt's shared part whose backlog is within the bound. The
+    /// excess of a server goes to the following ones in the order, so that a part is read at few servers, and
+    /// entries that choose at the same moment do not all choose the least loaded server.
+    fn select_bounded(
+        &self,
+        now: Time,
+        rng: &mut Rng,
+        requirements: &Requirements<'_>,
+        others: &LoadView<'_>,
+    ) -> Option<Selection<'_>> {
+        let shared = shared_part(requirements.parts);
+        // A prompt without a shared part has a random order.
+        let order = shared.map_or_else(|| rng.next_u64(), |part| part.id);
+        let mut candidates = Vec::with_capacity(self.servers.len());
+        for paused in [false, true] {
+            let eligible = self.servers.values().filter(|server| {
+                requirements.allows(server) && (paused || server.paused_until <= now)
+            });
+            candidates.extend(eligible.map(|server| Candidate {
+                server,
+                score: rendezvous_score(server.hash, order),
+                backlog: self.backlog(now, server, others),
+                cost: self.extra_delay(now, server, requirements),
+            }));
+            // All servers may be paused wrongly, for instance after a network partition of this entry.
+            if !candidates.is_empty() {
+                break;
+            }
+        }
+        candidates.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.score));
+        let by_delay = |a: &&Candidate<'_>, b: &&Candidate<'_>| a.delay().total_cmp(&b.delay());
+        let selection = |candidate: &Candidate<'_>, choice| {
+            let server = self.servers.get(&candidate.server.replica.id)?;
+            Some(Selection { replica: &server.replica, choice: Some(choice) })
+        };
+        if shared.is_none() {
+            let least = candidates.iter().take(COMPARED_SERVERS).min_by(by_delay)?;
+            return selection(least, Choice::Least);
+        }
+        let mean = candidates.iter().map(|c| c.backlog).sum::<f64>() / candidates.len() as f64;
+        // Costs that all servers have, such as results in several zones, don't count.
+        let least_cost = candidates.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
+        let time = |tokens: f64| tokens * 1_000.0 / self.pace;
+        let (shared, own) = split_tokens(requirements.parts);
+        let bound = BOUND_FACTOR * mean + time(own * OWN_WORK_SHARE);
+        let within = |(i, candidate): &(usize, &Candidate<'_>)| {
+            candidate.delay() - least_cost <= bound + time(shared * credit(*i))
         };
+        match candidates.iter().enumerate().find(within) {
+            Some((0, first)) => selection(first, Choice::First),
+            Some((_, next)) => selection(next, Choice::Next),
+            None => selection(candidates.iter().min_by(by_delay)?, Choice::Least),
+        }
+    }
+
+    fn least_delay(
+        &self,
+        now: Time,
+        rng: &mut Rng,
+        requirements: &Requirements<'_>,
+    ) -> Option<&Replica> {
+        let eligible = |server: &&ServerState| requirements.allows(server);
         let not_paused = |server: &&ServerState| server.paused_until <= now;
         let hashed = self.hashed_server(now, requirements.parts, requirements.blocked);
         let best = |servers: &mut dyn Iterator<Item = &ServerState>, rng: &mut Rng| {
@@ -241,8 +427,33 @@
     /// Records that a request was sent. Returns the number of prompt tokens that the server has to
     /// prefill, which the caller passes to `record_response` or `record_end`.
     pub fn record_dispatch(&mut self, now: Time, id: &ServerId, parts: &[PromptPart]) -> u64 {
+        self.record_dispatch_among(now, id, &Requirements { parts, ..Requirements::default() })
+    }
+
+    /// Records that a request was sent that the server was selected for. If other entries send requests as
+    /// well, the server is expected to have cached what they sent there.
+    pub fn record_dispatch_among(
+        &mut self,
+        now: Time,
+        id: &ServerId,
+        requirements: &Requirements<'_>,
+    ) -> u64 {
+        let parts = requirements.parts;
+        let others = requirements.others.filter(|_| self.is_engine && BOUNDED_LOAD);
+        let credit = others.map_or(0.0, |_| self.credit_of(now, id, requirements));
+        let sent_rate = self.sent_rate_at(now);
+        let pace = self.pace;
         let Some(server) = self.servers.get_mut(id) else { return 0 };
-        let uncached = server.uncached_tokens(now, parts);
+        let mut uncached = server.uncached_tokens(now, parts);
+        let own = parts.last().map_or(0, |part| u64::from(part.tokens));
+        uncached -= (uncached.saturating_sub(own) as f64 * credit) as u64;
+        if let Some(reports) = others.filter(|_| uncached >= PACE_TOKENS_MIN) {
+            let own = server.pending_tokens as f64;
+            let ahead = reports.at(now).backlog(server.key, pace * server.pace_at(now), own);
+            server.reading.push((uncached, own + ahead.tokens + uncached as f64));
+        }
+        let sent = uncached as f64 / SENT_DECAY_TIME.as_secs_f64();
+        (self.sent_rate, self.sent_updated) = (sent_rate + sent, now);
         server.open += 1;
         server.pending_tokens += uncached;
         if server.parts.len() > MAX_PARTS_PER_SERVER {
@@ -264,6 +475,14 @@
     ) {
         let Some(server) = self.servers.get_mut(id) else { return };
         server.pending_tokens = server.pending_tokens.saturating_sub(uncached);
+        if let Some(tokens) = server.take_reading(uncached) {
+            let millis = latency.saturating_sub(BASE_LATENCY).0.max(1_000) as f64 / 1e3;
+            let factor = (tokens / millis / self.pace).clamp(PACE_RANGE.0, PACE_RANGE.1);
+            let pace = server.pace_at(now);
+            (server.pace, server.pace_updated) = (pace + (factor - pace) * PACE_WEIGHTS.0, now);
+            let mean = self.pace * (1.0 + (factor - 1.0) * PACE_WEIGHTS.1);
+            self.pace = mean.clamp(MEAN_PACE_RANGE.0, MEAN_PACE_RANGE.1);
+        }
         let observed = latency.0 as f64;
         let update_mean =
             |mean: f64| mean + (observed.min(mean * 4.0) - mean) * SLOWDOWN_WEIGHT / 4.0;
@@ -295,6 +514,7 @@
     ) {
         let Some(server) = self.servers.get_mut(id) else { return };
         server.pending_tokens = server.pending_tokens.saturating_sub(uncached);
+        server.take_reading(uncached);
         server.open = server.open.saturating_sub(1);
         match outcome {
             AttemptOutcome::Completed => {}
@@ -324,8 +544,7 @@
         parts: &[PromptPart],
         blocked: &[ServerId],
     ) -> Option<&ServerId> {
-        // The last part is unique to the request.
-        let shared = parts.len().checked_sub(2).and_then(|i| parts.get(i))?;
+        let shared = shared_part(parts)?;
         let usable = self
             .servers
             .values()
@@ -362,12 +581,73 @@
             self.mean_latency
                 * (1.0 + busy * busy * 4.0 + f64::from(server.open) * OPEN_CALL_DELAY_SHARE * 0.2)
         };
+        (work * slowdown + self.extra_delay(now, server, requirements)) as u64
+    }
+
+    /// Delay in microseconds for transfers across availability zones and for failures.
+    fn extra_delay(&self, now: Time, server: &ServerState, requirements: &Requirements<'_>) -> f64 {
         let far = |zone: &AvailabilityZone| *zone != server.replica.zone;
         let bytes: u64 = requirements.results.iter().filter(|(z, _)| far(z)).map(|(_, b)| b).sum();
         let cross = CROSS_ZONE_DELAY_PER_MB.scale(bytes as f64 / 1e6).0 as f64;
         let own_zone = if far(&self.zone) { CROSS_ZONE_DELAY.0 as f64 } else { 0.0 };
         let failure_penalty = FAILURE_PENALTY.scale(server.failure_share_at(now)).0 as f64;
-        (work * slowdown + cross + own_zone + failure_penalty) as u64
+        cross + own_zone + failure_penalty
+    }
+
+    /// Time in microseconds until a server begins with a new request, as far as this entry knows.
+    fn backlog(&self, now: Time, server: &ServerState, others: &LoadView<'_>) -> f64 {
+        let pace = self.pace * server.pace_at(now);
+        let own = server.pending_tokens as f64;
+        let others = others.backlog(server.key, pace, own);
+        let open = f64::from(server.open) + others.open;
+        (own + others.tokens) * 1_000.0 / pace + DELAY_PER_OPEN_GENERATION.0 as f64 * open
+    }
+
+    /// Share of a shared prompt that a server is expected to have cached because other entries sent it there.
+    fn credit_of(&self, now: Time, id: &ServerId, requirements: &Requirements<'_>) -> f64 {
+        let part = shared_part(requirements.parts);
+        let (Some(part), Some(server)) = (part, self.servers.get(id)) else { return 0.0 };
+        let score = rendezvous_score(server.hash, part.id);
+        let earlier = |other: &&ServerState| {
+            other.paused_until <= now
+                && rendezvous_score(other.hash, part.id) > score
+                && !requirements.blocked.contains(&other.replica.id)
+        };
+        credit(self.servers.values().filter(earlier).count())
+    }
+
+    fn sent_rate_at(&self, now: Time) -> f64 {
+        self.sent_rate * decay(now, self.sent_updated, SENT_DECAY_TIME)
+    }
+}
+
+impl Requirements<'_> {
+    /// Whether a server may be chosen.
+    fn allows(&self, server: &ServerState) -> bool {
+        !self.excluded.contains(&server.replica.id)
+            && !self.blocked.contains(&server.replica.id)
+            && (self.max_open == 0 || server.open < self.max_open)
+    }
+}
+
+/// The part of a prompt that decides the order of the servers. The last part is unique to the request.
+fn shared_part(parts: &[PromptPart]) -> Option<&PromptPart> {
+    parts.len().checked_sub(2).and_then(|i| parts.get(i))
+}
+
+/// Tokens of the shared parts of a prompt and of its own part.
+fn split_tokens(parts: &[PromptPart]) -> (f64, f64) {
+    let own = parts.last().map_or(0, |part| part.tokens);
+    let all: u64 = parts.iter().map(|part| u64::from(part.tokens)).sum();
+    ((all - u64::from(own)) as f64, f64::from(own))
+}
+
+/// Share of a shared prompt that the server at a place in the order is expected to have cached.
+fn credit(place: usize) -> f64 {
+    match place {
+        0 => FIRST_CREDIT,
+        1..CREDITED_SERVERS => NEXT_CREDIT,
+        _ => 0.0,
     }
 }
 
@@ -398,6 +678,17 @@
         1.0 + (self.slowdown - 1.0) * keep
     }
 
+    fn pace_at(&self, now: Time) -> f64 {
+        1.0 + (self.pace - 1.0) * decay(now, self.pace_updated, PACE_DECAY_TIME)
+    }
+
+    /// Returns the tokens that were to be read until the answer to a request with `uncached` tokens, if it is a
+    /// sample of the pace.
+    fn take_reading(&mut self, uncached: u64) -> Option<f64> {
+        let i = self.reading.iter().position(|(tokens, _)| *tokens == uncached)?;
+        Some(self.reading.swap_remove(i).1)
+    }
+
     fn failure_share_at(&self, now: Time) -> f64 {
         if self.failure_share == 0.0 {
             return 0.0;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -12,7 +12,7 @@
 use damaskweir_core::catalog::Work;
 use damaskweir_core::fleet::Replica;
 use damaskweir_core::ids::{PoolId, WorkspaceId};
-use damaskweir_core::place::{AttemptOutcome, PromptPart};
+use damaskweir_core::place::{AttemptOutcome, PromptPart, Requirements};
 use damaskweir_core::quarantine::{OpenRequest, SentCall};
 use damaskweir_core::time::{Span, Time};
 use http::StatusCode;
@@ -161,8 +161,17 @@
         self.sent.push(server.id.clone());
         let uncached_tokens = {
             let mut state = node.state.borrow_mut();
+            let state = &mut *state;
+            let blocked: Vec<_> =
+                state.blocked(started, &self.pool).into_iter().map(|(id, _)| id).collect();
+            let requirements = Requirements {
+                parts: &self.info.parts,
+                blocked: &blocked,
+                others: (state.roster.entries().len() > 1).then_some(&state.loads),
+                ..Requirements::default()
+            };
             let placer = state.placers.get_mut(&self.pool);
-            placer.map_or(0, |p| p.record_dispatch(started, &server.id, &self.info.parts))
+            placer.map_or(0, |p| p.record_dispatch_among(started, &server.id, &requirements))
         };
         let mut guard = OpenRequestGuard {
             node: node.clone(),
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -81,6 +81,8 @@
     pub(crate) async fn serve_group(self: &Rc<Self>, call: GroupRequest) -> GroupResponse {
         let now = self.now();
         let pool = call.pool.clone();
+        let asked_by = call.load.as_ref().map(|report| report.from);
+        self.merge_loads(call.load, Span::ZERO);
         if let Some(told) = &call.roster {
             self.merge_roster(told, Span::ZERO);
         }
@@ -99,6 +101,8 @@
                     ends: vec![Err(PieceFailure::Moved); call.items.len()],
                     fullness: Fullness::uniform(1.0),
                     roster: Some(state.roster.statement(now)),
+                    loads: state.loads_for(now, asked_by),
+                    held: Span::ZERO,
                 };
             };
             let group = state.last_piece + 1;
@@ -133,11 +137,12 @@
             // A waiter that was dropped without a result means that its call was lost.
             ends.push(receiver.await.unwrap_or(Err(PieceFailure::Failed)));
         }
-        let now = self.now();
+        let (received, now) = (now, self.now());
         let state = self.state.borrow();
         let fullness = state.batchers.get(&pool).map(|batcher| batcher.fullness(now));
         let fullness = fullness.unwrap_or_default();
-        GroupResponse { ends, fullness, roster: None }
+        let loads = state.loads_for(now, asked_by);
+        GroupResponse { ends, fullness, roster: None, loads, held: now.since(received) }
     }
 
     fn owns_servers(&self, pool: &PoolId) -> bool {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod event;
 mod exposure;
+mod loads;
 mod peers;
 mod permits;
 mod quarantine;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latency histograms in the Prometheus format.
 
 use crate::wire::SendPath;
+use damaskweir_core::place::Choice;
 use damaskweir_core::time::Span;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -41,6 +42,7 @@
     pub server_crashes: Counter<u64>,
     /// Calls to the store by type and outcome.
     pub store_calls: Counter<u64>,
+    placements: Counter<u64>,
     stage_latency: Histogram<f64>,
     first_latency: Histogram<f64>,
     request_latency: Histogram<f64>,
@@ -59,6 +61,7 @@
     store_generation: Gauge<u64>,
     active_requests: Gauge<u64>,
     buffered_bytes: Gauge<u64>,
+    load_age: Gauge<f64>,
 }
 
 /// Current values of the gauges.
@@ -94,6 +97,8 @@
     pub active_requests: u64,
     /// Bytes of callers and servers that are buffered.
     pub buffered_bytes: u64,
+    /// Age in seconds of the oldest report of another entry that counts; `None` if there is none.
+    pub load_age: Option<f64>,
 }
 
 impl Metrics {
@@ -122,6 +127,7 @@
             announcements: meter.u64_counter("direct_server_announcements").build(),
             server_crashes: meter.u64_counter("direct_server_crashes").build(),
             store_calls: meter.u64_counter("direct_store_calls").build(),
+            placements: meter.u64_counter("direct_placements").build(),
             stage_latency: seconds("direct_stage_call"),
             first_latency: seconds("direct_first_part"),
             request_latency: seconds("direct_request"),
@@ -140,6 +146,7 @@
             store_generation: meter.u64_gauge("direct_store_generation").build(),
             active_requests: meter.u64_gauge("direct_requests_active").build(),
             buffered_bytes: meter.u64_gauge("direct_buffered_bytes").build(),
+            load_age: meter.f64_gauge("direct_load_report_age").with_unit("s").build(),
             registry,
             _provider: provider,
         })
@@ -179,6 +186,16 @@
         self.announcements.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Records the selection of an engine.
+    pub(crate) fn placed(&self, choice: Choice) {
+        let choice = match choice {
+            Choice::First => "first",
+            Choice::Next => "next",
+            Choice::Least => "least",
+        };
+        self.placements.add(1, &[KeyValue::new("choice", choice)]);
+    }
+
     /// Records a call to the store.
     pub fn store_call(&self, call: &'static str, outcome: &'static str) {
         let labels = [KeyValue::new("call", call), KeyValue::new("outcome", outcome)];
@@ -206,6 +223,8 @@
         self.store_generation.record(values.store_generation, &[]);
         self.active_requests.record(values.active_requests, &[]);
         self.buffered_bytes.record(values.buffered_bytes, &[]);
+        // A gauge that is not recorded would keep its last value.
+        self.load_age.record(values.load_age.unwrap_or_default(), &[]);
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -15,6 +15,7 @@
 use damaskweir_core::Rng;
 use damaskweir_core::batch::{Batcher, PieceId};
 use damaskweir_core::catalog::{Catalog, Work};
+use damaskweir_core::exchange::LoadReports;
 use damaskweir_core::fleet::{Fleet, FleetChange, Replica};
 use damaskweir_core::fresh::Freshness;
 use damaskweir_core::ids::{PoolId, ServerId};
@@ -106,6 +107,8 @@
     pub roster: Roster,
     /// Server selection by pool.
     pub placers: BTreeMap<PoolId, Placer>,
+    /// What other entries have sent to engines.
+    pub(crate) loads: LoadReports,
     /// Queued pieces by pool.
     pub batchers: BTreeMap<PoolId, Batcher>,
     /// Retry budgets by pool.
@@ -216,6 +219,7 @@
             fleet: Fleet::default(),
             roster: Roster::default(),
             placers: BTreeMap::new(),
+            loads: LoadReports::new(incarnation as u32),
             batchers: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             waiters: HashMap::new(),
@@ -500,6 +504,7 @@
         state.standings.expire(now, |server| state.fleet.lists_process(server));
         state.exposures.expire(now);
         state.quarantine.expire(now);
+        state.loads.expire(now);
     }
 
     /// Estimates the time since the first attempt of a caller of `route` that will wait for `wait`.
@@ -570,6 +575,7 @@
             config_age: state.freshness.age(self.now()).map(Span::as_secs_f64),
             active_requests: state.active as u64,
             buffered_bytes: self.memory.used() as u64,
+            load_age: state.loads.oldest_age(self.now()).map(Span::as_secs_f64),
         });
         self.metrics.encode()
     }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::stages::{PieceFailure, StoredResult};
 use crate::wire::{PieceRequest, Wire};
 use damaskweir_core::batch::{Fullness, Lane};
+use damaskweir_core::exchange::LoadReport;
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::roster::RosterStatement;
@@ -59,6 +60,9 @@
     /// The sender's list of entries, if the receiver refused the group because of an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) roster: Option<RosterStatement>,
+    /// What the sender has sent to engines and is not answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) load: Option<LoadReport>,
 }
 
 /// Outcomes of a group, in the order of its items.
@@ -70,6 +74,12 @@
     /// The list of entries by which the receiver owns no server of the pool.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) roster: Option<RosterStatement>,
+    /// The report of the receiver and those that it has of other entries, if the request had one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) loads: Vec<LoadReport>,
+    /// Time between the request and the response.
+    #[serde(default)]
+    pub(crate) held: Span,
 }
 
 /// A stored result to release.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -16,7 +16,7 @@
 use damaskweir_core::forecast::{ArrivalEstimate, Decision, decide_admission};
 use damaskweir_core::graph::{PlanError, StagePlan};
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId, WorkspaceId};
-use damaskweir_core::place::{AttemptOutcome, Placer, Requirements};
+use damaskweir_core::place::{AttemptOutcome, Placer, Requirements, Selection};
 use damaskweir_core::time::{Span, Time};
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -458,10 +458,16 @@
             excluded: &self.sent,
             blocked: &blocked,
             max_open,
+            others: (state.roster.entries().len() > 1).then_some(&state.loads),
         };
         let placer = state.placers.get(&self.pool);
-        let chosen = placer.and_then(|placer| placer.choose(now, &mut state.rng, &requirements));
-        chosen.cloned().ok_or_else(|| self.no_server(state, now))
+        match placer.and_then(|placer| placer.select(now, &mut state.rng, &requirements)) {
+            Some(Selection { replica, choice }) => {
+                choice.into_iter().for_each(|choice| self.node.metrics.placed(choice));
+                Ok(replica.clone())
+            }
+            None => Err(self.no_server(state, now)),
+        }
     }
 
     /// Returns the error for a request that no server accepts now.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -348,7 +348,7 @@
 async fn handle_admin<W: Wire>(node: &Rc<Node<W>>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
         "/snapshot" => match read_json(request).await {
-            Some(known) => json_response(&Snapshot::wait_for_changes(node, known).await),
+            Some(poll) => json_response(&Snapshot::answer(node, poll).await),
             None => bytes_response(StatusCode::BAD_REQUEST, Bytes::new()),
         },
         "/pieces" => match read_json(request).await {
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -6,6 +6,7 @@
 use crate::quarantine;
 use crate::wire::Wire;
 use damaskweir_core::catalog::Catalog;
+use damaskweir_core::exchange::LoadReport;
 use damaskweir_core::fleet::Delta;
 use damaskweir_core::ids::Version;
 use damaskweir_core::intake::Statement;
@@ -64,6 +65,16 @@
     pub(crate) age: Option<Span>,
 }
 
+/// A poll on the wire: what the polling entry has, and its report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Poll {
+    #[serde(flatten)]
+    pub(crate) known: KnownState,
+    /// What the polling entry has sent to engines and is not answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) load: Option<LoadReport>,
+}
+
 impl KnownState {
     /// Whether the polling entry would apply a configuration.
     fn lacks(&self, catalog: &Catalog) -> bool {
@@ -102,12 +113,24 @@
     /// Highest generation of the store that the responding process knows; 0 if it is unknown.
     #[serde(default)]
     pub(crate) generation: u64,
+    /// The report of the responding process and those that it has of other entries, if the poll had one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) loads: Vec<LoadReport>,
 }
 
 impl Snapshot {
+    /// Responds to a poll.
+    pub(crate) async fn answer<W: Wire>(node: &Node<W>, poll: Poll) -> Self {
+        let asked_by = poll.load.as_ref().map(|report| report.from);
+        node.merge_loads(poll.load, Span::ZERO);
+        let snapshot = Self::wait_for_changes(node, poll.known).await;
+        let loads = node.state.borrow().loads_for(node.now(), asked_by);
+        Self { loads, ..snapshot }
+    }
+
     /// Waits until there are changes for the polling entry, or until its wait has passed, and
     /// returns a snapshot.
-    pub(crate) async fn wait_for_changes<W: Wire>(node: &Node<W>, known: KnownState) -> Self {
+    async fn wait_for_changes<W: Wire>(node: &Node<W>, known: KnownState) -> Self {
         let received = node.now();
         node.observe_generation(known.generation);
         let limit = Instant::now() + Duration::from(known.wait).min(MAX_POLL_TIMEOUT);
@@ -138,6 +161,7 @@
             rulings: None,
             held: node.now().since(received),
             generation: state.generation,
+            loads: Vec::new(),
         };
         if known.catalog_only {
             return catalog_only;
@@ -176,10 +200,10 @@
 pub(crate) async fn request_snapshot(
     mut conn: Conn,
     peer: SocketAddr,
-    known: &KnownState,
+    poll: &Poll,
 ) -> Result<(Snapshot, Conn), HttpError> {
     let body =
-        serde_json::to_vec(known).map_err(|_| HttpError::Malformed("request can't be encoded"))?;
+        serde_json::to_vec(poll).map_err(|_| HttpError::Malformed("request can't be encoded"))?;
     let head = format!(
         "POST /snapshot HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {}\r\n\r\n",
         body.len()
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -344,6 +344,7 @@
             refusable: untouched.then_some(left),
             suspects,
             roster: None,
+            load: None,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
@@ -461,7 +462,10 @@
         mut call: GroupRequest,
     ) -> Result<GroupResponse, HttpError> {
         let sent = self.now();
-        let answer = self.request_group(owner, &call).await?;
+        call.load = self.own_load();
+        let mut answer = self.request_group(owner, &call).await?;
+        let delay = self.now().since(sent + answer.held);
+        self.merge_loads(std::mem::take(&mut answer.loads), delay);
         let Some(told) = &answer.roster else { return Ok(answer) };
         let (own, took) =
             (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
@@ -470,6 +474,7 @@
             return Ok(answer);
         }
         call.roster = Some(own);
+        call.load = None;
         call.due = call.due.saturating_sub(took);
         call.left = call.left.saturating_sub(took);
         self.request_group(owner, &call).await
@@ -503,7 +508,7 @@
         };
         let mut refused_by = None;
         let ends = match answer {
-            Ok(GroupResponse { ends, fullness, roster }) if ends.len() == group.len() => {
+            Ok(GroupResponse { ends, fullness, roster, .. }) if ends.len() == group.len() => {
                 open.fullness = Some(fullness);
                 refused_by = roster.map(|told| told.mark);
                 ends
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -5,7 +5,7 @@
 use crate::log::Kind;
 use crate::node::{Node, UpdateSource};
 use crate::quarantine;
-use crate::snapshot::{KnownState, MAX_POLL_TIMEOUT, Snapshot, request_snapshot};
+use crate::snapshot::{KnownState, MAX_POLL_TIMEOUT, Poll, Snapshot, request_snapshot};
 use crate::wire::{Lease, Source, SourceError, SourceErrorKind, Wire};
 use damaskweir_core::fresh::Dataset;
 use damaskweir_core::owner::EntryInfo;
@@ -618,8 +618,9 @@
     /// Asks another entry for its configuration.
     async fn consult(&self, peer: SocketAddr) {
         let known = KnownState { catalog_only: true, ..self.known_state(Span::ZERO) };
+        let poll = Poll { known, load: None };
         let Ok(conn) = Conn::connect(peer, CONNECT_TIMEOUT).await else { return };
-        let Ok((snapshot, _)) = request_snapshot(conn, peer, &known).await else { return };
+        let Ok((snapshot, _)) = request_snapshot(conn, peer, &poll).await else { return };
         self.node.observe_generation(snapshot.generation);
         if let Some(catalog) = snapshot.catalog {
             self.node.apply_catalog(catalog, UpdateSource::Entry(peer));
@@ -663,7 +664,7 @@
     }
 
     async fn fetch(&self, peer: SocketAddr, wait: Span) -> Result<Snapshot, HttpError> {
-        let known = self.known_state(wait);
+        let poll = Poll { known: self.known_state(wait), load: self.node.own_load() };
         let idle = self.peer_connection.take().filter(|(address, _)| *address == peer);
         let usable =
             idle.map(|(_, conn)| conn).and_then(|mut conn| conn.is_reusable().then_some(conn));
@@ -671,7 +672,7 @@
             Some(conn) => conn,
             None => Conn::connect(peer, CONNECT_TIMEOUT).await?,
         };
-        let (snapshot, conn) = request_snapshot(conn, peer, &known).await?;
+        let (snapshot, conn) = request_snapshot(conn, peer, &poll).await?;
         self.peer_connection.set(Some((peer, conn)));
         Ok(snapshot)
     }
@@ -712,6 +713,7 @@
         for told in snapshot.limits {
             self.node.merge_statement(told, sent + snapshot.held);
         }
+        self.node.merge_loads(snapshot.loads, now.since(sent + snapshot.held));
         if let Some(rulings) = &snapshot.rulings {
             self.node.merge_rulings(rulings, now.since(sent + snapshot.held));
         }
