--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -187,7 +187,7 @@
     }
 
     /// Records the selection of an engine.
-    pub(crate) fn placed(&self, choice: Choice) {
+    pub fn placed(&self, choice: Choice) {
         let choice = match choice {
             Choice::First => "first",
             Choice::Next => "next",
