--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -18,7 +18,7 @@
 pub const REPORTS_MAX: usize = 64;
 /// Maximum number of rows in all reports that are passed on at once. 68 entries have about 4 rows each; a row
 /// takes 22 bytes, and an entry with 10 Mbit/s may answer 60 calls a second.
-const RELAYED_ROWS_MAX: usize = 256;
+const RELAYED_ROWS_MAX: usize = 64;
 /// Age from which a report is no longer passed on. Its weight at the receiver would be small.
 const RELAY_AGE_MAX: Span = Span::from_millis(1_000);
 /// Age at which a report is forgotten.
