Mend what the review of the admission found

- A release that the server refused counted as confirmed, so that the next call was sent to a server without room.
- Pieces stayed queued until their deadline when results expired, since nothing woke the queue then.
- An entry that runs and has no servers held every request as if it were starting; malformed requests there got 503.
- Forecasts for late pieces followed no measured time any more, and the first report of one owner counted like the mean of all.
- Without a list of entries, an entry read the store 0.1 s after its start whatever the size of the fleet.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -134,15 +134,18 @@
         }
     }
 
-    /// Combines two backlogs. Without the steps of one, those of the other are taken.
+    /// Combines two backlogs.
     pub(crate) fn zip_with(&self, other: &Self, combine: impl Fn(f64, f64) -> f64) -> Self {
         let ranks = std::array::from_fn(|i| combine(self.ranks[i], other.ranks[i]));
-        let steps = match (self.steps, other.steps) {
-            (Some(a), Some(b)) => Some(std::array::from_fn(|i| combine(a[i], b[i]))),
-            (a, b) => a.or(b),
-        };
+        let (a, b) = (self.known_steps(), other.known_steps());
+        let steps = Some(std::array::from_fn(|i| combine(a[i], b[i])));
         Self { ranks, steps, late: combine(self.late, other.late) }
     }
+
+    /// The backlog by steps. An entry of an earlier version tells only what is ahead of the last rank.
+    fn known_steps(&self) -> [f64; ORDER_STEPS] {
+        self.steps.unwrap_or([self.ranks[RANK_COUNT - 1]; ORDER_STEPS])
+    }
 }
 
 /// Value at `at` of a function that is known at [`ORDER_STEPS_MS`] and linear between them. Before the first
@@ -434,6 +437,8 @@
             let ready = m.pace.map_or(Time::default(), |pace| pace.ready);
             [m.paused_until, m.idle_since + SMALL_BATCH_WAIT, ready]
         });
+        // Memory becomes free when results expire, which no other event tells.
+        let expiries = self.servers.values().filter_map(|server| server.results.next_expiry());
         let timeouts = self
             .servers
             .values()
@@ -445,7 +450,8 @@
         let zone_waits = self.waiting.iter().filter(|p| p.preferred_zone.is_some());
         let zone_waits = zone_waits.map(|piece| piece.due - self.zone_wait()).min();
         let gathered = gathered.chain(zone_waits);
-        servers.chain(timeouts).chain(expiry).chain(gathered).filter(|at| *at > now).min()
+        let all = servers.chain(timeouts).chain(expiries).chain(expiry).chain(gathered);
+        all.filter(|at| *at > now).min()
     }
 
     /// Records the end of a call that carried `pieces` pieces.
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -311,7 +311,12 @@
                 .scale(owner.servers as f64 / servers.max(1) as f64)
         });
         let mean = delays.fold(Span::ZERO, |sum, delay| sum + delay);
-        (servers > 0).then(|| mean.scale(self.time_ratios[group.place.lane.level()]))
+        let ratio = match group.place.lane {
+            Lane::Timely(_) => self.time_ratios[group.place.lane.level()],
+            // Late pieces aren't measured. They wait behind those of all ranks.
+            Lane::Late => self.time_ratios.into_iter().fold(RATIO_BOUNDS.0, f64::max),
+        };
+        (servers > 0).then(|| mean.scale(ratio))
     }
 
     /// Records that pieces were sent to an owner. Returns the expected time until they are done, to be
@@ -348,9 +353,14 @@
         reported: Option<Fullness>,
     ) {
         let Some(owner) = self.owners.get_mut(name) else { return };
-        let same = |p: &PendingGroup| p.pieces == group.pieces && p.lane == group.place.lane;
-        if let Some(ended) = owner.pending.iter().position(same) {
-            owner.pending.remove(ended);
+        let ended = PendingGroup::new(now, group);
+        let same =
+            |(_, p): &(usize, &PendingGroup)| p.pieces == ended.pieces && p.lane == ended.lane;
+        let alike = owner.pending.iter().enumerate().filter(same);
+        let nearest =
+            alike.min_by_key(|(_, p)| p.order.since(ended.order) + ended.order.since(p.order));
+        if let Some((i, _)) = nearest {
+            owner.pending.remove(i);
         }
         if let Some(reported) = reported {
             self.mean =
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -61,6 +61,13 @@
         self.untracked.retain(|(expires, _)| *expires > now);
     }
 
+    /// When the next part of it expires.
+    pub(crate) fn next_expiry(&self) -> Option<Time> {
+        let tracked = self.tracked.values().map(|(expires, _)| *expires).min();
+        let untracked = self.untracked.front().map(|(expires, _)| *expires);
+        tracked.into_iter().chain(untracked).min()
+    }
+
     /// Occupied bytes, tracked and untracked.
     pub(crate) fn used(&self) -> u64 {
         let tracked: u64 = self.tracked.values().map(|(_, bytes)| bytes).sum();
--- a/crates/core/src/tree.rs
+++ b/crates/core/src/tree.rs
@@ -53,7 +53,11 @@
 /// store itself, by the number of listed entries. For fleets of 4 to 300 entries.
 pub fn start_relay_wait(entries: usize) -> Span {
     let (fixed, per_entry, max) = START_RELAY_WAIT;
-    (fixed + per_entry * entries as u64).min(max)
+    match entries {
+        // The size of the fleet is not known yet.
+        0 => max,
+        count => (fixed + per_entry * count as u64).min(max),
+    }
 }
 
 /// Sorts entries by descending power, because the first entries answer the most requests. The hash of
--- a/crates/core/tests/batch.rs
+++ b/crates/core/tests/batch.rs
@@ -574,3 +574,17 @@
     let next = batcher.next_batch(millis(310)).expect("there is room");
     assert_eq!(next.pieces.iter().filter(|piece| piece.group == 100).count(), 3);
 }
+
+/// Guards against pieces that stay queued although their server has memory again: nobody released its results,
+/// and nothing else happened when they expired.
+#[test]
+fn queue_is_looked_at_when_results_expire() {
+    let mut batcher = batcher(&["a"]);
+    let key = ResultKey::from("held");
+    batcher.result_stored(millis(0), &ServerId::from("a"), key, 9_400_000);
+    batcher.push(QueuedPiece { bytes: 9_000_000, ..piece(1, 1, millis(0)) });
+    assert!(batcher.next_batch(millis(200)).is_none(), "there is no room");
+    let expiry = millis(4_000);
+    assert!(batcher.next_wakeup(millis(300)).is_some_and(|at| at <= expiry));
+    assert_eq!(batcher.next_wakeup(millis(3_999)), Some(expiry));
+}
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -304,3 +304,53 @@
     assert!(moved <= 12, "{moved} of 40 moved");
     assert_eq!(name(&servers[0].id, &[], ""), None);
 }
+
+fn assigned(count: u64) -> (Owners, String) {
+    let (entries, servers) = fleet(4, count as usize);
+    let mut owners = Owners::new(entries[0].clone(), SPEC);
+    owners.assign(&PoolId::from("catalog"), &entries, &BTreeMap::new(), &servers);
+    let other = servers.iter().filter_map(|server| owners.owner_of(&server.id));
+    let other = other.map(|owner| owner.name.clone()).find(|name| *name != entries[0].name);
+    (owners, other.expect("another entry owns servers"))
+}
+
+fn due_in(pieces: usize, lane: Lane, due: u64) -> PieceGroup {
+    PieceGroup { pieces, place: QueuePlace { lane, due: Span::from_millis(due) } }
+}
+
+/// Guards against a group that ends and for which another one of the same size is forgotten: pieces that are still
+/// queued were no longer counted.
+#[test]
+fn group_that_ends_is_the_one_that_is_forgotten() {
+    let (mut owners, name) = assigned(16);
+    let (now, idle) = (Time::default(), Fullness::default());
+    let (early, late) = (due_in(40, Lane::Timely(0), 300), due_in(40, Lane::Timely(0), 3_000));
+    owners.pieces_sent(now, &name, early, &idle);
+    owners.pieces_sent(now, &name, late, &idle);
+    let new = due_in(2, Lane::Timely(0), 1_000);
+    let before = owners.predict_time(now, new, &idle);
+    owners.pieces_ended(now, &name, late, None);
+    assert_eq!(owners.predict_time(now, new, &idle), before, "the early group is still ahead");
+    owners.pieces_ended(now, &name, early, None);
+    assert!(owners.predict_time(now, new, &idle) < before);
+}
+
+/// Guards against a forecast for late pieces that stays short while all others take four times as long, and
+/// against one report that counts like the mean of all owners.
+#[test]
+fn late_forecast_follows_the_others_and_one_report_is_not_the_mean() {
+    let (mut owners, _) = assigned(16);
+    let (now, idle) = (Time::default() + Span::from_secs(10), Fullness::default());
+    let late = due_in(2, Lane::Late, 0);
+    let before = owners.predict_time(now, late, &idle).expect("there are owners");
+    let (took, expected) = (Span::from_millis(1_200), Span::from_millis(300));
+    (0..200).for_each(|_| owners.record_time(Lane::Timely(0), took, expected));
+    let after = owners.predict_time(now, late, &idle).expect("there are owners");
+    assert!(after > before * 3, "{before:?} and {after:?}");
+    let (mut owners, name) = assigned(16);
+    let group = due_in(2, Lane::Timely(0), 1_000);
+    let before = owners.predict_time(now, group, &idle).expect("there are owners");
+    owners.pieces_ended(now, &name, group, Some(Fullness::uniform(10.0)));
+    let after = owners.predict_time(now, group, &idle).expect("there are owners");
+    assert!(after < before * 8, "{before:?} and {after:?}");
+}
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -511,7 +511,10 @@
         self.record_answer(server, &head);
         conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?;
         self.keep_connection(&server.id, conn);
-        Ok(())
+        match head.status.is_success() {
+            true => Ok(()),
+            false => Err(HttpError::Malformed("the release was refused")),
+        }
     }
 
     /// Logs a failed release. It is not repeated, because servers drop unreleased results after a while.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -282,26 +282,23 @@
 ) -> Option<Rc<Catalog>> {
     let known = || {
         let state = node.state.borrow();
-        let has_servers = state.fleet.replicas().next().is_some();
-        (state.active_catalog().cloned(), has_servers, state.draining.is_some())
+        // Later, a fleet without servers is no sign of a start.
+        let has_started = node.now().since(Time::default()) > node.config.apply_limit;
+        let complete = has_started || state.fleet.replicas().next().is_some();
+        let catalog = state.active_catalog().cloned();
+        (catalog.is_some() && complete || state.draining.is_some(), catalog)
     };
-    if let (Some(catalog), true, _) = known() {
-        return Some(catalog);
-    }
-    let deadline = node.wire.parse_request(head).ok()?.deadline.unwrap_or_default();
-    let hold = deadline.scale(STARTING_HOLD.0).min(STARTING_HOLD.1);
+    let (ready, catalog) = known();
+    let info = node.wire.parse_request(head);
+    let (false, Ok(info)) = (ready, info) else { return catalog };
+    let hold = info.deadline.unwrap_or_default().scale(STARTING_HOLD.0).min(STARTING_HOLD.1);
     let limit = node.instant(arrived + hold);
-    let _reserved = node.requests.reserve(REQUEST_BYTES)?;
+    let Some(_reserved) = node.requests.reserve(REQUEST_BYTES) else { return catalog };
     loop {
         let changed = node.changed.notified();
-        match known() {
-            (Some(catalog), true, _) => return Some(catalog),
-            (catalog, _, true) => return catalog,
-            (catalog, ..) => {
-                if tokio::time::timeout_at(limit, changed).await.is_err() {
-                    return catalog;
-                }
-            }
+        let (ready, catalog) = known();
+        if ready || tokio::time::timeout_at(limit, changed).await.is_err() {
+            return catalog;
         }
     }
 }
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -457,7 +457,9 @@
     node: Rc<Node<W>>,
     pool: PoolId,
     owner: String,
-    group: PieceGroup,
+    pieces: usize,
+    lane: Lane,
+    due: Time,
     fullness: Option<Fullness>,
 }
 
@@ -466,7 +468,9 @@
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         if let Some(owners) = state.owners.get_mut(&self.pool) {
-            owners.pieces_ended(now, &self.owner, self.group, self.fullness);
+            let place = QueuePlace { lane: self.lane, due: self.due.since(now) };
+            let group = PieceGroup { pieces: self.pieces, place };
+            owners.pieces_ended(now, &self.owner, group, self.fullness);
         }
     }
 }
@@ -518,7 +522,9 @@
             node: self.clone(),
             pool: call.pool.clone(),
             owner: owner.name.clone(),
-            group: PieceGroup { pieces: group.len(), place },
+            pieces: group.len(),
+            lane,
+            due: self.now() + call.due,
             fullness: None,
         };
         let (began, pool) = (self.now(), call.pool.clone());
