--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -21,13 +21,9 @@
 /// Weight of the tokens that an engine would have to read for a request, against those that wait there already:
 /// reading them also delays the streams that run there, and requests that arrive later.
 const READ_WEIGHT: f64 = 1.6;
-/// Share of a shared prompt that the first server in rendezvous order is expected to have cached, because other
-/// entries send it there.
-const FIRST_CREDIT: f64 = 0.8;
-/// The same for the following servers in the order, which get requests while the first one has a backlog.
-const NEXT_CREDIT: f64 = 0.4;
-/// Number of servers in the order that have a credit.
-const CREDITED_SERVERS: usize = 3;
+/// Share of a shared prompt that the first servers in rendezvous order are expected to have cached, because other
+/// entries send it there: most to the first one, and some to the next while that one has a backlog.
+const CREDITS: [f64; 3] = [0.8, 0.45, 0.35];
 /// Weight of a new sample in a server's pace, and in the mean pace of the pool.
 const PACE_WEIGHTS: (f64, f64) = (0.3, 0.05);
 /// Time in which a server's pace decays to 1/e of its distance from the pool's.
@@ -346,7 +342,7 @@
         let (_, place, server) = delays.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let choice = match place {
             0 if shared.is_some() => Choice::First,
-            1..CREDITED_SERVERS if shared.is_some() => Choice::Next,
+            _ if shared.is_some() && place < CREDITS.len() => Choice::Next,
             _ => Choice::Least,
         };
         Some(Selection { replica: &server.replica, choice: Some(choice) })
@@ -620,11 +616,7 @@
 
 /// Share of a shared prompt that the server at a place in the order is expected to have cached.
 fn credit(place: usize) -> f64 {
-    match place {
-        0 => FIRST_CREDIT,
-        1..CREDITED_SERVERS => NEXT_CREDIT,
-        _ => 0.0,
-    }
+    CREDITS.get(place).copied().unwrap_or(0.0)
 }
 
 /// Rendezvous hash of a server and a prompt part. Mixing the two integers avoids hashing bytes for
