--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod entry;
 pub mod epoch;
 pub mod evacuation;
+pub mod exchange;
 pub mod fleet;
 pub mod forecast;
 pub mod fresh;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -8,6 +8,7 @@
 use crate::wire::{PieceRequest, Wire};
 use damaskweir_core::batch::{Fullness, Lane};
 use damaskweir_core::evacuation::EvacuationStatement;
+use damaskweir_core::exchange::LoadReport;
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::owner::EntryInfo;
 use damaskweir_core::roster::RosterStatement;
@@ -63,6 +64,9 @@
     /// The sender's set of evacuated zones, if the receiver refused the group because of an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) evacuations: Option<EvacuationStatement>,
+    /// What the sender has sent to engines and is not answered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) load: Option<LoadReport>,
 }
 
 /// Outcomes of a group, in the order of its items.
@@ -77,6 +81,12 @@
     /// The evacuated zones by which it owns none, if it knows them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) evacuations: Option<EvacuationStatement>,
+    /// The report of the receiver and those that it has of other entries, if the request had one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) loads: Vec<LoadReport>,
+    /// Time between the request and the response.
+    #[serde(default)]
+    pub(crate) held: Span,
 }
 
 /// A stored result to release.
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -379,6 +379,7 @@
             suspects,
             roster: None,
             evacuations: None,
+            load: None,
         };
         let (node, sender, group) = (node.clone(), self.sender.clone(), group.to_vec());
         let task = tokio::task::spawn_local(async move {
@@ -485,7 +486,10 @@
         mut call: GroupRequest,
     ) -> Result<GroupResponse, HttpError> {
         let sent = self.now();
-        let answer = self.request_group(owner, &call).await?;
+        call.load = self.own_load();
+        let mut answer = self.request_group(owner, &call).await?;
+        let delay = self.now().since(sent + answer.held);
+        self.merge_loads(std::mem::take(&mut answer.loads), delay);
         let Some(told) = &answer.roster else { return Ok(answer) };
         let (own, took) =
             (self.state.borrow().roster.statement(self.now()), self.now().since(sent));
@@ -502,6 +506,7 @@
         if call.roster.is_none() && call.evacuations.is_none() {
             return Ok(answer);
         }
+        call.load = None;
         call.due = call.due.saturating_sub(took);
         call.left = call.left.saturating_sub(took);
         self.request_group(owner, &call).await
