Exchange load reports at most once in 200 ms in calls

Cause: each call with pieces and its answer carried reports of up to 64 rows, dozens of times a second at each entry, some of which have 10 Mbit/s.

Change: an entry adds its report to a call at most once in 200 ms.

--- a/crates/direct/src/loads.rs
+++ b/crates/direct/src/loads.rs
@@ -7,12 +7,27 @@
 use damaskweir_core::place::Placer;
 use damaskweir_core::time::{Span, Time};
 
+/// Least time between two calls with pieces that exchange reports. With reports in each call, the answers of owners
+/// took longer on links of 10 Mbit/s, and fewer requests were served in bursts.
+const CALL_INTERVAL: Span = Span::from_millis(200);
+
 impl<W: Wire> Node<W> {
-    /// This entry's report; `None` if there is no other entry or no engine.
+    /// This entry's report for a poll; `None` if there is no other entry or no engine.
     pub(crate) fn own_load(&self) -> Option<LoadReport> {
         self.state.borrow().own_load(self.now())
     }
 
+    /// This entry's report for a call with pieces; `None` as well if another call had one shortly before.
+    pub(crate) fn take_own_load(&self) -> Option<LoadReport> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if now < state.loads_due {
+            return None;
+        }
+        state.loads_due = now + CALL_INTERVAL;
+        state.own_load(now)
+    }
+
     /// Takes reports that another entry sent `delay` ago.
     pub(crate) fn merge_loads(&self, reports: impl IntoIterator<Item = LoadReport>, delay: Span) {
         let now = self.now();
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -118,6 +118,8 @@
     pub placers: BTreeMap<PoolId, Placer>,
     /// What other entries have sent to engines.
     pub(crate) loads: LoadReports,
+    /// When the next call with pieces exchanges reports.
+    pub(crate) loads_due: Time,
     /// Queued pieces by pool.
     pub batchers: BTreeMap<PoolId, Batcher>,
     /// Retry budgets by pool.
@@ -236,6 +238,7 @@
             roster: Roster::default(),
             placers: BTreeMap::new(),
             loads: LoadReports::new(incarnation as u32),
+            loads_due: Time::default(),
             batchers: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             waiters: HashMap::new(),
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -486,7 +486,7 @@
         mut call: GroupRequest,
     ) -> Result<GroupResponse, HttpError> {
         let sent = self.now();
-        call.load = self.own_load();
+        call.load = self.take_own_load();
         let mut answer = self.request_group(owner, &call).await?;
         let delay = self.now().since(sent + answer.held);
         self.merge_loads(std::mem::take(&mut answer.loads), delay);
