Put less urgent ranks three seconds behind in the queue

What callers saw: in bursts of an urgent route, pieces of a less urgent one that had waited for over a second went first, and requests of the urgent route were late or refused.

Change: a piece of the next rank goes first only if it is due more than 3 s earlier, which is longer than the objectives of most routes.

--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -68,7 +68,7 @@
 
 /// Added to the due time of a piece for each less urgent rank when the queue is sorted: a less urgent
 /// piece goes first only if it is due earlier by more than this.
-const RANK_STEP: Span = Span::from_secs(1);
+const RANK_STEP: Span = Span::from_secs(3);
 /// Number of distinct ranks; less urgent ones are treated as the last.
 pub(crate) const RANK_COUNT: usize = 3;
 
