--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -54,7 +54,8 @@
 const BACKLOG_CALLS: usize = 2;
 /// One slot in this many of a batch is reserved for late pieces.
 const LATE_SLOT_INTERVAL: usize = 6;
-/// Fraction of a server's result memory that late pieces leave free for timely ones beyond their reserved slots.
+/// Fraction of a server's result memory that late pieces leave free beyond their reserved slots. A call of timely
+/// pieces usually needs less, while the results of the call before are still stored.
 const TIMELY_ROOM_FRACTION: f64 = 0.4;
 /// Weight of the latest call in the moving average of the batch size.
 const BATCH_SIZE_WEIGHT: f64 = 0.2;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -343,11 +343,9 @@
         let due = self.stages_due(latency);
         let forecast = |lane| self.node.forecast(&self.route, &self.plan, lane, due);
         let late = forecast(Lane::Late);
-        let expires = (0..self.plan.len()).any(|stage| {
-            late.times
-                .get(stage)
-                .is_some_and(|time| *time > self.node.input_ttl(&self.route, &self.plan, stage))
-        });
+        let mut times = late.times.iter().enumerate();
+        let expires =
+            times.any(|(stage, time)| *time > self.node.input_ttl(&self.route, &self.plan, stage));
         ArrivalEstimate {
             timely: forecast(Lane::Timely(behind)).critical_path + latency,
             late: (!expires).then(|| late.critical_path + latency),
