Parse requests once at an entry that has started

Since starting entries hold requests, each request's head was parsed once more, although only a starting entry needs its deadline before the route is known. The check whether the entry has started comes first now. Nothing else changes.

--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -289,8 +289,10 @@
         (catalog.is_some() && complete || state.draining.is_some(), catalog)
     };
     let (ready, catalog) = known();
-    let info = node.wire.parse_request(head);
-    let (false, Ok(info)) = (ready, info) else { return catalog };
+    if ready {
+        return catalog;
+    }
+    let Ok(info) = node.wire.parse_request(head) else { return catalog };
     let hold = info.deadline.unwrap_or_default().scale(STARTING_HOLD.0).min(STARTING_HOLD.1);
     let limit = node.instant(arrived + hold);
     let Some(_reserved) = node.requests.reserve(REQUEST_BYTES) else { return catalog };
