Remove the measurement switches of the load exchange, and a sum that nothing reads

The others' open requests were summed for each candidate although the selection no longer counts them, and two constants switched the exchange and the selection off while they were measured. The backlog of others is a number of tokens now. Selections stay the same; the tests keep their assertions.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -10,8 +10,6 @@
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Whether entries exchange reports. Without it each entry knows only its own requests.
-pub const EXCHANGE: bool = true;
 /// Maximum number of rows of a report. Those with the least work are left out.
 pub const REPORT_ROWS_MAX: usize = 64;
 /// Maximum number of other entries whose reports are kept.
@@ -193,36 +191,26 @@
     arrived: f64,
 }
 
-/// What other entries have sent to a server and is expected to be unanswered.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Backlog {
-    /// Prompt tokens.
-    pub tokens: f64,
-    /// Open requests.
-    pub open: f64,
-}
-
 impl LoadView<'_> {
-    /// Returns the others' backlog of a server that reads `pace` tokens a millisecond, and has `own` tokens of
+    /// Returns the others' backlog, in prompt tokens, of a server that reads `pace` tokens a millisecond, and has `own` tokens of
     /// this entry to read as well: what they reported, less the part of what the server has read since that was
     /// theirs, plus what they usually send in that time. A server without reported tokens is taken to read as
     /// fast as the others send.
-    pub fn backlog(&self, server: u32, pace: f64, own: f64) -> Backlog {
-        let (mut told, mut tokens, mut open, mut aged) = (0.0, 0.0, 0.0, 0.0);
+    pub fn backlog(&self, server: u32, pace: f64, own: f64) -> f64 {
+        let (mut told, mut tokens, mut aged) = (0.0, 0.0, 0.0);
         for (weight, age, rows) in &self.reports {
             if let Some(row) = rows.iter().find(|row| row.server == server) {
                 let weighted = weight * f64::from(row.tokens);
                 told += f64::from(row.tokens);
                 tokens += weighted;
                 aged += weighted * age;
-                open += weight * f64::from(row.open);
             }
         }
-        if tokens > 0.0 {
-            // In its age, the server reads of each report the part that its tokens have of all.
-            let read = pace * aged / (told + own);
-            tokens = (tokens + self.arrived.min(ARRIVED_MAX) - read).max(0.0);
+        if tokens == 0.0 {
+            return 0.0;
         }
-        Backlog { tokens, open }
+        // In its age, the server reads of each report the part that its tokens have of all.
+        let read = pace * aged / (told + own);
+        (tokens + self.arrived.min(ARRIVED_MAX) - read).max(0.0)
     }
 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -15,9 +15,6 @@
 use std::collections::{BTreeMap, HashMap};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Whether engines are selected with the backlog that other entries report. Without it the selection is the same
-/// as for a single entry.
-const SHARED_BACKLOG: bool = true;
 /// Weight of the tokens that an engine would have to read for a request, against those that wait there already:
 /// reading them also delays the streams that run there, and requests that arrive later.
 const READ_WEIGHT: f64 = 1.6;
@@ -301,7 +298,7 @@
         rng: &mut Rng,
         requirements: &Requirements<'_>,
     ) -> Option<Selection<'_>> {
-        if let Some(reports) = requirements.others.filter(|_| self.is_engine && SHARED_BACKLOG) {
+        if let Some(reports) = requirements.others.filter(|_| self.is_engine) {
             return self.select_shared(now, rng, requirements, &reports.at(now));
         }
         let replica = self.least_delay(now, rng, requirements)?;
@@ -416,7 +413,7 @@
         requirements: &Requirements<'_>,
     ) -> u64 {
         let parts = requirements.parts;
-        let others = requirements.others.filter(|_| self.is_engine && SHARED_BACKLOG);
+        let others = requirements.others.filter(|_| self.is_engine);
         let credit = others.map_or(0.0, |_| self.credit_of(now, id, requirements));
         let sent_rate = self.sent_rate_at(now);
         let pace = self.pace;
@@ -427,7 +424,7 @@
         if let Some(reports) = others.filter(|_| uncached >= PACE_TOKENS_MIN) {
             let own = server.pending_tokens as f64;
             let ahead = reports.at(now).backlog(server.key, pace * server.pace_at(now), own);
-            server.reading.push((uncached, own + ahead.tokens + uncached as f64));
+            server.reading.push((uncached, own + ahead + uncached as f64));
         }
         let sent = uncached as f64 / SENT_DECAY_TIME.as_secs_f64();
         (self.sent_rate, self.sent_updated) = (sent_rate + sent, now);
@@ -577,7 +574,7 @@
         let own = server.pending_tokens as f64;
         // Requests that others reported as open are mostly answered by now, or are streams, which slow an engine
         // little: counted, they made entries avoid engines without a backlog.
-        let others = others.backlog(server.key, pace, own).tokens;
+        let others = others.backlog(server.key, pace, own);
         let open = DELAY_PER_OPEN_GENERATION * u64::from(server.open);
         (own + others) * 1_000.0 / pace + open.0 as f64
     }
--- a/crates/core/tests/exchange.rs
+++ b/crates/core/tests/exchange.rs
@@ -65,7 +65,7 @@
     one.merge(at(950), report(3, 0, vec![row(9, 5_000)]), Span::ZERO);
     assert_eq!(one.oldest_age(at(950)), Some(Span::from_millis(950)), "it is no newer than before");
     assert_eq!(one.oldest_age(at(2_000)), None);
-    assert_eq!(one.at(at(2_000)).backlog(9, 1.0, 0.0).tokens, 0.0);
+    assert_eq!(one.at(at(2_000)).backlog(9, 1.0, 0.0), 0.0);
 }
 
 /// Guards against a server that counts as busy long after it has read what was sent to it, and against one
@@ -74,7 +74,7 @@
 fn the_backlog_of_others_is_worked_off_at_the_measured_pace() {
     let mut reports = LoadReports::new(1);
     reports.merge(at(0), report(2, 0, vec![row(9, 10_000)]), Span::ZERO);
-    let tokens = |now, pace| reports.at(at(now)).backlog(9, pace, 0.0).tokens;
+    let tokens = |now, pace| reports.at(at(now)).backlog(9, pace, 0.0);
     assert_eq!(tokens(0, 80.0), 10_000.0);
     assert!((5_000.0..6_000.0).contains(&tokens(50, 80.0)), "{}", tokens(50, 80.0));
     assert_eq!(tokens(130, 80.0), 0.0);
--- a/crates/direct/src/loads.rs
+++ b/crates/direct/src/loads.rs
@@ -3,7 +3,7 @@
 
 use crate::node::{Node, State};
 use crate::wire::Wire;
-use damaskweir_core::exchange::{EXCHANGE, LoadReport};
+use damaskweir_core::exchange::LoadReport;
 use damaskweir_core::place::Placer;
 use damaskweir_core::time::{Span, Time};
 
@@ -45,7 +45,7 @@
     }
 
     fn own_load(&self, now: Time) -> Option<LoadReport> {
-        if !EXCHANGE || !self.shares_load() {
+        if !self.shares_load() {
             return None;
         }
         let (mut rows, mut rate) = (Vec::new(), 0.0);
