--- a/review/lab/cases.rs
+++ b/review/lab/cases.rs
@@ -1,9 +1,11 @@
 //! The cases.
 
 use crate::client::{Exchange, PIECES, send};
-use crate::entry::{Entry, Place, SIGCONT, SIGSTOP};
+use crate::entry::{Entry, Place, SIGCONT, SIGSTOP, SIGTERM};
 use crate::net::{free_port, now_ms};
-use crate::replica::{CALL_MS, EVENTS, ITEM_MS, LINES, Replica, Run, event_text};
+use crate::replica::{
+    CALL_MS, EVENTS, ITEM_MS, LABEL_EVENTS, LINES, Replica, Run, SLOTS, event_text,
+};
 use crate::store::Store;
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -12,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const HOST: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
@@ -23,6 +25,7 @@
     let held = match case {
         "drain" => drain(&mut record, &temporary, trouble),
         "extra" => extra(&mut record, &temporary, trouble),
+        "silent" => silent(&mut record, &temporary, trouble),
         "route" => route(&mut record, &temporary, trouble),
         "freeze" => freeze(&mut record, &temporary, trouble),
         _ => None,
@@ -60,13 +63,36 @@
     }
 }
 
+/// Appends what was sent, answered and run.
+fn dump(record: &mut Record, exchanges: &[Exchange], runs: &[Run]) {
+    let mut lines: Vec<(u64, String)> = Vec::new();
+    for e in exchanges {
+        let (id, path) = (&e.id, &e.path);
+        lines.push((e.sent_ms, format!("{id} is sent to {path}")));
+        let whole = if e.is_whole() { "whole" } else { "not a whole success" };
+        let (status, size) = (e.status(), e.body().len());
+        lines.push((e.ended_ms, format!("{id} is answered {status}, {size} bytes, {whole}")));
+    }
+    for run in runs {
+        lines.push((run.at_ms, format!("{}: {} {}", run.replica, run.what, run.id)));
+    }
+    lines.sort();
+    record.text.push_str("\nWhat was sent, answered and run:\n");
+    lines.iter().for_each(|(at, text)| record.note_at(*at, text));
+    record.text.push('\n');
+}
+
 fn manifest() -> String {
-    manifest_of(1, &["order", "sheet", "draft", "fill", "layout"])
+    manifest_of(1, &["order", "sheet", "draft", "fill", "label", "layout"])
 }
 
 fn manifest_of(version: u64, names: &[&str]) -> String {
     let route = |name: &str, kind: &str, service: &str, resume: bool| {
-        let timeout = if name == "order" { ORDER_TIMEOUT_MS } else { 8_000 };
+        let timeout = match name {
+            "order" => ORDER_TIMEOUT_MS,
+            "label" => LABEL_TIMEOUT_MS,
+            _ => 8_000,
+        };
         let stages = match name {
             "layout" => "{\"service\":\"catalog\",\"after\":[],\"bytes\":8000}",
             _ => "",
@@ -83,6 +109,7 @@
         route("report", "idempotent", "orders", false),
         route("sheet", "idempotent", "orders", false),
         route("draft", "streaming", "engines", true),
+        route("label", "streaming", "engines", true),
         route("fill", "streaming", "engines", false),
         route("layout", "streaming", "engines", true),
     ];
@@ -113,6 +140,8 @@
 
 /// Longest time that the operator wants an order kept waiting.
 const ORDER_TIMEOUT_MS: u64 = 800;
+/// The same for a long stream.
+const LABEL_TIMEOUT_MS: u64 = 20_000;
 /// Bounds of the settings, in ms.
 const CONFIG_APPLY_MS: u64 = 2_000;
 const DRAIN_MS: u64 = 2_000;
@@ -215,6 +244,7 @@
         }
         late += own;
     }
+    dump(record, &exchanges, &runs);
     record.note(&format!("{late} orders reached replicas later than drain_ms after the ack"));
     Some(late == 0)
 }
@@ -245,7 +275,7 @@
         replicas.push(replica);
     }
     let places = Place::list(2);
-    let entries: Vec<_> =
+    let mut entries: Vec<_> =
         (0..2).map(|at| Entry::start(&places, at, store.address, folder)).collect();
     if !entries.iter().all(|entry| entry.wait_ready(Duration::from_secs(15))) {
         return None;
@@ -253,7 +283,7 @@
     thread::sleep(Duration::from_secs(3));
     record.note(&format!("2 entries are ready, {SERVERS} replicas of each of 2 services run"));
     let frontend = entries[0].frontend;
-    let (mut broken, mut number) = (0, 0);
+    let (mut broken, mut number, mut exchanges) = (0, 0, Vec::new());
     for round in 0..FREEZE_ROUNDS {
         let callers: Vec<_> = ["/draft/", "/fill/", "/sheet/"]
             .into_iter()
@@ -294,6 +324,7 @@
                 _ => (0..EVENTS).map(event_text).collect(),
             };
             let good = !exchange.is_whole() || exchange.body() == whole;
+            exchanges.push(exchange.clone());
             broken += usize::from(!good);
             let what = format!(
                 "{} {}: status {}, {} of {} bytes, the answer {}{}",
@@ -309,6 +340,7 @@
         }
         thread::sleep(Duration::from_secs(4));
     }
+    dump(record, &exchanges, &runs.lock().ok()?);
     record.note(&format!("{broken} answers looked complete and were not"));
     Some(broken == 0)
 }
@@ -371,9 +403,9 @@
         })
         .collect();
     for _ in 0..GARBLE_ROUNDS {
-        replicas.iter().for_each(|replica| replica.garble(true));
+        replicas.iter().for_each(|replica| replica.disturb(true));
         thread::sleep(GARBLE_TIME.0);
-        replicas.iter().for_each(|replica| replica.garble(false));
+        replicas.iter().for_each(|replica| replica.disturb(false));
         thread::sleep(GARBLE_TIME.1);
     }
     stop.store(true, Ordering::Relaxed);
@@ -409,6 +441,7 @@
             record.note_at(run.at_ms, &text);
         }
     }
+    dump(record, &exchanges, &runs);
     record.note(&format!("{mixed} requests were given results of other requests"));
     Some(mixed == 0)
 }
@@ -489,6 +522,98 @@
         ));
         (sent.len() >= 20).then(|| served as f64 / sent.len() as f64)
     };
-    let (first, new) = (share("/report/")?, share("/order/")?);
+    let (first, new) = (share("/report/"), share("/order/"));
+    dump(record, &exchanges, &runs.lock().ok()?);
+    let (first, new) = (first?, new?);
     Some(new >= first / 4.0)
 }
+
+/// Engines, each of which runs as many long streams as it can.
+const ENGINES: u64 = 2;
+/// Times after the first stream: SIGTERM, and the time for which one engine preempts its streams.
+const TERM_MS: u64 = 800;
+const PREEMPT_MS: (u64, u64) = (1_000, 3_600);
+const SILENT_ROUNDS: usize = 4;
+
+/// An entry is told to stop while its streams run, and one of two full engines preempts its own for a while.
+fn silent(record: &mut Record, folder: &Path, trouble: bool) -> Option<bool> {
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let store = Store::start(HOST, Box::new(|_| None));
+    store.put("op/config", &manifest());
+    let mut replicas = Vec::new();
+    for n in 0..ENGINES {
+        let address = SocketAddr::from((HOST, free_port(HOST)));
+        let replica = Replica::start(&format!("i-{n}"), address, &runs);
+        store.put(&format!("servers/i-{n}"), &listing("engines", replica.address, now_ms()));
+        replicas.push(replica);
+    }
+    let places = Place::list(2);
+    let mut entries: Vec<_> =
+        (0..2).map(|at| Entry::start(&places, at, store.address, folder)).collect();
+    let (mut lost, mut number, mut exchanges) = (0, 0, Vec::new());
+    for round in 0..SILENT_ROUNDS {
+        if !entries.iter().all(|entry| entry.wait_ready(Duration::from_secs(15))) {
+            return None;
+        }
+        thread::sleep(Duration::from_secs(4));
+        record.note(&format!("round {round}: 2 entries are ready, {ENGINES} engines run"));
+        let frontend = entries[0].frontend;
+        let began = Instant::now();
+        let at = |millis: u64| {
+            thread::sleep(Duration::from_millis(millis).saturating_sub(began.elapsed()));
+        };
+        let callers: Vec<_> = (0..ENGINES * SLOTS)
+            .map(|_| {
+                number += 1;
+                let id = format!("e{number:04x}");
+                thread::sleep(Duration::from_millis(5));
+                thread::spawn(move || send(frontend, "POST", "/label/", &id, LABEL_TIMEOUT_MS))
+            })
+            .collect();
+        at(TERM_MS);
+        entries[0].signal(SIGTERM);
+        let told = now_ms();
+        record.note_at(told, "the first entry gets SIGTERM");
+        at(PREEMPT_MS.0);
+        let preempting = &replicas[round % replicas.len()];
+        if trouble {
+            preempting.disturb(true);
+            record.note(&format!("{} preempts its streams", preempting.id));
+            at(PREEMPT_MS.1);
+            preempting.disturb(false);
+            record.note(&format!("{} goes on with them", preempting.id));
+        }
+        for caller in callers {
+            let exchange = caller.join().expect("a caller");
+            let runs = runs.lock().ok()?;
+            let ran = |run: &&Run| run.id == exchange.id && run.what == "run";
+            let passed_on: Vec<_> = runs.iter().filter(ran).map(|run| &run.replica).collect();
+            let whole: String = (0..LABEL_EVENTS).map(event_text).collect();
+            let cut = !passed_on.is_empty() && !(exchange.is_whole() && exchange.body() == whole);
+            // What is still worked on in the last sixth of grace_s may be cut.
+            let counts = exchange.ended_ms < told + 8_000 * 5 / 6;
+            exchanges.push(exchange.clone());
+            lost += usize::from(cut && counts);
+            record.note_at(
+                exchange.ended_ms,
+                &format!(
+                    "{} at {passed_on:?}: status {}, {} of {} bytes, {} ms after the SIGTERM{}",
+                    exchange.id,
+                    exchange.status(),
+                    exchange.body().len(),
+                    whole.len(),
+                    exchange.ended_ms as i64 - told as i64,
+                    if cut && counts { ": CUT" } else { "" },
+                ),
+            );
+        }
+        let ended = entries[0].wait_end(Duration::from_secs(10));
+        record.note(&format!("the first entry has ended: {ended}"));
+        entries[0] = Entry::start(&places, 0, store.address, folder);
+    }
+    let full = runs.lock().ok()?.iter().filter(|run| run.what == "full").count();
+    record.note(&format!("{full} times an engine had no slot free"));
+    dump(record, &exchanges, &runs.lock().ok()?);
+    record.note(&format!("{lost} streams of sound engines were cut"));
+    Some(lost == 0)
+}
--- a/review/lab/entry.rs
+++ b/review/lab/entry.rs
@@ -14,6 +14,7 @@
 
 const SIGKILL: u64 = 9;
 const METRICS_PORT: u16 = 9464;
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -113,11 +114,27 @@
         }
     }
 
-    pub fn signal(&self, signal: i32) {
+    pub fn signal(&mut self, signal: i32) {
+        // The id of a child that has ended may be that of another process.
+        if !matches!(self.child.try_wait(), Ok(None)) {
+            return;
+        }
         // SAFETY: it only sends a signal, to a child that has not been waited for.
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Waits for the end of the process. Returns whether it came in time.
+    pub fn wait_end(&mut self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
     /// Waits until the entry says that it is ready. Returns whether it did in time.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and cases of the second review. `lab replica` is a replica, `lab drain` and `lab freeze` play
-//! a case.
+//! Stand-ins and cases of the second review: `lab replica` is a replica, `lab CASE FOLDER` plays a case and
+//! writes its record into the folder.
 
 mod cases;
 mod client;
--- a/review/lab/replica.rs
+++ b/review/lab/replica.rs
@@ -18,6 +18,11 @@
 const CALL_TIME: Duration = Duration::from_millis(60);
 /// Time for which a long call is worked on.
 const REPORT_TIME: Duration = Duration::from_millis(700);
+/// The same of a long stream, whose events are sent in chunks.
+pub const LABEL_EVENTS: u64 = 60;
+const LABEL_PAUSE: Duration = Duration::from_millis(60);
+/// Long streams that a replica runs at the same time.
+pub const SLOTS: u64 = 16;
 /// Number of lines of the answer to a long call, which are sent with the same pause.
 pub const LINES: u64 = 40;
 
@@ -87,8 +92,8 @@
         Self { id: id.to_owned(), address, child }
     }
 
-    /// Has it garble from now on, or no longer.
-    pub fn garble(&self, on: bool) {
+    /// Has it garble from now on, or preempt its long streams, or no longer.
+    pub fn disturb(&self, on: bool) {
         let mut input = self.child.stdin.as_ref().expect("its input");
         input.write_all(if on { b"1" } else { b"0" }).expect("tell it");
     }
@@ -115,6 +120,8 @@
     /// Factor of the time that its work takes.
     slowness: f64,
     garbles: AtomicBool,
+    /// Long streams that run.
+    streams: AtomicU64,
     /// Held while a call with pieces is worked on.
     slot: Mutex<()>,
     /// Calls with pieces that wait or are worked on.
@@ -184,6 +191,7 @@
         extra,
         slowness,
         garbles: AtomicBool::default(),
+        streams: AtomicU64::default(),
         slot: Mutex::default(),
         calls: AtomicU64::default(),
         draws: AtomicU64::default(),
@@ -229,6 +237,16 @@
         } else if path.starts_with("/draft/") || path.starts_with("/fill/") {
             report(own, "run", &id);
             return stream(&mut conn, &request, own, &id);
+        } else if path.starts_with("/label/") {
+            if process.streams.fetch_add(1, Ordering::SeqCst) < SLOTS {
+                report(own, "run", &id);
+                label(&mut conn, &request, process, &id);
+                process.streams.fetch_sub(1, Ordering::SeqCst);
+                return;
+            }
+            process.streams.fetch_sub(1, Ordering::SeqCst);
+            report(own, "full", &id);
+            response(503, &format!("Attempt-Id: {id}\r\nNot-Executed: 1\r\n"), "")
         } else if path.starts_with("/sheet/") {
             report(own, "run", &id);
             return lines(&mut conn, own, &id);
@@ -285,6 +303,33 @@
     report(own, "done", id);
 }
 
+/// Sends a long stream. While the replica preempts it, it waits for its turn.
+fn label(conn: &mut Conn, request: &Message, process: &Process, id: &str) {
+    let own = process.id.as_str();
+    let last = request.field("last-event-id").and_then(|id| id.parse::<u64>().ok());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: {own}.{id}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    if conn.send(head.as_bytes()).is_err() {
+        return;
+    }
+    for event in last.map_or(0, |last| last + 1)..LABEL_EVENTS {
+        thread::sleep(LABEL_PAUSE);
+        while process.garbles.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let text = event_text(event);
+        if conn.send(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_err() {
+            report(own, "left", id);
+            return;
+        }
+    }
+    if conn.send(b"0\r\n\r\n").is_ok() {
+        report(own, "done", id);
+    }
+}
+
 fn lines(conn: &mut Conn, own: &str, id: &str) {
     let head = unframed_head(own, id).replace("text/event-stream", "text/plain");
     if conn.send(head.as_bytes()).is_err() {
