Log servers that are kept although their records are missing

The log of an entry told only when a server was gone for it (`server_gone`), not whether it had kept the server before, nor from whom it had the removal. So it could not tell a grace period of its own from one of another entry, a delay on the way between entries, or a change that a watch missed.

Change: `server_missing` when a record is missing and its server is kept; `from`, `address` and `as_of` there and in `server_gone`. No change of logic.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -118,6 +118,8 @@
     Up(Replica),
     /// The server is draining and must get no new work.
     Leaving(ServerId),
+    /// The record of the server is missing, and the server is kept for now.
+    Missing(ServerId),
     /// The server no longer exists.
     Removed(ServerId),
     /// The record of the server tells another time at which it is warm, see [`Fleet::warm_at`].
@@ -483,7 +485,12 @@
             _ => None,
         };
         match expires {
-            Some(until) => record.expires = Some(record.expires.unwrap_or(until)),
+            Some(until) => {
+                if record.expires.is_none() {
+                    out.push(FleetChange::Missing(id.clone()));
+                }
+                record.expires = Some(record.expires.unwrap_or(until));
+            }
             None => {
                 self.remove(id, as_of);
                 out.push(FleetChange::Removed(id.clone()));
--- a/crates/direct/src/log.rs
+++ b/crates/direct/src/log.rs
@@ -60,6 +60,8 @@
     ServerUp = "server_up"
     /// A backend server is leaving and gets no new work.
     ServerLeaving = "server_leaving"
+    /// The record of a backend server is missing, and the server is kept for now.
+    ServerMissing = "server_missing"
     /// A backend server was removed.
     ServerGone = "server_gone"
     /// A backend server crashed while it had requests of this entry.
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -101,6 +101,19 @@
     Store,
     /// Another entry, at this address.
     Entry(SocketAddr),
+    /// Nobody: a time limit of this entry passed.
+    Expiry,
+}
+
+impl UpdateSource {
+    /// The source's name in logs, and the address of the entry.
+    fn fields(self) -> (&'static str, String) {
+        match self {
+            Self::Store => ("store", String::new()),
+            Self::Entry(address) => ("entry", address.to_string()),
+            Self::Expiry => ("expiry", String::new()),
+        }
+    }
 }
 
 /// The mutable state of an entry.
@@ -346,10 +359,7 @@
     /// Applies a configuration if it is newer than the current one. Returns whether it was applied.
     pub fn apply_catalog(&self, catalog: Catalog, from: UpdateSource) -> bool {
         let mut state = self.state.borrow_mut();
-        let (from, address) = match from {
-            UpdateSource::Store => ("store", String::new()),
-            UpdateSource::Entry(address) => ("entry", address.to_string()),
-        };
+        let (from, address) = from.fields();
         if let Some(known) = state.catalog.as_ref().filter(|old| !catalog.replaces(old)) {
             // A full read often returns the configuration that is in force.
             if (catalog.version, catalog.revision) != (known.version, known.revision) {
@@ -413,7 +423,7 @@
     }
 
     /// Applies changes of the server list.
-    pub fn apply_fleet_changes(self: &Rc<Self>, changes: Vec<FleetChange>) {
+    pub fn apply_fleet_changes(self: &Rc<Self>, changes: Vec<FleetChange>, from: UpdateSource) {
         // Most reads change nothing, and computing the owners takes a pass over all servers.
         if changes.is_empty() {
             return;
@@ -438,8 +448,11 @@
                     self.log.process(Kind::ServerLeaving, &fields);
                     pools.extend(state.remove_server(&id));
                 }
+                FleetChange::Missing(id) => {
+                    self.log_missing(Kind::ServerMissing, &id, from, state.fleet.as_of());
+                }
                 FleetChange::Removed(id) => {
-                    self.log.process(Kind::ServerGone, &[("server", id.as_str().into())]);
+                    self.log_missing(Kind::ServerGone, &id, from, state.fleet.as_of());
                     pools.extend(state.remove_server(&id));
                     removed.push(id);
                 }
@@ -454,6 +467,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Logs that a server is no longer listed as of a revision, and from whom this entry has that.
+    fn log_missing(&self, kind: Kind, id: &ServerId, from: UpdateSource, as_of: Revision) {
+        let (from, address) = from.fields();
+        let fields = [
+            ("server", id.as_str().into()),
+            ("from", from.into()),
+            ("address", address.as_str().into()),
+            ("as_of", as_of.number.into()),
+        ];
+        self.log.process(kind, &fields);
+    }
+
     /// Replaces the list of entries by one that the store or another entry told `age` ago, as of a revision
     /// of the store.
     pub fn set_entries(
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -256,7 +256,7 @@
                             fleet.apply(now, read.revision, &read.value)
                         }
                     };
-                    self.node.apply_fleet_changes(changes);
+                    self.node.apply_fleet_changes(changes, UpdateSource::Store);
                     sleep(LISTING_INTERVAL).await;
                 }
                 Err(error) => {
@@ -765,7 +765,8 @@
                 Some(_) => (snapshot.teller, delta.sequence),
                 None => (0, 0),
             };
-            self.node.apply_fleet_changes(changes.unwrap_or_default());
+            let from = UpdateSource::Entry(peer);
+            self.node.apply_fleet_changes(changes.unwrap_or_default(), from);
         }
         // Data confirmed before this process started may be older than what the previous process
         // served.
@@ -799,7 +800,7 @@
             let now = self.node.now();
             self.node.expire_evacuations();
             let gone = self.node.state.borrow_mut().fleet.expire(now);
-            self.node.apply_fleet_changes(gone);
+            self.node.apply_fleet_changes(gone, UpdateSource::Expiry);
             self.node.expire_suspects();
             self.node.log_staleness();
         }
