Keep servers with missing records only after an outage that no entry was served in

Cause: each call to the store that failed, also a watch that was cut, or a rejection of this entry alone, counted as an outage of the store in which records may have expired. For 2.2 s after the next answer, of the store or of another entry, a missing record was kept, also when the store or a teller had reported its removal. An entry that the store rejected was in that time all along, since each of its tries failed and each poll of another entry succeeded; and it relayed the servers that it kept as listed ones, to entries that the store served.

Change: whether the store was away is a state of the fleet. `core::uptime` holds the time in which the store served without a break of over 1 s, by its answers to this entry and by what other entries tell in their answers to polls. Only while the store has been back for less than the grace after such a break is a missing record in doubt; a later statement that another entry was served meanwhile ends the doubt. The grace counts from the first answer of the store to any entry, not from this entry's own, and is 2.8 s in place of 2.2 s: the platform's two seconds and the interval between reads. An entry passes on which servers it keeps; the next one keeps them only if it knows of the same outage. A reader that was without answers polls another entry after it has the store back. A suspension of the process is no outage.

Why it works: the platform lets records expire only while the store is unavailable, and a store that answered any entry was not. Without an outage no step adds a grace, so the time to an entry is the sum in docs/platform.md.

The tests of `Fleet` that called `store_lost` and `store_recovered` now record answers with a gap of 3 s between them; they also check that the server stays until its time, which they did not.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,10 +3,15 @@
 //!
 //! Such a copy lacks servers that have registered since, and lists others as they were. What is known of both
 //! holds for the time in which servers write their records again.
+//!
+//! A missing record means that its server is gone, unless the store has just returned from an outage, see
+//! [`Uptime`]. Then the record may have expired, and the server is kept for the same time. Receivers of deltas
+//! are told which servers are kept so, and decide for themselves.
 
 use crate::ids::{AvailabilityZone, PoolId, ServerId};
 use crate::revision::Revision;
 use crate::time::{Span, Time};
+use crate::uptime::Uptime;
 use crate::value;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -14,9 +19,9 @@
 
 /// Maximum number of removals kept for deltas; a peer that is further behind gets the full list.
 const REMOVALS_MAX: usize = 1_024;
-/// Time after the store's recovery within which servers rewrite records that expired during the
-/// outage. The platform specifies two seconds; the rest allows for the delay of a read.
-const LAPSE_GRACE: Span = Span::from_millis(2_200);
+/// Time after the store's return within which servers rewrite records that expired during the
+/// outage. The platform specifies two seconds; the rest allows for the interval between reads.
+const LAPSE_GRACE: Span = Span::from_millis(2_800);
 /// Time for which a record of a copy is not applied if it contradicts what is known of the server. A server
 /// that it describes truly is still listed then; the record of one that is gone expires sooner.
 const RECALL_HOLD: Span = Span::from_secs(5);
@@ -67,6 +72,10 @@
         pub revision: u64,
         /// `None` if the record was removed or does not describe a usable server.
         pub replica: Option<Replica>,
+        /// Whether the store does not list the server and an entry keeps it, see [`FleetChange::Missing`]. The
+        /// store's own listings never say so.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub missing: bool,
     }
 }
 
@@ -137,7 +146,10 @@
     warm_at: Option<Time>,
     /// A record that is read from this time on counts as a change.
     awaited: Option<Time>,
-    /// Set while the record is missing: when the server is removed unless the record returns.
+    /// Store revision as of which the record is missing, if it is. The server is removed once no record can
+    /// have expired in an outage of the store, unless the record returns.
+    missing: Option<u64>,
+    /// When the server is removed unless its record is written again.
     expires: Option<Time>,
 }
 
@@ -188,10 +200,10 @@
     /// Highest sequence number dropped from `removed`. A receiver that is further behind needs the
     /// full list.
     compacted: u64,
-    /// When the store last recovered from an outage.
-    recovered: Option<Time>,
-    /// Whether the store is unreachable, so that records of live servers may expire.
-    outage: bool,
+    /// When the store's current generation was first seen, if there was one before.
+    restored: Option<Time>,
+    /// For how long the store has served. Whoever calls the store or other entries records what they tell of it.
+    pub uptime: Uptime,
 }
 
 impl Fleet {
@@ -254,6 +266,7 @@
             id: record.replica.id.clone(),
             revision: record.revision,
             replica: Some(record.replica.clone()),
+            missing: record.missing.is_some(),
         };
         let newer = self.records.values().filter(|record| full || record.last_change > known);
         let mut listings: Vec<_> = newer.map(listing).collect();
@@ -266,6 +279,7 @@
                 id: removal.replica.id.clone(),
                 revision: removal.revision,
                 replica: None,
+                missing: false,
             }));
         }
         let Revision { generation, number: as_of } = self.as_of;
@@ -283,17 +297,10 @@
         })
     }
 
-    /// Records that the store became unreachable.
-    pub fn store_lost(&mut self) {
-        self.outage = true;
-    }
-
-    /// Records that the store answers again.
-    pub fn store_recovered(&mut self, now: Time) {
-        if self.outage {
-            self.outage = false;
-            self.recovered = Some(now);
-        }
+    /// Whether records of live servers may be missing, since the store was away or returned from a copy.
+    fn may_lack_records(&self, now: Time) -> bool {
+        let restored = self.restored.is_some_and(|at| now < at + LAPSE_GRACE);
+        restored || self.uptime.time_left(now, LAPSE_GRACE) > Span::ZERO
     }
 
     /// Applies changes, which must be in order of revision. Those that don't follow a list of the same
@@ -304,7 +311,7 @@
             return out;
         }
         for change in changes {
-            self.apply_one(now, change, &mut out);
+            self.apply_one(now, as_of.number, change, &mut out);
         }
         self.as_of = self.as_of.max(as_of);
         out
@@ -330,7 +337,7 @@
             self.mark_missing(now, &id, as_of.number, &mut out);
         }
         for listing in list {
-            self.apply_one(now, listing, &mut out);
+            self.apply_one(now, as_of.number, listing, &mut out);
         }
         self.as_of = self.as_of.max(as_of);
         out
@@ -348,9 +355,9 @@
         }
         for record in self.records.values_mut() {
             // A server that had not returned yet gets time again.
-            (record.revision, record.expires) = (0, None);
+            (record.revision, record.missing, record.expires) = (0, None, None);
         }
-        self.recovered = Some(now);
+        self.restored = Some(now);
         self.recalled = as_of.number;
         self.held.clear();
         // Receivers of deltas need the full list of this generation.
@@ -358,14 +365,19 @@
         self.compacted = self.sequence;
     }
 
-    /// Removes servers whose records are still missing after the grace period, and applies records of a copy
-    /// that are still listed.
+    /// Removes servers whose records are missing although none can have expired in an outage of the store, as
+    /// time passed or other entries told that there was none, and applies records of a copy that are still
+    /// listed.
     pub fn expire(&mut self, now: Time) -> Vec<FleetChange> {
-        let due = |record: &Record| record.expires.is_some_and(|at| at <= now);
+        let may_lack = self.may_lack_records(now);
+        let due = |record: &&Record| {
+            record.missing.is_some() && !may_lack || record.expires.is_some_and(|at| at <= now)
+        };
+        let gone = self.records.values().filter(due);
         let gone: Vec<_> =
-            self.records.values().filter(|r| due(r)).map(|r| r.replica.id.clone()).collect();
-        gone.iter().for_each(|id| self.remove(id, self.as_of.number));
-        let mut out: Vec<_> = gone.into_iter().map(FleetChange::Removed).collect();
+            gone.map(|r| (r.replica.id.clone(), r.missing.unwrap_or(self.as_of.number))).collect();
+        gone.iter().for_each(|(id, revision)| self.remove(id, *revision));
+        let mut out: Vec<_> = gone.into_iter().map(|(id, _)| FleetChange::Removed(id)).collect();
         let released = self.held.extract_if(.., |_, held| held.until <= now);
         for (_, held) in released.collect::<Vec<_>>() {
             self.apply_record(now, held.revision, held.replica, &mut out);
@@ -373,14 +385,17 @@
         out
     }
 
-    fn apply_one(&mut self, now: Time, change: &Listing, out: &mut Vec<FleetChange>) {
+    /// Applies the state of one record as of a revision.
+    fn apply_one(&mut self, now: Time, as_of: u64, change: &Listing, out: &mut Vec<FleetChange>) {
         let known = self.records.get(&change.id);
-        if known
-            .is_some_and(|record| record.revision >= change.revision && record.expires.is_none())
-        {
+        let is_sure = |record: &Record| record.missing.is_none() && record.expires.is_none();
+        if known.is_some_and(|record| {
+            record.revision >= change.revision && !change.missing && is_sure(record)
+        }) {
             return;
         }
         match &change.replica {
+            Some(kept) if change.missing => self.apply_kept(now, as_of, change.revision, kept, out),
             Some(listed) if change.revision <= self.recalled && self.contradicts(listed) => {
                 self.hold(now, change.revision, listed);
             }
@@ -395,6 +410,26 @@
         }
     }
 
+    /// Applies a record that the store did not list as of a revision, and whose server another entry keeps. This
+    /// entry does too if it knows of the same outage.
+    fn apply_kept(
+        &mut self,
+        now: Time,
+        as_of: u64,
+        revision: u64,
+        kept: &Replica,
+        out: &mut Vec<FleetChange>,
+    ) {
+        let known = self.records.get(&kept.id);
+        if known.is_some_and(|record| record.revision > revision) {
+            return;
+        }
+        if known.is_none() && self.may_lack_records(now) {
+            self.apply_record(now, revision, kept.clone(), out);
+        }
+        self.mark_missing(now, &kept.id, as_of, out);
+    }
+
     /// Whether a record of a copy contradicts what is known: it lists a server that was removed or is leaving
     /// as available, or an earlier process.
     fn contradicts(&self, listed: &Replica) -> bool {
@@ -444,8 +479,9 @@
         };
         let unchanged =
             same_warmup && known.is_some_and(|record| record.replica.is_same_record(&replica));
+        let listed_before = known.is_some_and(|record| record.missing.is_none());
         let last_change = match known {
-            Some(record) if unchanged => record.last_change,
+            Some(record) if unchanged && listed_before => record.last_change,
             _ => {
                 self.sequence += 1;
                 self.sequence
@@ -469,32 +505,30 @@
         if same_process && !same_warmup {
             out.push(FleetChange::Warmup(id.clone()));
         }
-        let record = Record { revision, last_change, replica, warm_at, awaited, expires: None };
+        let record = Record {
+            revision,
+            last_change,
+            replica,
+            warm_at,
+            awaited,
+            missing: None,
+            expires: None,
+        };
         self.records.insert(id, record);
     }
 
-    /// Handles a record that is missing as of a revision. During a store outage, and shortly after one
-    /// unless the server was leaving, the server is kept for a grace period. Otherwise it is removed at
-    /// once.
+    /// Handles a record that is missing as of a revision. The server is removed, unless it accepts work and its
+    /// record may have expired in an outage of the store.
     fn mark_missing(&mut self, now: Time, id: &ServerId, as_of: u64, out: &mut Vec<FleetChange>) {
+        let may_lack = self.may_lack_records(now);
         let Some(record) = self.records.get_mut(id) else { return };
-        let until = self.recovered.map(|at| at + LAPSE_GRACE);
-        let expires = match until {
-            Some(until) if until > now && !record.replica.leaving => Some(until),
-            _ if self.outage => Some(now + LAPSE_GRACE),
-            _ => None,
-        };
-        match expires {
-            Some(until) => {
-                if record.expires.is_none() {
-                    out.push(FleetChange::Missing(id.clone()));
-                }
-                record.expires = Some(record.expires.unwrap_or(until));
-            }
-            None => {
-                self.remove(id, as_of);
-                out.push(FleetChange::Removed(id.clone()));
-            }
+        if !may_lack || record.replica.leaving {
+            self.remove(id, as_of);
+            out.push(FleetChange::Removed(id.clone()));
+        } else if record.missing.is_none() {
+            self.sequence += 1;
+            (record.missing, record.last_change) = (Some(as_of), self.sequence);
+            out.push(FleetChange::Missing(id.clone()));
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod standing;
 pub mod time;
 pub mod tree;
+pub mod uptime;
 pub mod warmup;
 pub mod window;
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -4,6 +4,7 @@
 use damaskweir_core::ids::{AvailabilityZone, PoolId, ServerId};
 use damaskweir_core::revision::Revision;
 use damaskweir_core::time::{Span, Time};
+use damaskweir_core::uptime::UptimeStatement;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -21,11 +22,11 @@
 }
 
 fn listed(revision: u64, replica: Replica) -> Listing {
-    Listing { id: replica.id.clone(), revision, replica: Some(replica) }
+    Listing { id: replica.id.clone(), revision, replica: Some(replica), missing: false }
 }
 
 fn removed(revision: u64, id: &str) -> Listing {
-    Listing { id: ServerId::from(id), revision, replica: None }
+    Listing { id: ServerId::from(id), revision, replica: None, missing: false }
 }
 
 fn seconds(n: u64) -> Time {
@@ -70,15 +71,25 @@
     assert_eq!(fleet.apply(seconds(3), at(20), &[listed(15, replica("a", 1, false))]), []);
 }
 
+/// A list of which the store confirmed one server, and a store that was away for `outage` then, until 10 s.
+fn after_outage(outage: Span) -> Fleet {
+    let mut fleet = known();
+    let [lost, back] = [seconds(10) - outage, seconds(10)];
+    fleet.uptime.answered(seconds(1), seconds(1), Span::ZERO);
+    fleet.uptime.answered(lost, seconds(1), lost.since(seconds(1)));
+    fleet.uptime.answered(back, back, Span::ZERO);
+    fleet
+}
+
 /// Guards against removing all servers because their records expired during a store outage.
 #[test]
 fn records_that_lapse_in_an_outage_get_time_to_return() {
-    let mut fleet = known();
-    fleet.store_lost();
-    fleet.store_recovered(seconds(10));
-    assert_eq!(fleet.replace(seconds(10), at(30), &[]), []);
-    assert_eq!(fleet.expire(seconds(11)), []);
-    let again = fleet.apply(seconds(11), at(31), &[listed(31, replica("a", 1, false))]);
+    let mut fleet = after_outage(Span::from_secs(3));
+    let missing = FleetChange::Missing(ServerId::from("a"));
+    assert_eq!(fleet.replace(seconds(10), at(30), &[]), [missing]);
+    assert_eq!(fleet.expire(seconds(12)), []);
+    assert_eq!(fleet.replicas().count(), 1);
+    let again = fleet.apply(seconds(12), at(31), &[listed(31, replica("a", 1, false))]);
     assert_eq!(again, [], "the server was never removed");
     assert_eq!(fleet.expire(seconds(20)), []);
 }
@@ -86,13 +97,76 @@
 /// Guards against keeping a server forever that died during a store outage.
 #[test]
 fn records_that_stay_missing_after_an_outage_are_removed() {
-    let mut fleet = known();
-    fleet.store_lost();
-    fleet.store_recovered(seconds(10));
+    let mut fleet = after_outage(Span::from_secs(3));
     fleet.replace(seconds(10), at(30), &[]);
     assert_eq!(fleet.expire(seconds(13)), [FleetChange::Removed(ServerId::from("a"))]);
 }
 
+/// Guards against new work for servers that are gone, because single calls to the store failed (review/8), or
+/// because the store was away long ago.
+#[rstest]
+#[case::failed_calls(Span::from_millis(900), 10)]
+#[case::earlier_outage(Span::from_secs(3), 13)]
+fn removed_server_is_not_kept_without_an_outage(#[case] outage: Span, #[case] time: u64) {
+    let gone = [FleetChange::Removed(ServerId::from("a"))];
+    let mut fleet = after_outage(outage);
+    assert_eq!(fleet.replace(seconds(time), at(30), &[]), gone);
+    let mut fleet = after_outage(outage);
+    assert_eq!(fleet.apply(seconds(time), at(30), &[removed(30, "a")]), gone);
+}
+
+/// Guards against new work for servers that are gone, at an entry that the store rejected, or that was cut off,
+/// when another entry was served all the while.
+#[test]
+fn kept_server_is_removed_once_another_entry_tells_that_there_was_no_outage() {
+    let mut fleet = after_outage(Span::from_secs(5));
+    fleet.replace(seconds(10), at(30), &[]);
+    assert_eq!(fleet.expire(seconds(11)), []);
+    let served = UptimeStatement { since: Span::from_secs(60), until: Span::ZERO, before: None };
+    fleet.uptime.told(seconds(11), seconds(11), served);
+    assert_eq!(fleet.expire(seconds(11)), [FleetChange::Removed(ServerId::from("a"))]);
+    assert_eq!(fleet.apply(seconds(11), at(31), &[listed(31, replica("b", 1, false))]).len(), 1);
+    assert_eq!(
+        fleet.apply(seconds(12), at(32), &[removed(32, "b")]),
+        [FleetChange::Removed(ServerId::from("b"))]
+    );
+}
+
+/// Guards against a server that an entry keeps by its grace and that another entry takes for listed: it would be
+/// kept longer at each step, or return where it was removed.
+#[rstest]
+#[case::same_outage(Span::from_secs(3), 1)]
+#[case::no_outage(Span::ZERO, 0)]
+fn kept_server_is_told_as_missing(#[case] outage: Span, #[case] kept: usize) {
+    let mut teller = after_outage(Span::from_secs(3));
+    teller.replace(seconds(10), at(30), &[]);
+    let delta = teller.delta_since(0).expect("a list");
+    assert_eq!(delta.listings.iter().filter(|listing| listing.missing).count(), 1);
+    let mut receivers = [after_outage(outage), Fleet::default()];
+    receivers[1].uptime = receivers[0].uptime;
+    for receiver in &mut receivers {
+        receiver.merge(seconds(11), &delta).expect("a later list");
+        assert_eq!(receiver.replicas().count(), kept);
+        receiver.expire(seconds(13));
+        assert_eq!(receiver.replicas().count(), 0);
+        assert_eq!(receiver.merge(seconds(13), &delta), Some(Vec::new()), "it does not return");
+    }
+}
+
+/// Guards against an entry that removes a server although its teller has seen its record again.
+#[test]
+fn return_of_a_record_is_told() {
+    let mut teller = after_outage(Span::from_secs(3));
+    let mut receiver = after_outage(Span::from_secs(3));
+    teller.replace(seconds(10), at(30), &[]);
+    let missing = teller.delta_since(0).expect("a list");
+    receiver.merge(seconds(10), &missing);
+    teller.apply(seconds(12), at(31), &[listed(31, replica("a", 1, false))]);
+    let again = teller.delta_since(missing.sequence).expect("a change");
+    assert_eq!(receiver.merge(seconds(12), &again), Some(Vec::new()));
+    assert_eq!(receiver.expire(seconds(20)), []);
+}
+
 /// Guards against records by other writers that do not describe a usable server.
 #[test]
 fn an_unreadable_record_removes_its_server() {
@@ -175,7 +249,8 @@
 #[test]
 fn servers_that_the_copy_lacks_get_time_to_register_again() {
     let (mut fleet, changes) = returned(&listed(19, replica("a", 1, false)), &[]);
-    assert_eq!((changes, fleet.expire(seconds(12))), (vec![], vec![]));
+    let missing = vec![FleetChange::Missing(ServerId::from("a"))];
+    assert_eq!((changes, fleet.expire(seconds(12))), (missing, vec![]));
     let again = [listed(16, replica("a", 1, false))];
     assert_eq!(fleet.apply(seconds(12), Revision::new(2, 16), &again), []);
     assert_eq!(fleet.expire(seconds(20)), []);
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -16,6 +16,7 @@
 use damaskweir_core::revision::Revision;
 use damaskweir_core::roster::RosterMark;
 use damaskweir_core::time::{Span, Time};
+use damaskweir_core::uptime::UptimeStatement;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -125,6 +126,10 @@
     /// Highest generation of the store that the responding process knows; 0 if it is unknown.
     #[serde(default)]
     pub(crate) generation: u64,
+    /// For how long the store has served, as far as the responding process knows. An entry of an earlier version
+    /// tells nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) uptime: Option<UptimeStatement>,
     /// The report of the responding process and those that it has of other entries, if the poll had one.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) loads: Vec<LoadReport>,
@@ -178,6 +183,7 @@
                 .and_then(|known| state.evacuations.statement_for(node.now(), known)),
             held: node.now().since(received),
             generation: state.generation,
+            uptime: state.fleet.uptime.statement(node.now()),
             loads: Vec::new(),
         };
         if known.catalog_only {
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -194,7 +194,8 @@
                 None => self.source.catalog().await,
                 Some(after) => self.source.watch_catalog(after, wait).await,
             };
-            self.record_call("catalog", read.as_ref().err());
+            let held = if full_read { Span::ZERO } else { wait };
+            self.record_watch("catalog", sent, held, read.as_ref().err());
             match read {
                 Ok(read) => {
                     delay = RETRY_DELAYS.0;
@@ -232,24 +233,22 @@
                 after = None;
             }
             let (sent, full_read) = (self.node.now(), after.is_none());
+            let wait = self.apply_share(SERVER_WATCH_SHARE);
             let read = match after {
                 None => self.source.listings().await,
-                Some(after) => {
-                    self.source.watch_listings(after, self.apply_share(SERVER_WATCH_SHARE)).await
-                }
+                Some(after) => self.source.watch_listings(after, wait).await,
             };
-            self.record_call("servers", read.as_ref().err());
+            let held = if full_read { Span::ZERO } else { wait };
+            self.record_watch("servers", sent, held, read.as_ref().err());
             match read {
                 Ok(read) => {
                     after = Some(read.revision);
                     let changed = full_read || !read.value.is_empty();
-                    let held =
-                        if changed { Span::ZERO } else { self.apply_share(SERVER_WATCH_SHARE) };
+                    let held = if changed { Span::ZERO } else { wait };
                     self.confirm(Dataset::Servers, sent, held);
                     let now = self.node.now();
                     let changes = {
                         let fleet = &mut self.node.state.borrow_mut().fleet;
-                        fleet.store_recovered(now);
                         if full_read {
                             fleet.replace(now, read.revision, &read.value)
                         } else {
@@ -260,9 +259,6 @@
                     sleep(LISTING_INTERVAL).await;
                 }
                 Err(error) => {
-                    if error.kind() == SourceErrorKind::Unavailable {
-                        self.node.state.borrow_mut().fleet.store_lost();
-                    }
                     after = None;
                     self.wait_for_contact(retry_kind(error.kind(), full_read)).await;
                 }
@@ -409,6 +405,12 @@
         (remaining > Span::ZERO).then(|| remaining.into())
     }
 
+    /// Returns the time until entries have registered again after an outage of the store alone.
+    fn outage_wait(&self) -> Span {
+        let state = self.node.state.borrow();
+        state.fleet.uptime.time_left(self.node.now(), REANNOUNCE_PERIOD)
+    }
+
     async fn maintain_lease(&self) {
         loop {
             if self.node.state.borrow().draining.is_some() {
@@ -561,7 +563,8 @@
             let confirmed = remaining.min(self.time_until_list_age()) > Span::ZERO;
             let current = reads && !self.contact.lost.get() && known && confirmed;
             self.node.state.borrow_mut().store_current = current;
-            if current && self.node.ready() {
+            // Another entry may know that the store served it while it was away for this one.
+            if current && self.node.ready() && self.outage_wait() == Span::ZERO {
                 next_peer = 0;
                 sleep(PEER_POLL_INTERVAL.min(remaining.into())).await;
                 continue;
@@ -728,6 +731,9 @@
         }
         // An entry of an earlier version doesn't notice that the store has returned with an older state.
         let notices = snapshot.generation > 0 || self.node.state.borrow().generation == 0;
+        if let Some(told) = snapshot.uptime {
+            self.node.state.borrow_mut().fleet.uptime.told(now, sent + snapshot.held, told);
+        }
         let told_age = snapshot.age.filter(|_| notices);
         let age = snapshot.age.map(|age| age + now.since(sent + snapshot.held));
         let confirmed = age.filter(|age| *age < self.apply_share(SWITCH_PEER_SHARE));
@@ -756,9 +762,6 @@
         if let Some(delta) = &snapshot.servers {
             let changes = {
                 let fleet = &mut self.node.state.borrow_mut().fleet;
-                if confirmed.is_some() {
-                    fleet.store_recovered(now);
-                }
                 fleet.merge(now, delta)
             };
             (known.teller, known.sequence) = match changes {
@@ -806,8 +809,14 @@
         }
     }
 
-    /// Counts a call to the store, and logs when contact is lost or restored.
+    /// Records a call to the store that just ended, other than a watch.
     fn record_call(&self, call: &'static str, error: Option<&S::Error>) {
+        self.record_watch(call, self.node.now(), Span::ZERO, error);
+    }
+
+    /// Counts a call to the store that just ended, and logs when contact is lost or restored. It was sent at
+    /// `sent`, and the store was asked to hold it for `wait`.
+    fn record_watch(&self, call: &'static str, sent: Time, wait: Span, error: Option<&S::Error>) {
         let outcome = match error.map(SourceError::kind) {
             None => "good",
             Some(SourceErrorKind::Unavailable) => "away",
@@ -817,6 +826,13 @@
         self.node.metrics.store_call(call, outcome);
         self.node.observe_generation(self.source.generation());
         let away = outcome == "away";
+        if !away {
+            let (now, mut state) = (self.node.now(), self.node.state.borrow_mut());
+            if state.suspension.is_catching_up(now) {
+                state.fleet.uptime.suspended(now);
+            }
+            state.fleet.uptime.answered(now, sent, wait);
+        }
         if self.contact.lost.replace(away) == away {
             return;
         }
