Keep entries that the store no longer lists only after an outage

What callers saw: nothing directly; an entry that is gone stayed listed, with its stage servers and its part in relaying, for 4.6 s in place of 0.3 s while calls to the store failed now and then.

Each call that succeeded after one that had failed counted as the end of an outage, after which entries that the store does not list are kept for 6 s.

Change: the time counts from the end of an outage as `core::uptime` knows it, and ends early when another entry tells that there was none.

--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -115,8 +115,6 @@
     announced_at: Cell<Option<Time>>,
     /// What other entries last sent, to request only changes.
     known: Cell<KnownState>,
-    /// When the store last recovered from an outage.
-    restored_at: Cell<Option<Time>>,
     /// Notified after each attempt to register this entry or renew its lease.
     announced: Notify,
     /// Generation of the store in which its records of rulings were last read; 0 if it is unknown.
@@ -140,7 +138,6 @@
             lease: Cell::default(),
             announced_at: Cell::default(),
             known: Cell::default(),
-            restored_at: Cell::default(),
             announced: Notify::new(),
             rulings_generation: Cell::default(),
             failed_polls: Cell::default(),
@@ -287,7 +284,7 @@
                     Some(remaining) => {
                         let entries = self.with_known(read.value.entries);
                         self.take_read_entries(entries, read.revision, sent);
-                        sleep(remaining).await;
+                        self.wait_to_reannounce(remaining).await;
                         Ok(())
                     }
                     None => {
@@ -399,9 +396,10 @@
     /// leases may have expired, or after the store returned with an older state. Until then a missing
     /// record does not mean that an entry is gone.
     fn reannounce_wait(&self) -> Option<Duration> {
-        let returned = self.node.state.borrow().returned_at;
-        let since = self.node.now().since(self.restored_at.get().max(returned)?);
-        let remaining = REANNOUNCE_PERIOD.saturating_sub(since);
+        let (state, now) = (self.node.state.borrow(), self.node.now());
+        let restored = state.returned_at.map(|at| REANNOUNCE_PERIOD.saturating_sub(now.since(at)));
+        drop(state);
+        let remaining = self.outage_wait().max(restored.unwrap_or_default());
         (remaining > Span::ZERO).then(|| remaining.into())
     }
 
@@ -411,6 +409,17 @@
         state.fleet.uptime.time_left(self.node.now(), REANNOUNCE_PERIOD)
     }
 
+    /// Waits until entries have registered again, or until it is known that none had to.
+    async fn wait_to_reannounce(&self, mut remaining: Duration) {
+        loop {
+            sleep(remaining.min(PEER_POLL_INTERVAL)).await;
+            match self.reannounce_wait() {
+                Some(time) => remaining = time,
+                None => return,
+            }
+        }
+    }
+
     async fn maintain_lease(&self) {
         loop {
             if self.node.state.borrow().draining.is_some() {
@@ -837,7 +846,6 @@
             return;
         }
         if !away {
-            self.restored_at.set(Some(self.node.now()));
             self.contact.restored.notify_waiters();
         }
         let text = error.map(ToString::to_string).unwrap_or_default();
