Refuse answers whose heads or chunks are damaged

What callers saw: a complete 200 with a part of a body, or with a body that was not the server's, when the length or the size of a chunk bore a sign or wrapped around, or when a second length or coding stood beside the first one.

Cause: numbers of the framing were read with `str::parse` and `from_str_radix`, which accept a sign; `size + 2` wrapped for a chunk of 2^64 - 2 bytes; a transfer coding went before a length, and a second coding was not looked at. The parser of heads accepts empty lines before the head and lines that end with a line feed alone, which RFC 9112 allows only as a repair.

Change: `direct::head` parses heads and decides the framing for all answers that entries read: of servers to requests, stage calls and releases, of the store, and of other entries. Nothing that RFC 9112 doesn't allow is accepted, apart from a missing blank after the status code.

Result: all forms end as an error of the connection, which callers get as 502 if no other server may answer. Forms that are unusual and allowed (zeros before a number, extensions of chunks, trailers) are read as before.

--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -5,10 +5,11 @@
 //! is expected. Only the id in a response tells which request it belongs to, so responses to other
 //! requests must be skipped.
 
+use crate::head::{Delimiter, ParsedHead, check_trailer, parse_chunk_size, parse_head};
 use crate::memory::{BodyBuffer, BufferError};
 use bytes::{Buf, Bytes, BytesMut};
 use damaskweir_core::time::Span;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderName, StatusCode};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hasher as _};
@@ -20,8 +21,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-/// Maximum number of header fields of a response.
-const HEADERS_MAX: usize = 64;
 /// Maximum size in bytes of a response head, of a line in a chunked body, and of the trailers.
 const HEAD_BYTES_MAX: usize = 32 * 1024;
 /// Buffer space in bytes that is reserved before each read.
@@ -81,8 +80,10 @@
 enum Framing {
     /// The body ends after this many bytes.
     Length(u64),
-    /// In a chunk with this many bytes left, including its line break.
+    /// In a chunk with this many bytes left.
     ChunkData(u64),
+    /// Before the line break after a chunk.
+    ChunkEnd,
     /// Before the size line of a chunk.
     ChunkSize,
     /// In the trailers, of which this many bytes have been read.
@@ -233,12 +234,17 @@
     ) -> Result<ResponseHead, HttpError> {
         let mut skipped = 0;
         for _ in 0..=SKIPPED_RESPONSES_MAX {
-            let head = self.next_head().await?;
+            let ParsedHead { head, delimiter, closes, .. } = self.next_head().await?;
             if head.status.is_informational() {
                 continue;
             }
-            self.framing = body_framing(&head)?;
-            self.unframed = self.framing == Framing::UntilClose;
+            self.framing = match delimiter {
+                Delimiter::Length(length) => Framing::Length(length),
+                Delimiter::Chunks => Framing::ChunkSize,
+                Delimiter::Close => Framing::UntilClose,
+            };
+            self.unframed = delimiter == Delimiter::Close;
+            self.must_close |= closes;
             self.update_keep_alive(&head);
             if is_own(&head) {
                 return Ok(head);
@@ -274,23 +280,25 @@
                     }
                     return Ok(Some(self.buf.split().freeze()));
                 }
-                Framing::ChunkData(left) if left > 2 => {
-                    let bytes = self.read_up_to(left - 2).await?;
+                Framing::ChunkData(0) => self.framing = Framing::ChunkEnd,
+                Framing::ChunkData(left) => {
+                    let bytes = self.read_up_to(left).await?;
                     self.framing = Framing::ChunkData(left - bytes.len() as u64);
                     return Ok(Some(bytes));
                 }
-                Framing::ChunkData(_) => {
-                    if self.read_line().await?.is_empty() {
-                        self.framing = Framing::ChunkSize;
-                    } else {
+                Framing::ChunkEnd => {
+                    let line_break = [self.read_byte().await?, self.read_byte().await?];
+                    if line_break != *b"\r\n" {
                         return Err(HttpError::Malformed("missing line break after chunk"));
                     }
+                    self.framing = Framing::ChunkSize;
                 }
                 Framing::ChunkSize => {
                     let line = self.read_line().await?;
-                    let size = parse_chunk_size(&line)?;
-                    self.framing =
-                        if size == 0 { Framing::Trailers(0) } else { Framing::ChunkData(size + 2) };
+                    self.framing = match parse_chunk_size(&line)? {
+                        0 => Framing::Trailers(0),
+                        size => Framing::ChunkData(size),
+                    };
                 }
                 Framing::Trailers(read) => {
                     let line = self.read_line().await?;
@@ -299,7 +307,10 @@
                         more if read + more > HEAD_BYTES_MAX => {
                             return Err(HttpError::Malformed("trailers too large"));
                         }
-                        more => Framing::Trailers(read + more),
+                        more => {
+                            check_trailer(&line)?;
+                            Framing::Trailers(read + more)
+                        }
                     };
                 }
             }
@@ -314,11 +325,11 @@
         Ok(buffer)
     }
 
-    async fn next_head(&mut self) -> Result<ResponseHead, HttpError> {
+    async fn next_head(&mut self) -> Result<ParsedHead, HttpError> {
         loop {
-            if let Some((head, length)) = parse_head(&self.buf)? {
-                self.buf.advance(length);
-                return Ok(head);
+            if let Some(parsed) = parse_head(&self.buf)? {
+                self.buf.advance(parsed.size);
+                return Ok(parsed);
             }
             if self.buf.len() > HEAD_BYTES_MAX {
                 return Err(HttpError::Malformed("head too large"));
@@ -330,11 +341,9 @@
     }
 
     fn update_keep_alive(&mut self, head: &ResponseHead) {
-        let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let close = text(header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        let named = text(HeaderName::from_static("keep-alive")).and_then(keep_alive_timeout);
+        let named = head.headers.get(HeaderName::from_static("keep-alive"));
+        let named = named.and_then(|value| keep_alive_timeout(value.to_str().ok()?));
         let idle = named.map_or(IDLE_TIMEOUT_DEFAULT, |idle| idle.saturating_sub(IDLE_MARGIN));
-        self.must_close |= close || self.unframed;
         self.reusable_until = Instant::now() + Duration::from(idle);
     }
 
@@ -346,14 +355,22 @@
         Ok(self.buf.split_to(n).freeze())
     }
 
+    async fn read_byte(&mut self) -> Result<u8, HttpError> {
+        if self.buf.is_empty() && self.fill_buf().await? == 0 {
+            return Err(HttpError::UnexpectedEof);
+        }
+        Ok(self.buf.get_u8())
+    }
+
+    /// Reads a line and returns it without its line break.
     async fn read_line(&mut self) -> Result<BytesMut, HttpError> {
         loop {
             if let Some(end) = memchr::memchr(b'\n', &self.buf) {
                 let mut line = self.buf.split_to(end + 1);
-                line.truncate(end);
-                if line.last() == Some(&b'\r') {
-                    line.truncate(end - 1);
+                if !line.ends_with(b"\r\n") {
+                    return Err(HttpError::Malformed("invalid line break"));
                 }
+                line.truncate(end - 1);
                 return Ok(line);
             }
             if self.buf.len() > HEAD_BYTES_MAX {
@@ -394,54 +411,6 @@
     }
 }
 
-fn parse_head(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-    let mut fields = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut response = httparse::Response::new(&mut fields);
-    let parsed = response.parse(bytes).map_err(|_| HttpError::Malformed("invalid head"))?;
-    let httparse::Status::Complete(length) = parsed else { return Ok(None) };
-    let code = response.code.unwrap_or_default();
-    let status =
-        StatusCode::from_u16(code).map_err(|_| HttpError::Malformed("invalid status code"))?;
-    let mut headers = HeaderMap::with_capacity(response.headers.len());
-    for field in response.headers.iter() {
-        let name = HeaderName::from_bytes(field.name.as_bytes());
-        let value = HeaderValue::from_bytes(field.value);
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(HttpError::Malformed("invalid header field"));
-        };
-        headers.append(name, value);
-    }
-    Ok(Some((ResponseHead { status, headers }, length)))
-}
-
-fn body_framing(head: &ResponseHead) -> Result<Framing, HttpError> {
-    if head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED {
-        return Ok(Framing::Done);
-    }
-    let text = |value: &HeaderValue| value.to_str().map(str::to_owned).unwrap_or_default();
-    if let Some(coding) = head.headers.get(header::TRANSFER_ENCODING) {
-        return match text(coding).eq_ignore_ascii_case("chunked") {
-            true => Ok(Framing::ChunkSize),
-            false => Err(HttpError::Malformed("unsupported transfer coding")),
-        };
-    }
-    let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().map(text);
-    match (lengths.next(), lengths.next()) {
-        (None, _) => Ok(Framing::UntilClose),
-        (Some(length), None) => length
-            .parse()
-            .map(Framing::Length)
-            .map_err(|_| HttpError::Malformed("invalid content length")),
-        _ => Err(HttpError::Malformed("more than one content length")),
-    }
-}
-
-fn parse_chunk_size(line: &[u8]) -> Result<u64, HttpError> {
-    let text = std::str::from_utf8(line).unwrap_or_default();
-    let digits = text.split(';').next().unwrap_or_default().trim();
-    u64::from_str_radix(digits, 16).map_err(|_| HttpError::Malformed("invalid chunk size"))
-}
-
 /// Returns the `timeout` parameter of a `Keep-Alive` field.
 fn keep_alive_timeout(value: &str) -> Option<Span> {
     let parameters = value.split(',').map(str::trim);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod event;
 mod exposure;
+mod head;
 mod loads;
 mod peers;
 mod permits;
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -95,6 +95,112 @@
     assert!(!conn.is_reusable());
 }
 
+/// Guards against a part of a body that counts as complete, and against answers that the caller can't tell from the
+/// server's, because a head or a chunk was damaged and could still be read in some way.
+#[rstest]
+#[case::signed_length("Content-Length: +4\r\n\r\nbody")]
+#[case::negative_length("Content-Length: -0\r\n\r\n")]
+#[case::length_that_wraps("Content-Length: 18446744073709551620\r\n\r\nbody")]
+#[case::split_length("Content-Length: 4 4\r\n\r\nbody")]
+#[case::list_of_lengths("Content-Length: 4, 4\r\n\r\nbody")]
+#[case::hexadecimal_length("Content-Length: 0x4\r\n\r\nbody")]
+#[case::empty_length("Content-Length:\r\n\r\nbody")]
+#[case::equal_lengths("Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::length_beside_chunks(
+    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::second_coding(
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::coding_twice("Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")]
+#[case::signed_chunk("Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n")]
+#[case::signed_last_chunk("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n-0\r\n\r\n")]
+#[case::chunk_that_wraps(
+    "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffe\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::chunk_of_17_digits(
+    "Transfer-Encoding: chunked\r\n\r\n10000000000000004\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::chunk_after_a_blank("Transfer-Encoding: chunked\r\n\r\n 4\r\nbody\r\n0\r\n\r\n")]
+#[case::chunk_before_a_blank("Transfer-Encoding: chunked\r\n\r\n4 \r\nbody\r\n0\r\n\r\n")]
+#[case::chunk_of_two_words("Transfer-Encoding: chunked\r\n\r\n4 4\r\nbody\r\n0\r\n\r\n")]
+#[case::chunk_without_size("Transfer-Encoding: chunked\r\n\r\n;x=y\r\nbody\r\n0\r\n\r\n")]
+#[case::control_byte_in_an_extension(
+    "Transfer-Encoding: chunked\r\n\r\n4;x=\0\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::chunk_line_feed("Transfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n")]
+#[case::chunk_ends_in_a_line_feed("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\n0\r\n\r\n")]
+#[case::chunk_too_long("Transfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n")]
+#[case::head_as_trailer(
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n"
+)]
+#[case::length_as_trailer(
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nContent-Length: 4\r\n\r\n"
+)]
+#[case::blank_in_a_trailer("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA b: 1\r\n\r\n")]
+#[case::trailer_line_feed("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\n\r\n")]
+#[case::line_without_colon("A\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::folded_line("A: 1\r\n b\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::blank_in_a_name("A b: 1\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::blank_after_a_name("Content-Length : 4\r\n\r\nbody")]
+#[case::control_byte_in_a_name("A\x01: 1\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::control_byte_in_a_value("A: \x01\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::empty_name(": 1\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::line_feed_in_a_value("A: 1\nContent-Length: 4\r\n\r\nbody")]
+#[case::carriage_return_in_a_value("A: 1\rB: 2\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::line_feeds("Content-Length: 4\n\nbody")]
+#[tokio::test]
+async fn damaged_responses_are_errors(#[case] rest: &str) {
+    let response = format!("HTTP/1.1 200 OK\r\n{rest}");
+    let (mut conn, read) = get_response(response.leak().as_bytes(), true).await;
+    assert!(read.is_err(), "{read:?}");
+    assert!(!conn.is_reusable());
+}
+
+/// Guards against status lines that are no answer in the protocol and that are passed on, and against bodies where
+/// the status allows none, which would be read as the next response.
+#[rstest]
+#[case::no_status("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::below("HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::two_digits("HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::four_digits("HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::sign("HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::other_version("HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::two_blanks("HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::empty_line("\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::chunks_of_the_first_version(
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::no_content_with_a_length("HTTP/1.1 204 No\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::no_content_in_chunks("HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::interim_with_a_length("HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody")]
+#[tokio::test]
+async fn responses_with_other_status_lines_are_errors(#[case] response: &'static str) {
+    let (mut conn, read) = get_response(response.as_bytes(), true).await;
+    assert!(read.is_err(), "{read:?}");
+    assert!(!conn.is_reusable());
+}
+
+/// Guards against refusing what the protocol allows, and against using a connection again that ends.
+#[rstest]
+#[case::lowercase("content-length: 4\r\n\r\nbody", true)]
+#[case::blanks_around_the_length("Content-Length: \t4 \r\n\r\nbody", true)]
+#[case::leading_zeros("Content-Length: 004\r\n\r\nbody", true)]
+#[case::uppercase_coding("Transfer-Encoding: CHUNKED\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true)]
+#[case::extensions(
+    "Transfer-Encoding: chunked\r\n\r\n0004 ; a ; b=\"c\"\r\nbody\r\n000;d\r\n\r\n",
+    true
+)]
+#[case::trailers("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\r\nB:\r\n\r\n", true)]
+#[case::empty_value("A:\r\nContent-Length: 4\r\n\r\nbody", true)]
+#[tokio::test]
+async fn unusual_responses_are_read(#[case] rest: &str, #[case] reused: bool) {
+    let response = format!("HTTP/1.1 200 OK\r\n{rest}");
+    let (mut conn, read) = get_response(response.leak().as_bytes(), false).await;
+    assert_eq!(read.expect("a valid response"), (200, b"body".to_vec()));
+    assert_eq!(conn.is_reusable(), reused);
+}
+
 /// Guards against taking a second response to one request for the response to the next request on the same
 /// connection.
 #[tokio::test]
