Refuse status codes that are none of the protocol

What callers saw: answers with status 600 to 999 as a replica sent them; and after a 101, which no request asks for, the bytes that followed as the answer.

Cause: `StatusCode::from_u16` accepts 100 to 999, and 101 was skipped like other interim responses.

Change: only 100 to 599 without 101 are status codes.

--- a/crates/direct/src/head.rs
+++ b/crates/direct/src/head.rs
@@ -69,7 +69,10 @@
 }
 
 fn parse_status(code: u16) -> Result<StatusCode, HttpError> {
-    StatusCode::from_u16(code).map_err(|_| HttpError::Malformed("invalid status code"))
+    let status = StatusCode::from_u16(code).ok().filter(|status| status.as_u16() < 600);
+    // No request asks to switch to another protocol.
+    let status = status.filter(|status| *status != StatusCode::SWITCHING_PROTOCOLS);
+    status.ok_or(HttpError::Malformed("invalid status code"))
 }
 
 fn parse_field(name: &[u8], value: &[u8]) -> Result<(HeaderName, HeaderValue), HttpError> {
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -162,6 +162,8 @@
 #[rstest]
 #[case::no_status("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody")]
 #[case::below("HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::above("HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody")]
+#[case::far_above("HTTP/1.1 999 OK\r\nContent-Length: 4\r\n\r\nbody")]
 #[case::two_digits("HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nbody")]
 #[case::four_digits("HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody")]
 #[case::sign("HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\nbody")]
@@ -171,6 +173,9 @@
 #[case::chunks_of_the_first_version(
     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
 )]
+#[case::other_protocol(
+    "HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+)]
 #[case::no_content_with_a_length("HTTP/1.1 204 No\r\nContent-Length: 4\r\n\r\nbody")]
 #[case::no_content_in_chunks("HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")]
 #[case::interim_with_a_length("HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody")]
