Don't reuse a connection whose server lists `close` among other options

What callers saw: nothing that was reported. A request that is sent on a connection which its server closes is lost, and one that may run only once then ends as 502.

Cause: only a `Connection` field with the single value `close`, and only the first one, was understood.

Change: all fields and all options are looked at.

--- a/crates/direct/src/head.rs
+++ b/crates/direct/src/head.rs
@@ -127,8 +127,9 @@
 }
 
 fn lists_close(headers: &HeaderMap) -> bool {
-    let option = headers.get(header::CONNECTION);
-    option.is_some_and(|option| option.as_bytes().eq_ignore_ascii_case(b"close"))
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
 }
 
 /// Parses the line before a chunk, without its line break. Returns the size of the chunk.
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -198,6 +198,11 @@
 )]
 #[case::trailers("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\r\nB:\r\n\r\n", true)]
 #[case::empty_value("A:\r\nContent-Length: 4\r\n\r\nbody", true)]
+#[case::close_in_a_list("Connection: a, Close\r\nContent-Length: 4\r\n\r\nbody", false)]
+#[case::close_in_a_second_line(
+    "Connection: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+    false
+)]
 #[tokio::test]
 async fn unusual_responses_are_read(#[case] rest: &str, #[case] reused: bool) {
     let response = format!("HTTP/1.1 200 OK\r\n{rest}");
