Take an early answer without a length to an unfinished upload for broken

What callers saw: a part of an answer as a complete one, when a server answered an upload at once with a 200 that had no length, and ended the connection while the upload was being written.

Cause: where an answer has no length, its end is that of its connection. The rest of the upload is not sent once the answer begins, so the server that ends the connection has not read the request; nothing shows that the answer is whole.

Evidence: a server that reads 4 KB of 24 MB, sends a part and closes, or resets.

Change: an answer without a length is incomplete if the request was not sent whole, or if the connection is no longer connected at its end: a reset that was reported to a write looks like an orderly end to the reads after it. An early answer with a length or in chunks is passed on as before.

--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -114,6 +114,8 @@
     /// No further request may be sent: the server closes the connection, or a request was sent only in
     /// part.
     must_close: bool,
+    /// The server answered a request before all of it was sent, and the rest was not.
+    is_cut: bool,
     /// When the connection has been idle for too long to be reused.
     reusable_until: Instant,
     /// Number of requests sent so far.
@@ -140,6 +142,7 @@
             framing: Framing::Done,
             unframed: false,
             must_close: false,
+            is_cut: false,
             reusable_until: Instant::now() + Duration::from(IDLE_TIMEOUT_DEFAULT),
             uses: 0,
             past_answers: VecDeque::new(),
@@ -216,7 +219,7 @@
                 match self.stream.try_read_buf(&mut self.buf) {
                     Ok(0) => return Err(HttpError::UnexpectedEof),
                     Ok(_) => {
-                        self.must_close = true;
+                        (self.must_close, self.is_cut) = (true, true);
                         return Ok(());
                     }
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -275,6 +278,9 @@
                 }
                 Framing::UntilClose => {
                     if self.buf.is_empty() && self.fill_buf().await? == 0 {
+                        if !self.has_ended_whole() {
+                            return Err(HttpError::UnexpectedEof);
+                        }
                         self.framing = Framing::Done;
                         return Ok(None);
                     }
@@ -347,6 +353,13 @@
         self.reusable_until = Instant::now() + Duration::from(idle);
     }
 
+    /// Whether a response that ends with its connection may be complete. The server has to read the whole request
+    /// before it closes the connection in order, and a reset may have been reported to a write alone: then reads
+    /// find the end of the connection, which is no longer connected.
+    fn has_ended_whole(&self) -> bool {
+        !self.is_cut && self.stream.peer_addr().is_ok()
+    }
+
     async fn read_up_to(&mut self, limit: u64) -> Result<Bytes, HttpError> {
         if self.buf.is_empty() && self.fill_buf().await? == 0 {
             return Err(HttpError::UnexpectedEof);
