Take a service's answer without a length for complete only if it is whole JSON

What callers saw: at the daemons, a part of a service's answer as the output of a stage, when the service ended its connection in the middle of an answer that had neither a length nor chunks.

Cause: such an answer ends with its connection, and the system closes that too when the service crashes. The client of services, unlike those of engines (which wait for `[DONE]`) and of the store (which decode a value), takes any bytes.

Change: a service's output is JSON (docs/API.md). Without a length, an answer is complete only if it is an object, an array or a string, of which no part is a value; otherwise the call may have run.

--- a/crates/services/src/client.rs
+++ b/crates/services/src/client.rs
@@ -3,10 +3,11 @@
 use crate::error::{ServiceError, status_error};
 use bytes::{Bytes, BytesMut};
 use damaskweir_core::prelude::*;
-use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use reqwest::redirect::Policy;
 use reqwest::{Client, Response};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use std::time::Duration;
 
 /// Longest excerpt of an error response in an error message, in characters.
@@ -113,7 +114,13 @@
             .send()
             .await?;
         let status = response.status();
+        let is_delimited = response.content_length().is_some()
+            || response.headers().contains_key(TRANSFER_ENCODING);
         let body = self.read_body(response).await?;
+        if !is_delimited && status.is_success() && !closes_itself(&body) {
+            let reason = "response without a length is not complete JSON".to_owned();
+            return Err(ServiceError::OutcomeUnknown(reason));
+        }
         if !status.is_success() {
             let text = String::from_utf8_lossy(&body);
             return Err(status_error(
@@ -159,6 +166,13 @@
     }
 }
 
+/// Whether a body is a JSON value of which no part is one as well. The end of the connection doesn't tell that a
+/// response without a length is complete, since a service that crashes closes it too.
+fn closes_itself(body: &[u8]) -> bool {
+    matches!(body.trim_ascii_start().first(), Some(b'{' | b'[' | b'"'))
+        && serde_json::from_slice::<IgnoredAny>(body).is_ok()
+}
+
 fn call_headers(attempt: AttemptId, key: Option<Digest>) -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/services/tests/calls.rs
+++ b/crates/services/tests/calls.rs
@@ -140,3 +140,49 @@
     let sent = sending.await.unwrap();
     assert!(sent < 16 * RESPONSE_LIMIT, "{sent} bytes");
 }
+
+/// Answers one call with the given bytes and closes the connection.
+async fn answer_with(answer: &'static str) -> Result<Bytes, ServiceError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"40}") {
+            stream.read_buf(&mut bytes).await.unwrap();
+        }
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    });
+    client(url).call(call(Effect::Once)).await
+}
+
+/// Guards against a part of an answer that counts as complete, because the head or a chunk was damaged or nothing
+/// tells the length of the body.
+#[rstest]
+#[case::signed_length("200 OK\r\nContent-Length: +2\r\n\r\n{}  ")]
+#[case::length_that_wraps("200 OK\r\nContent-Length: 18446744073709551618\r\n\r\n{}")]
+#[case::two_lengths("200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{} ")]
+#[case::signed_chunk("200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+2\r\n{}\r\n0\r\n\r\n")]
+#[case::chunk_that_wraps(
+    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffe\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+)]
+#[case::no_last_chunk("200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n")]
+#[case::no_colon("200 OK\r\nA\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::blank_in_a_name("200 OK\r\nA b: 1\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::no_status("000 OK\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::status_above("600 OK\r\nContent-Length: 2\r\n\r\n{}")]
+#[case::no_length("200 OK\r\n\r\n{\"sheets\": 4")]
+#[case::number_without_length("200 OK\r\n\r\n4")]
+#[case::nothing_without_length("200 OK\r\n\r\n")]
+#[tokio::test]
+async fn damaged_answers_are_errors(#[case] answer: &'static str) {
+    let read = answer_with(format!("HTTP/1.1 {answer}").leak()).await;
+    assert!(read.is_err(), "{read:?}");
+}
+
+/// Guards against refusing a whole answer that ends with its connection.
+#[tokio::test]
+async fn answer_without_length_that_is_whole_is_read() {
+    let read = answer_with("HTTP/1.1 200 OK\r\n\r\n{\"sheets\": 4}\n").await;
+    assert_eq!(read, Ok(Bytes::from_static(b"{\"sheets\": 4}\n")));
+}
