Reuse a connection only after its answer was the expected one

Cause: a connection went back among the idle ones before its caller had looked at the answer. After the copy of a release's answer, which holds no results, the call failed and the connection stayed one answer behind.

Change: `Conn::is_reusable` demands that the caller declared the answer the expected one, which each caller does after parsing it. Calls that name no request read their answers in one function that skips or refuses what can't be the answer.

Why it works: an answer that isn't understood, not awaited or not read to its end leaves the connection unfinished, whatever path the call ends on. What is taken for the answer of another call is an answer to a release, which all are the same; the connection is doubtful from then on, and no results are taken from behind such an answer.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -314,7 +314,10 @@
                     None if events.has_partial() || conn.is_unframed() => {
                         return Err(HttpError::UnexpectedEof);
                     }
-                    None => return Ok((head, info, Vec::new(), None)),
+                    None => {
+                        conn.finish();
+                        return Ok((head, info, Vec::new(), None));
+                    }
                 }
             }
             return Ok((head, info, Vec::new(), Some(events)));
@@ -323,6 +326,7 @@
         if self.node.broke_unframed(server, attempt, conn).await {
             return Err(HttpError::UnexpectedEof);
         }
+        conn.finish();
         Ok((head, info, body.into_parts(), None))
     }
 
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -330,17 +330,16 @@
         conn.send(&self.wire.encode_stage_call(server, items), &[]).await?;
         let (head, info, ends) = self.read_results(server, &mut conn, items).await?;
         self.keep_connection(&server.id, conn);
-        if head.status.is_success() {
-            let ends = ends.filter(|ends| ends.len() == items.len());
-            let ends = ends.ok_or(HttpError::Malformed("invalid results of a stage call"))?;
-            return Ok((CallOutcome::Done { dropped_bytes: 0 }, ends));
+        match ends {
+            Some(ends) => Ok((CallOutcome::Done { dropped_bytes: 0 }, ends)),
+            None if info.not_run && !head.status.is_success() => {
+                Ok((CallOutcome::Full, Vec::new()))
+            }
+            None => Ok((CallOutcome::Failed, Vec::new())),
         }
-        Ok((if info.not_run { CallOutcome::Full } else { CallOutcome::Failed }, Vec::new()))
     }
 
-    /// Reads the answer to a call, and skips earlier answers that the server sends once more. They name no
-    /// request, but a result has the same handle only for the same piece. Other answers may be the same as an
-    /// earlier one by right; what follows them on the connection may then belong to the call before.
+    /// Reads the answer to a call with pieces. Returns no results if the call failed.
     async fn read_results(
         self: &Rc<Self>,
         server: &Replica,
@@ -348,24 +347,60 @@
         items: &[PieceRequest],
     ) -> Result<(ResponseHead, ResponseInfo, Option<Vec<PieceOutcome>>), HttpError> {
         let call = digest_pieces(items);
+        let parse = |head: &ResponseHead, body: &[u8]| match head.status.is_success() {
+            true => {
+                let ends = self.wire.parse_stage_results(body);
+                ends.filter(|ends| ends.len() == items.len()).map(Some)
+            }
+            false => Some(None),
+        };
+        let (head, info, ends, is_repeated) = self.read_answer(server, conn, call, parse).await?;
+        let has_handle = ends.iter().flatten().any(|end| matches!(end, PieceOutcome::Done(_)));
+        match has_handle && !is_repeated {
+            true => conn.clear_doubt(),
+            // It may be of another call, whose server sends the answer to this one on this connection.
+            false if is_repeated || conn.is_doubtful() => conn.close_after_response(),
+            false => {}
+        }
+        Ok((head, info, ends))
+    }
+
+    /// Reads the answer to a call that names no request, and skips copies of earlier answers on the connection that
+    /// can't be its own: those that `parse` doesn't accept, and results of other pieces, since a result has the same
+    /// handle only for the same piece. Other answers may be the same as an earlier one by right; returns whether this
+    /// one is. The connection is finished if the answer is understood.
+    async fn read_answer<T>(
+        self: &Rc<Self>,
+        server: &Replica,
+        conn: &mut Conn,
+        call: u64,
+        parse: impl Fn(&ResponseHead, &[u8]) -> Option<T>,
+    ) -> Result<(ResponseHead, ResponseInfo, T, bool), HttpError> {
         for _ in 0..=REPEATED_ANSWERS_MAX {
             let head = conn.read_head(|_| true).await?;
             let info = self.record_answer(server, &head);
             let buffer = BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory);
             let body = conn.read_body(buffer).await?.finish();
-            let ends = self.wire.parse_stage_results(&body);
-            let has_handle =
-                |ends: &Vec<_>| ends.iter().any(|e| matches!(e, PieceOutcome::Done(_)));
-            match conn.record_answer(call, &body) {
-                Some(earlier) if earlier != call && ends.as_ref().is_some_and(has_handle) => {
-                    continue;
+            let earlier = conn.record_answer(call, &body);
+            match parse(&head, &body) {
+                Some(_)
+                    if earlier.is_some_and(|earlier| earlier != call) && self.has_handle(&body) => {
+                }
+                Some(answer) => {
+                    conn.finish();
+                    return Ok((head, info, answer, earlier.is_some()));
                 }
-                Some(_) => conn.close_after_response(),
-                None => {}
+                None if earlier.is_some() => {}
+                None => return Err(HttpError::Malformed("unexpected answer to a call")),
             }
-            return Ok((head, info, ends));
         }
-        Err(HttpError::Malformed("too many repeated results"))
+        Err(HttpError::Malformed("too many repeated answers"))
+    }
+
+    /// Whether an answer holds a result of a piece.
+    fn has_handle(&self, body: &[u8]) -> bool {
+        let ends = self.wire.parse_stage_results(body);
+        ends.iter().flatten().any(|end| matches!(end, PieceOutcome::Done(_)))
     }
 
     fn deliver(&self, id: PieceId, made: StoredResult) {
@@ -519,14 +554,21 @@
         let handles: Vec<_> = releases.iter().map(|release| release.handle.clone()).collect();
         let mut conn = self.connection(permit).await?;
         conn.send(&self.wire.encode_release(server, &handles), &[]).await?;
-        let head = conn.read_head(|_| true).await?;
-        self.record_answer(server, &head);
-        conn.read_body(BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory)).await?;
-        self.keep_connection(&server.id, conn);
-        match head.status.is_success() {
-            true => Ok(()),
-            false => Err(HttpError::Malformed("the release was refused")),
+        // The answer to a call with pieces has results in place of nothing.
+        let parse = |_: &ResponseHead, body: &[u8]| {
+            self.wire.parse_stage_results(body).is_none().then_some(())
+        };
+        let call = digest_handles(&handles);
+        let (head, _, (), is_repeated) = self.read_answer(server, &mut conn, call, parse).await?;
+        if is_repeated {
+            // Answers to releases are all the same.
+            conn.doubt();
+        }
+        if !head.status.is_success() {
+            return Err(HttpError::Malformed("the release was refused"));
         }
+        self.keep_connection(&server.id, conn);
+        Ok(())
     }
 
     /// Logs a failed release. It is not repeated, because servers drop unreleased results after a while.
@@ -545,6 +587,13 @@
     hasher.finish()
 }
 
+/// Returns a digest of which results a release is for.
+fn digest_handles(handles: &[String]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    handles.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the total size of the results that their server had no space for.
 fn rejected_bytes(batch: &Batch, wanted: &[PieceId], ends: &[PieceOutcome]) -> u64 {
     let rejected = wanted.iter().zip(ends).filter(|(_, end)| **end == PieceOutcome::NoRoom);
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -116,6 +116,10 @@
     must_close: bool,
     /// The server answered a request before all of it was sent, and the rest was not.
     is_cut: bool,
+    /// The answer to the latest request was the expected one, see [`Conn::finish`].
+    is_finished: bool,
+    /// The latest answer may be the copy of an earlier one, so its own may follow, see [`Conn::doubt`].
+    is_doubtful: bool,
     /// When the connection has been idle for too long to be reused.
     reusable_until: Instant,
     /// Number of requests sent so far.
@@ -143,6 +147,8 @@
             unframed: false,
             must_close: false,
             is_cut: false,
+            is_finished: true,
+            is_doubtful: false,
             reusable_until: Instant::now() + Duration::from(IDLE_TIMEOUT_DEFAULT),
             uses: 0,
             past_answers: VecDeque::new(),
@@ -152,7 +158,8 @@
     /// Returns whether another request may be sent. Probes for unexpected data, and consumes a byte of it
     /// if there is any.
     pub fn is_reusable(&mut self) -> bool {
-        let idle = self.framing == Framing::Done && self.buf.is_empty() && !self.must_close;
+        let read = self.framing == Framing::Done && self.is_finished;
+        let idle = read && self.buf.is_empty() && !self.must_close;
         let quiet = || {
             let mut byte = [0; 1];
             let read = self.stream.try_read(&mut byte);
@@ -184,6 +191,28 @@
         None
     }
 
+    /// Records that the answer to the latest request was understood and belongs to it. Without this the connection is
+    /// not reused: answers that follow would be taken for those to other requests.
+    pub fn finish(&mut self) {
+        self.is_finished = true;
+    }
+
+    /// Records that the latest answer may be a copy of an earlier one, and the next one the answer to the latest
+    /// request.
+    pub fn doubt(&mut self) {
+        self.is_doubtful = true;
+    }
+
+    /// Records that the latest answer belongs to the latest request for certain.
+    pub fn clear_doubt(&mut self) {
+        self.is_doubtful = false;
+    }
+
+    /// Whether the next answer may belong to an earlier request.
+    pub fn is_doubtful(&self) -> bool {
+        self.is_doubtful
+    }
+
     /// Closes the connection after the current response instead of reusing it.
     pub fn close_after_response(&mut self) {
         self.must_close = true;
@@ -198,6 +227,7 @@
     /// the connection is not reused.
     pub async fn send(&mut self, head: &[u8], body: &[Bytes]) -> Result<(), HttpError> {
         self.uses += 1;
+        self.is_finished = false;
         let mut parts = iter::once(head).chain(body.iter().map(|part| &part[..]));
         let mut left: &[u8] = &[];
         loop {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -148,11 +148,14 @@
             answer.push(&part)?;
         }
         let answer = answer.finish();
-        self.keep_entry_connection(entry, conn);
         if !head.status.is_success() {
             return Err(HttpError::Malformed("entry returned an error status"));
         }
-        serde_json::from_slice(&answer).map_err(|_| HttpError::Malformed("invalid response body"))
+        let answer = serde_json::from_slice(&answer);
+        let answer = answer.map_err(|_| HttpError::Malformed("invalid response body"))?;
+        conn.finish();
+        self.keep_entry_connection(entry, conn);
+        Ok(answer)
     }
 
     async fn entry_connection(&self, entry: &EntryInfo) -> Result<Conn, HttpError> {
--- a/crates/direct/src/snapshot.rs
+++ b/crates/direct/src/snapshot.rs
@@ -237,5 +237,7 @@
     let memory = MemoryBudget::new(SNAPSHOT_BYTES_MAX);
     let body = conn.read_body(BodyBuffer::new(SNAPSHOT_BYTES_MAX, &memory)).await?.finish();
     let snapshot = serde_json::from_slice(&body);
-    Ok((snapshot.map_err(|_| HttpError::Malformed("invalid snapshot"))?, conn))
+    let snapshot = snapshot.map_err(|_| HttpError::Malformed("invalid snapshot"))?;
+    conn.finish();
+    Ok((snapshot, conn))
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -129,7 +129,8 @@
     fn finish(&mut self) {
         self.upstream.guard.record_end(AttemptOutcome::Completed);
         self.request.node.record_answer_to(&self.request.shared_parts, self.request.call);
-        if let Some(conn) = self.upstream.conn.take() {
+        if let Some(mut conn) = self.upstream.conn.take() {
+            conn.finish();
             self.request.node.keep_connection(&self.upstream.guard.replica.id, conn);
         }
     }
--- a/crates/direct/tests/http.rs
+++ b/crates/direct/tests/http.rs
@@ -42,7 +42,9 @@
     let read = async {
         conn.send(b"GET / HTTP/1.1\r\n\r\n", &[]).await?;
         let head = conn.read_head(|head| !head.headers.contains_key("other")).await?;
-        Ok((head.status.as_u16(), conn.read_body(buffer()).await?.finish().to_vec()))
+        let body = conn.read_body(buffer()).await?.finish().to_vec();
+        conn.finish();
+        Ok((head.status.as_u16(), body))
     };
     let response = tokio::time::timeout(Duration::from_secs(5), read).await.expect("no hang");
     (conn, response)
