Take an answer without a length that ends during a suspension for broken

Cause: at the end of an answer without a length, a new connection to the server decides whether it has crashed. After a suspension it reaches the next process.

Change: within 1 s of a suspension, an end is no proof of a whole answer, and neither is it if the record of a later process of the server is known. Both are asked where this is decided already, before and after the connection.

--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -217,15 +217,31 @@
         }
     }
 
-    /// Whether the end of a response without a length is that of its connection in a crash. A server that
-    /// has crashed may run again. One that is leaving counts as crashed if it is gone: few exit in the moment
-    /// in which a response ends.
+    /// Whether the end of a response without a length is that of its connection in a crash, or may be. A server
+    /// that has crashed may run again. One that is leaving counts as crashed if it is gone: few exit in the
+    /// moment in which a response ends.
     pub(crate) async fn broke_unframed(&self, server: &Replica, attempt: u64, conn: &Conn) -> bool {
         if !conn.is_unframed() {
             return false;
         }
         let crashed = self.state.borrow().exposures.has_crashed(&server.process(), attempt);
-        crashed || self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
+        crashed
+            || self.was_suspended()
+            || self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
+            || self.was_suspended()
+            || self.is_replaced(server)
+    }
+
+    /// Whether this process was suspended just before. A connection may have ended meanwhile, and another process
+    /// of its server may run by now.
+    fn was_suspended(&self) -> bool {
+        self.state.borrow().suspension.is_catching_up(self.now())
+    }
+
+    /// Whether a later process of a server is listed.
+    fn is_replaced(&self, server: &Replica) -> bool {
+        let state = self.state.borrow();
+        state.fleet.get(&server.id).is_some_and(|listed| listed.started > server.started)
     }
 
     /// Records a crash if another process has taken the place of a server that lost requests, and
--- a/crates/direct/src/node.rs
+++ b/crates/direct/src/node.rs
@@ -101,7 +101,7 @@
     Store,
     /// Another entry, at this address.
     Entry(SocketAddr),
-    /// Nobody: a time limit of this entry passed.
+    /// Nobody: what was kept for a time is no longer in doubt.
     Expiry,
 }
 
