--- a/crates/direct/src/exposure.rs
+++ b/crates/direct/src/exposure.rs
@@ -226,16 +226,17 @@
         }
         let crashed = self.state.borrow().exposures.has_crashed(&server.process(), attempt);
         crashed
-            || self.was_suspended()
+            || self.was_suspended(conn)
             || self.probe(server, CLOSE_DELAY).await == ServerState::Crashed
-            || self.was_suspended()
+            || self.was_suspended(conn)
             || self.is_replaced(server)
     }
 
-    /// Whether this process was suspended just before. A connection may have ended meanwhile, and another process
-    /// of its server may run by now.
-    fn was_suspended(&self) -> bool {
-        self.state.borrow().suspension.is_catching_up(self.now())
+    /// Whether this process was suspended just before, after it sent the latest request on a connection. The
+    /// connection may have ended meanwhile, and another process of its server may run by now.
+    fn was_suspended(&self, conn: &Conn) -> bool {
+        let now = self.now();
+        self.state.borrow().suspension.resumed_since(now, now - conn.time_since_sent())
     }
 
     /// Whether a later process of a server is listed.
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -124,6 +124,8 @@
     reusable_until: Instant,
     /// Number of requests sent so far.
     uses: u32,
+    /// When the latest request was sent.
+    sent: Instant,
     /// Digests of the latest answers that were recorded: body and call.
     past_answers: VecDeque<(u64, u64)>,
 }
@@ -151,6 +153,7 @@
             is_doubtful: false,
             reusable_until: Instant::now() + Duration::from(IDLE_TIMEOUT_DEFAULT),
             uses: 0,
+            sent: Instant::now(),
             past_answers: VecDeque::new(),
         })
     }
@@ -223,10 +226,16 @@
         self.uses
     }
 
+    /// Returns the time since the latest request was sent.
+    pub fn time_since_sent(&self) -> Span {
+        self.sent.elapsed().into()
+    }
+
     /// Sends a request. If the server responds before it has read all of it, the rest is not sent and
     /// the connection is not reused.
     pub async fn send(&mut self, head: &[u8], body: &[Bytes]) -> Result<(), HttpError> {
         self.uses += 1;
+        self.sent = Instant::now();
         self.is_finished = false;
         let mut parts = iter::once(head).chain(body.iter().map(|part| &part[..]));
         let mut left: &[u8] = &[];
