--- a/crates/core/src/fresh.rs
+++ b/crates/core/src/fresh.rs
@@ -37,16 +37,22 @@
         self.last_tick = now;
     }
 
+    /// When the process resumed, if it was suspended just before.
+    fn resumed(&self, now: Time) -> Option<Time> {
+        match now.since(self.last_tick) > SUSPENSION_MIN {
+            true => Some(now),
+            false => (now < self.catch_up).then(|| self.catch_up - CATCH_UP_TIME),
+        }
+    }
+
     /// Whether the process was suspended just before, and resumed after `since`.
     pub fn resumed_since(&self, now: Time, since: Time) -> bool {
-        let is_unnoticed = now.since(self.last_tick) > SUSPENSION_MIN;
-        let resumed = if is_unnoticed { now } else { self.catch_up - CATCH_UP_TIME };
-        self.is_catching_up(now) && since < resumed
+        self.resumed(now).is_some_and(|resumed| since < resumed)
     }
 
     /// Whether the process was suspended just before. Old data is to be confirmed then before it is used.
     pub fn is_catching_up(&self, now: Time) -> bool {
-        now < self.catch_up || now.since(self.last_tick) > SUSPENSION_MIN
+        self.resumed(now).is_some()
     }
 }
 
--- a/crates/core/src/uptime.rs
+++ b/crates/core/src/uptime.rs
@@ -94,15 +94,10 @@
         });
     }
 
-    /// When the store returned from the latest break; `None` if no break is known.
-    pub(crate) fn returned(&self) -> Option<SignedTime> {
-        self.0.filter(|service| service.before.is_some()).map(|service| service.since)
-    }
-
     /// Time left until the store has been back for `period` since the latest break, or zero if no break is known.
     pub fn time_left(&self, now: Time, period: Span) -> Span {
-        let since = self.returned().map(|at| at.age(now));
-        since.map_or(Span::ZERO, |since| period.saturating_sub(since))
+        let returned = self.0.filter(|service| service.before.is_some());
+        returned.map_or(Span::ZERO, |service| period.saturating_sub(service.since.age(now)))
     }
 
     /// What to tell other entries; `None` if no answer is known.
--- a/crates/direct/src/calls.rs
+++ b/crates/direct/src/calls.rs
@@ -17,7 +17,7 @@
 use damaskweir_core::standing::Standing;
 use damaskweir_core::time::{Span, Time};
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::hash::{DefaultHasher, Hash, Hasher as _};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -328,15 +328,13 @@
         let server = &permit.server().clone();
         let mut conn = self.connection(permit).await?;
         conn.send(&self.wire.encode_stage_call(server, items), &[]).await?;
-        let (head, info, ends) = self.read_results(server, &mut conn, items).await?;
+        let (info, ends) = self.read_results(server, &mut conn, items).await?;
         self.keep_connection(&server.id, conn);
-        match ends {
-            Some(ends) => Ok((CallOutcome::Done { dropped_bytes: 0 }, ends)),
-            None if info.not_run && !head.status.is_success() => {
-                Ok((CallOutcome::Full, Vec::new()))
-            }
-            None => Ok((CallOutcome::Failed, Vec::new())),
-        }
+        Ok(match ends {
+            Some(ends) => (CallOutcome::Done { dropped_bytes: 0 }, ends),
+            None if info.not_run => (CallOutcome::Full, Vec::new()),
+            None => (CallOutcome::Failed, Vec::new()),
+        })
     }
 
     /// Reads the answer to a call with pieces. Returns no results if the call failed.
@@ -345,36 +343,32 @@
         server: &Replica,
         conn: &mut Conn,
         items: &[PieceRequest],
-    ) -> Result<(ResponseHead, ResponseInfo, Option<Vec<PieceOutcome>>), HttpError> {
-        let call = digest_pieces(items);
-        let parse = |head: &ResponseHead, body: &[u8]| match head.status.is_success() {
-            true => {
-                let ends = self.wire.parse_stage_results(body);
-                ends.filter(|ends| ends.len() == items.len()).map(Some)
-            }
+    ) -> Result<(ResponseInfo, Option<Vec<PieceOutcome>>), HttpError> {
+        let call = digest(items.iter().map(|item| (&item.id, item.stage, item.piece)));
+        let accept = |head: &ResponseHead, ends: Option<Vec<_>>| match head.status.is_success() {
+            true => ends.filter(|ends| ends.len() == items.len()).map(Some),
             false => Some(None),
         };
-        let (head, info, ends, is_repeated) = self.read_answer(server, conn, call, parse).await?;
-        let has_handle = ends.iter().flatten().any(|end| matches!(end, PieceOutcome::Done(_)));
-        match has_handle && !is_repeated {
+        let (_, info, ends, is_repeated) = self.read_answer(server, conn, call, accept).await?;
+        match ends.as_deref().is_some_and(has_handle) && !is_repeated {
             true => conn.clear_doubt(),
             // It may be of another call, whose server sends the answer to this one on this connection.
             false if is_repeated || conn.is_doubtful() => conn.close_after_response(),
             false => {}
         }
-        Ok((head, info, ends))
+        Ok((info, ends))
     }
 
     /// Reads the answer to a call that names no request, and skips copies of earlier answers on the connection that
-    /// can't be its own: those that `parse` doesn't accept, and results of other pieces, since a result has the same
-    /// handle only for the same piece. Other answers may be the same as an earlier one by right; returns whether this
+    /// can't be its own: those that `accept` refuses, given the outcomes of pieces in them, and results of other
+    /// pieces, since a result has the same handle only for the same piece. Other answers may be the same as an earlier one by right; returns whether this
     /// one is. The connection is finished if the answer is understood.
     async fn read_answer<T>(
         self: &Rc<Self>,
         server: &Replica,
         conn: &mut Conn,
         call: u64,
-        parse: impl Fn(&ResponseHead, &[u8]) -> Option<T>,
+        accept: impl Fn(&ResponseHead, Option<Vec<PieceOutcome>>) -> Option<T>,
     ) -> Result<(ResponseHead, ResponseInfo, T, bool), HttpError> {
         for _ in 0..=REPEATED_ANSWERS_MAX {
             let head = conn.read_head(|_| true).await?;
@@ -382,10 +376,13 @@
             let buffer = BodyBuffer::new(RESULTS_BYTES_MAX, &self.memory);
             let body = conn.read_body(buffer).await?.finish();
             let earlier = conn.record_answer(call, &body);
-            match parse(&head, &body) {
-                Some(_)
-                    if earlier.is_some_and(|earlier| earlier != call) && self.has_handle(&body) => {
-                }
+            let ends = self.wire.parse_stage_results(&body);
+            if earlier.is_some_and(|earlier| earlier != call)
+                && ends.as_deref().is_some_and(has_handle)
+            {
+                continue;
+            }
+            match accept(&head, ends) {
                 Some(answer) => {
                     conn.finish();
                     return Ok((head, info, answer, earlier.is_some()));
@@ -397,12 +394,6 @@
         Err(HttpError::Malformed("too many repeated answers"))
     }
 
-    /// Whether an answer holds a result of a piece.
-    fn has_handle(&self, body: &[u8]) -> bool {
-        let ends = self.wire.parse_stage_results(body);
-        ends.iter().flatten().any(|end| matches!(end, PieceOutcome::Done(_)))
-    }
-
     fn deliver(&self, id: PieceId, made: StoredResult) {
         let waiter = self.state.borrow_mut().waiters.remove(&id);
         let unused = match waiter {
@@ -555,11 +546,9 @@
         let mut conn = self.connection(permit).await?;
         conn.send(&self.wire.encode_release(server, &handles), &[]).await?;
         // The answer to a call with pieces has results in place of nothing.
-        let parse = |_: &ResponseHead, body: &[u8]| {
-            self.wire.parse_stage_results(body).is_none().then_some(())
-        };
-        let call = digest_handles(&handles);
-        let (head, _, (), is_repeated) = self.read_answer(server, &mut conn, call, parse).await?;
+        let accept = |_: &ResponseHead, ends: Option<Vec<_>>| ends.is_none().then_some(());
+        let call = digest(&handles);
+        let (head, _, (), is_repeated) = self.read_answer(server, &mut conn, call, accept).await?;
         if is_repeated {
             // Answers to releases are all the same.
             conn.doubt();
@@ -580,18 +569,16 @@
     }
 }
 
-/// Returns a digest of which pieces a call is for.
-fn digest_pieces(items: &[PieceRequest]) -> u64 {
+/// Returns a digest of what a call is for: pieces, or results.
+fn digest(subjects: impl IntoIterator<Item: Hash>) -> u64 {
     let mut hasher = DefaultHasher::new();
-    items.iter().for_each(|item| (&item.id, item.stage, item.piece).hash(&mut hasher));
+    subjects.into_iter().for_each(|subject| subject.hash(&mut hasher));
     hasher.finish()
 }
 
-/// Returns a digest of which results a release is for.
-fn digest_handles(handles: &[String]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    handles.hash(&mut hasher);
-    hasher.finish()
+/// Whether a piece has a result.
+fn has_handle(ends: &[PieceOutcome]) -> bool {
+    ends.iter().any(|end| matches!(end, PieceOutcome::Done(_)))
 }
 
 /// Returns the total size of the results that their server had no space for.
--- a/crates/direct/src/head.rs
+++ b/crates/direct/src/head.rs
@@ -3,7 +3,7 @@
 //! All answers that entries read are parsed here: those of backend servers, of the store and of other entries. A
 //! head that doesn't conform to RFC 9112 may be damaged where it delimits the body, so none is repaired.
 
-use crate::http::{HttpError, ResponseHead};
+use crate::http::{Framing, HttpError, ResponseHead};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
 /// Maximum number of header fields of a response.
@@ -11,22 +11,12 @@
 /// Maximum number of digits of the size of a chunk. Sizes with as many don't overflow.
 const CHUNK_DIGITS_MAX: usize = 15;
 
-/// How the end of the body is found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Delimiter {
-    /// The body has this many bytes.
-    Length(u64),
-    /// The body is sent in chunks.
-    Chunks,
-    /// The body ends when the connection is closed.
-    Close,
-}
-
 /// A response head, and what it says about the connection.
 #[derive(Debug)]
 pub(crate) struct ParsedHead {
     pub(crate) head: ResponseHead,
-    pub(crate) delimiter: Delimiter,
+    /// How the body is delimited, at its start.
+    pub(crate) framing: Framing,
     /// Whether the server closes the connection after the response.
     pub(crate) closes: bool,
     /// Size of the head in bytes.
@@ -55,9 +45,9 @@
     }
     let head = ResponseHead { status, headers };
     let is_first_version = response.version == Some(0);
-    let delimiter = parse_delimiter(&head, is_first_version)?;
-    let closes = is_first_version || delimiter == Delimiter::Close || lists_close(&head.headers);
-    Ok(Some(ParsedHead { head, delimiter, closes, size }))
+    let framing = parse_framing(&head, is_first_version)?;
+    let closes = is_first_version || framing == Framing::UntilClose || lists_close(&head.headers);
+    Ok(Some(ParsedHead { head, framing, closes, size }))
 }
 
 fn has_whole_line_breaks(head: &[u8]) -> bool {
@@ -82,7 +72,7 @@
     }
 }
 
-fn parse_delimiter(head: &ResponseHead, is_first_version: bool) -> Result<Delimiter, HttpError> {
+fn parse_framing(head: &ResponseHead, is_first_version: bool) -> Result<Framing, HttpError> {
     let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
     let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter();
     let coding = (codings.next(), codings.next());
@@ -91,26 +81,26 @@
         (Some(length), None) => Some(parse_length(length.as_bytes())?),
         _ => return Err(HttpError::Malformed("more than one content length")),
     };
-    let delimiter = match (coding, length) {
-        ((None, _), None) => Delimiter::Close,
-        ((None, _), Some(length)) => Delimiter::Length(length),
+    let framing = match (coding, length) {
+        ((None, _), None) => Framing::UntilClose,
+        ((None, _), Some(length)) => Framing::Length(length),
         ((Some(_), _), Some(_)) => {
             return Err(HttpError::Malformed("content length beside a transfer coding"));
         }
         ((Some(coding), None), None)
             if !is_first_version && coding.as_bytes().eq_ignore_ascii_case(b"chunked") =>
         {
-            Delimiter::Chunks
+            Framing::ChunkSize
         }
         _ => return Err(HttpError::Malformed("unsupported transfer coding")),
     };
     let status = head.status;
-    match delimiter {
+    match framing {
         // It tells the length of the body that is not repeated.
-        _ if status == StatusCode::NOT_MODIFIED => Ok(Delimiter::Length(0)),
-        Delimiter::Close | Delimiter::Length(0) if has_no_body(status) => Ok(Delimiter::Length(0)),
+        _ if status == StatusCode::NOT_MODIFIED => Ok(Framing::Done),
+        Framing::UntilClose | Framing::Length(0) if has_no_body(status) => Ok(Framing::Done),
         _ if has_no_body(status) => Err(HttpError::Malformed("body of a response without one")),
-        delimiter => Ok(delimiter),
+        framing => Ok(framing),
     }
 }
 
--- a/crates/direct/src/http.rs
+++ b/crates/direct/src/http.rs
@@ -5,7 +5,7 @@
 //! is expected. Only the id in a response tells which request it belongs to, so responses to other
 //! requests must be skipped.
 
-use crate::head::{Delimiter, ParsedHead, check_trailer, parse_chunk_size, parse_head};
+use crate::head::{ParsedHead, check_trailer, parse_chunk_size, parse_head};
 use crate::memory::{BodyBuffer, BufferError};
 use bytes::{Buf, Bytes, BytesMut};
 use damaskweir_core::time::Span;
@@ -77,7 +77,7 @@
 
 /// How the end of the body is found, and the position in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
+pub(crate) enum Framing {
     /// The body ends after this many bytes.
     Length(u64),
     /// In a chunk with this many bytes left.
@@ -276,16 +276,12 @@
     ) -> Result<ResponseHead, HttpError> {
         let mut skipped = 0;
         for _ in 0..=SKIPPED_RESPONSES_MAX {
-            let ParsedHead { head, delimiter, closes, .. } = self.next_head().await?;
+            let ParsedHead { head, framing, closes, .. } = self.next_head().await?;
             if head.status.is_informational() {
                 continue;
             }
-            self.framing = match delimiter {
-                Delimiter::Length(length) => Framing::Length(length),
-                Delimiter::Chunks => Framing::ChunkSize,
-                Delimiter::Close => Framing::UntilClose,
-            };
-            self.unframed = delimiter == Delimiter::Close;
+            self.framing = framing;
+            self.unframed = framing == Framing::UntilClose;
             self.must_close |= closes;
             self.update_keep_alive(&head);
             if is_own(&head) {
@@ -379,9 +375,7 @@
             if self.buf.len() > HEAD_BYTES_MAX {
                 return Err(HttpError::Malformed("head too large"));
             }
-            if self.fill_buf().await? == 0 {
-                return Err(HttpError::UnexpectedEof);
-            }
+            self.fill_more().await?;
         }
     }
 
@@ -400,16 +394,16 @@
     }
 
     async fn read_up_to(&mut self, limit: u64) -> Result<Bytes, HttpError> {
-        if self.buf.is_empty() && self.fill_buf().await? == 0 {
-            return Err(HttpError::UnexpectedEof);
+        if self.buf.is_empty() {
+            self.fill_more().await?;
         }
         let n = usize::try_from(limit).unwrap_or(usize::MAX).min(self.buf.len());
         Ok(self.buf.split_to(n).freeze())
     }
 
     async fn read_byte(&mut self) -> Result<u8, HttpError> {
-        if self.buf.is_empty() && self.fill_buf().await? == 0 {
-            return Err(HttpError::UnexpectedEof);
+        if self.buf.is_empty() {
+            self.fill_more().await?;
         }
         Ok(self.buf.get_u8())
     }
@@ -428,9 +422,15 @@
             if self.buf.len() > HEAD_BYTES_MAX {
                 return Err(HttpError::Malformed("line too long"));
             }
-            if self.fill_buf().await? == 0 {
-                return Err(HttpError::UnexpectedEof);
-            }
+            self.fill_more().await?;
+        }
+    }
+
+    /// Reads more bytes, or fails at the end of the connection.
+    async fn fill_more(&mut self) -> Result<(), HttpError> {
+        match self.fill_buf().await? {
+            0 => Err(HttpError::UnexpectedEof),
+            _ => Ok(()),
         }
     }
 
--- a/crates/direct/src/sync.rs
+++ b/crates/direct/src/sync.rs
@@ -187,12 +187,12 @@
                 after = zones.map(|zones| zones.min(catalog));
             }
             let (sent, full_read) = (self.node.now(), after.is_none());
+            let wait = if full_read { Span::ZERO } else { wait };
             let read = match after {
                 None => self.source.catalog().await,
                 Some(after) => self.source.watch_catalog(after, wait).await,
             };
-            let held = if full_read { Span::ZERO } else { wait };
-            self.record_watch("catalog", sent, held, read.as_ref().err());
+            self.record_watch("catalog", sent, wait, read.as_ref().err());
             match read {
                 Ok(read) => {
                     delay = RETRY_DELAYS.0;
@@ -230,18 +230,16 @@
                 after = None;
             }
             let (sent, full_read) = (self.node.now(), after.is_none());
-            let wait = self.apply_share(SERVER_WATCH_SHARE);
+            let wait = if full_read { Span::ZERO } else { self.apply_share(SERVER_WATCH_SHARE) };
             let read = match after {
                 None => self.source.listings().await,
                 Some(after) => self.source.watch_listings(after, wait).await,
             };
-            let held = if full_read { Span::ZERO } else { wait };
-            self.record_watch("servers", sent, held, read.as_ref().err());
+            self.record_watch("servers", sent, wait, read.as_ref().err());
             match read {
                 Ok(read) => {
                     after = Some(read.revision);
-                    let changed = full_read || !read.value.is_empty();
-                    let held = if changed { Span::ZERO } else { wait };
+                    let held = if read.value.is_empty() { wait } else { Span::ZERO };
                     self.confirm(Dataset::Servers, sent, held);
                     let now = self.node.now();
                     let changes = {
@@ -281,10 +279,10 @@
             }
             let changed = match read {
                 Ok(read) => match self.reannounce_wait() {
-                    Some(remaining) => {
+                    Some(_) => {
                         let entries = self.with_known(read.value.entries);
                         self.take_read_entries(entries, read.revision, sent);
-                        self.wait_to_reannounce(remaining).await;
+                        self.wait_to_reannounce().await;
                         Ok(())
                     }
                     None => {
@@ -396,9 +394,8 @@
     /// leases may have expired, or after the store returned with an older state. Until then a missing
     /// record does not mean that an entry is gone.
     fn reannounce_wait(&self) -> Option<Duration> {
-        let (state, now) = (self.node.state.borrow(), self.node.now());
-        let restored = state.returned_at.map(|at| REANNOUNCE_PERIOD.saturating_sub(now.since(at)));
-        drop(state);
+        let (returned, now) = (self.node.state.borrow().returned_at, self.node.now());
+        let restored = returned.map(|at| REANNOUNCE_PERIOD.saturating_sub(now.since(at)));
         let remaining = self.outage_wait().max(restored.unwrap_or_default());
         (remaining > Span::ZERO).then(|| remaining.into())
     }
@@ -410,13 +407,9 @@
     }
 
     /// Waits until entries have registered again, or until it is known that none had to.
-    async fn wait_to_reannounce(&self, mut remaining: Duration) {
-        loop {
+    async fn wait_to_reannounce(&self) {
+        while let Some(remaining) = self.reannounce_wait() {
             sleep(remaining.min(PEER_POLL_INTERVAL)).await;
-            match self.reannounce_wait() {
-                Some(time) => remaining = time,
-                None => return,
-            }
         }
     }
 
